--- /dev/null
+++ b/ponddoor/__init__.py
@@ -0,0 +1,1 @@
+"""ponddoor: a session controller for a fleet of media servers."""
--- /dev/null
+++ b/ponddoor/decide.py
@@ -0,0 +1,649 @@
+"""All decisions of one ponddoor front: the server and the rung of every session, from arrival to end.
+
+The caller is `ponddoor.runtime.driver.Driver`: it sets the clock, hands every event to `Front.observe` and
+runs the generators `session`, `handed_over` and `upkeep`. What they yield and are resumed with is in
+`ponddoor/interface` (facts, events, actions). docs/design.md tells how this follows the design.
+
+Beside the design stand these mechanisms:
+1. the guard: the six rules, at the one place that every SETUP passes (`Front.barred`);
+2. health: a server that fails is rested, then tried by one session at a time (`Server.rested_until`);
+3. further SETUPs: set-up timeouts that leave room for another holder (`Front.patience`);
+4. fronts' word: rates and reports told to one another, where messages are allowed (`Front.telling`).
+"""
+
+import heapq
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from ponddoor.interface import actions as act
+from ponddoor.interface import events as ev
+from ponddoor.interface.events import Result, ServerState
+from ponddoor.interface.facts import Effect, Reporting, Scope, ServiceGroup, SiteFacts
+from ponddoor.interface.script import Script
+
+SECOND = 1_000_000
+HEADROOM = 0.08           # of a link or uplink, left for true rates above the ladder and for others' raises
+RESIZE_EVERY = 5 * SECOND
+PAYS = 2.0                # a change of rung must earn its cost so many times over
+REPORT_AGE = SECOND // 3  # how old a report is taken to be when it comes
+MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
+PROBE_POINTS = 0.01       # of service, that probing may cost
+TELL_EVERY = 2 * SECOND
+REST = SECOND             # a failing server's first rest; doubled with each further failure
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+ENTRY = struct.Struct(">IHBB")  # server, our rate there in 4 kB/s, last ratio in hundredths, its age in 20 ms
+
+
+@dataclass(slots=True)
+class Pipe:
+    """A server's link or a rack's uplink: what is told of it, what we know to ask of it, and its reports."""
+
+    kb: float
+    known: list[tuple[int, float]] = field(default_factory=lambda: [(0, 0.0)])
+    loads: list[tuple[int, float]] = field(default_factory=list)  # (taken at, asked over what it gives)
+
+    def book(self, now: int, kb: float) -> None:
+        self.known.append((now, kb))
+        del self.known[:-40]
+
+    def known_at(self, moment: int) -> float:
+        return next((kb for at, kb in reversed(self.known) if at <= moment), self.known[0][1])
+
+    def load(self, taken: int, ratio: float) -> None:
+        self.loads.append((taken, ratio))
+        del self.loads[:-3]
+
+    def unknown(self, now: int) -> float:
+        """What others ask, by the last reports: each speaks of its moment, so what was known then is off."""
+        fresh = [(taken, ratio) for taken, ratio in self.loads if taken >= self.loads[-1][0] - 3 * SECOND]
+        weights = [2.0 ** i for i in range(len(fresh))]
+        return sum(weight * (ratio * self.kb - self.known_at(taken))
+                   for weight, (taken, ratio) in zip(weights, fresh, strict=True)) / sum(weights)
+
+
+@dataclass(slots=True)
+class Sess:
+    """One session, from its request to its end."""
+
+    req: ev.SessionRequest
+    group: ServiceGroup
+    utility: float
+    deadline: int
+    rung: int
+    top: int
+    server: int = -1
+    began: int | None = None
+    attempts: list[tuple[int, int, Result | None]] = field(default_factory=list)  # (server, sent at, end)
+
+
+@dataclass(slots=True)
+class Server:
+    """One server as this front sees it."""
+
+    row: ev.ServerRow
+    link: Pipe
+    sessions: dict[int, Sess] = field(default_factory=dict)
+    ends: list[tuple[int, bool]] = field(default_factory=list)      # (when, whether it went well)
+    notes: list[tuple[int, float]] = field(default_factory=list)    # (when, share delivered)
+    peers: dict[int, tuple[int, float]] = field(default_factory=dict)  # a front's last word: (when, kB/s)
+    sent: int = -(1 << 60)
+    lost: int | None = None     # when it was last seen to be down
+    back: int = -(1 << 60)      # when it was first seen to be up again
+
+    def rested_until(self) -> int:
+        """Guards against servers that are silent, stand still or fail set-ups; none need be told apart.
+
+        It covers overloaded and cut-off ones too. It may harm where set-ups fail by chance everywhere: then
+        all rest, and the holder whose rest ends first is taken.
+        """
+        if not self.ends or self.ends[-1][1]:
+            return 0
+        return self.ends[-1][0] + REST * (1 << min(sum(not well for _, well in self.ends) - 1, 3))
+
+
+class Front:
+    """The decisions of one front."""
+
+    def __init__(self, facts: SiteFacts, now: int) -> None:
+        self.facts, self.now, self.born = facts, now, now
+        self.chance = facts.seed
+        self.servers: dict[int, Server] = {}
+        self.racks = [Pipe(facts.plant.uplink_kb) for _ in range(max(1, facts.plant.racks))]
+        self.sessions: dict[int, Sess] = {}
+        self.seats: dict[tuple[int, int], int] = {}
+        self.lags: list[int] = []
+        self.lengths: list[int] = []
+        self.arrivals: list[tuple[int, int]] = []   # (when, tenant) of the last requests
+        self.taken: list[int] = []                  # requests within the budget's span
+        self.resent: list[int] = []                 # further SETUPs within it
+        self.watching = False
+
+    def clock(self, now: int) -> None:
+        self.now = now
+
+    def draw(self, below: int) -> int:
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
+        return ((self.chance >> 32) * below) >> 32
+
+    # What is observed
+
+    def observe(self, event: ev.Event) -> None:
+        match event:
+            case ev.ServerNews():
+                self.learn_list(event)
+            case ev.SessionRequest():
+                self.arrivals.append((self.now, event.tenant))
+                del self.arrivals[:-60]
+                self.taken.append(self.now)
+            case ev.Started():
+                self.lags.append(event.lag)
+                del self.lags[:-30]
+                self.judge(event.server, True)
+            case ev.Ended():
+                self.learn_end(event)
+            case ev.Note():
+                self.learn_note(event)
+            case ev.Probed():
+                if event.result is Result.SERVED:
+                    self.learn_report(event.server, event.report)
+                else:
+                    self.judge(event.server, False)
+            case ev.PeerMessage():
+                self.learn_word(event)
+            case _:
+                pass
+
+    def learn_list(self, news: ev.ServerNews) -> None:
+        self.watching = news.scope is not ev.NewsScope.FAILED
+        if not self.watching:
+            return
+        named = {row.server for row in news.rows}
+        if news.scope is not ev.NewsScope.CHANGES:
+            for server in self.servers.values():
+                if server.row.server not in named:
+                    server.row = replace(server.row, state=ServerState.GONE)
+        for row in news.rows:
+            held = self.servers.get(row.server)
+            if held is None:
+                held = self.servers[row.server] = Server(row, Pipe(0.0))
+            if row.state is ServerState.GONE:
+                row = replace(held.row, state=ServerState.GONE)
+            elif row.started_at > held.row.started_at:  # a new process: what was seen of the old one is void
+                held.ends, held.notes, held.link.loads, held.lost = [], [], [], None
+            held.row = row
+            held.link.kb = row.weight * self.facts.plant.kb_per_weight
+
+    def judge(self, server_id: int, well: bool) -> None:
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        server.ends.append((self.now, well))
+        del server.ends[:-6]
+        if well and server.lost is not None:
+            if server.row.started_at < server.lost:  # it may have restarted just now, unseen by the list
+                server.back = self.now
+            server.lost = None
+
+    def learn_end(self, event: ev.Ended) -> None:
+        sess, server = self.sessions.get(event.req_id), self.servers.get(event.server)
+        if sess is None or server is None:
+            return
+        if event.attempt < len(sess.attempts):
+            sess.attempts[event.attempt] = (*sess.attempts[event.attempt][:2], event.result)
+        if event.report:
+            self.learn_report(event.server, event.report)
+        if event.result in (Result.CONNECT_FAILED, Result.RESET):
+            server.lost = self.now
+        if event.result is Result.FULL and self.facts.plant.refuse_at:
+            server.link.load(self.now, max(self.facts.plant.refuse_at, 1.0))
+        elif event.result in (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET, Result.FULL):
+            self.judge(event.server, False)
+        if event.result is Result.SERVED and sess.began is not None:
+            self.lengths.append(self.now - sess.began)
+            del self.lengths[:-30]
+        if event.server == sess.server:
+            self.release(sess)
+
+    def learn_note(self, note: ev.Note) -> None:
+        sess, server = self.sessions.get(note.req_id), self.servers.get(note.server)
+        if sess is None or server is None:
+            return
+        fresh = sess.began is None or self.now - sess.began < SECOND // 10
+        taken = self.now if fresh else self.now - self.facts.plant.note_delay
+        match note.kind:
+            case ev.NoteKind.RUNG:
+                sess.rung = round(note.value)
+                self.book(server)
+            case ev.NoteKind.LINK_ASKED:
+                server.link.load(taken, note.value)
+            case ev.NoteKind.UPLINK_ASKED:
+                self.rack(server).load(taken, note.value)
+            case ev.NoteKind.DELIVERED:
+                self.learn_shortage(server, taken, note.value)
+
+    def learn_shortage(self, server: Server, taken: int, share: float) -> None:
+        """Guards against titles above their rung and reports that are late, missing or stop at full.
+
+        The milder of the last two notes counts, so that a brief pause, which fills one, diverts nobody.
+        Where the link itself is known to have room, it is the rack's uplink that is short.
+        """
+        server.notes.append((taken, share))
+        del server.notes[:-2]
+        mild = max(share for _, share in server.notes)
+        if mild >= 0.98 or len(server.notes) < 2:
+            return
+        ratio = 1 / max(mild, 0.1)
+        last = server.link.loads[-1] if server.link.loads else (0, 0.0)
+        if last[0] < taken - MISSING or last[1] >= 0.99:
+            server.link.load(taken, max(ratio, last[1]))
+        elif "uplink_asked" not in self.facts.report_fields:
+            self.rack(server).load(taken, ratio)
+
+    def learn_report(self, server_id: int, report: dict[str, float]) -> None:
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        taken = self.now - REPORT_AGE
+        ratio = report.get("link_asked", report.get("util"))
+        if ratio is not None:
+            if "link_asked" not in report and ratio >= 0.99 and server.notes and server.notes[-1][1] < 0.98:
+                ratio = 1 / max(server.notes[-1][1], 0.1)  # util stops at full: the notes tell how far over
+            server.link.load(taken, ratio)
+        if "uplink_asked" in report:
+            self.rack(server).load(taken, report["uplink_asked"])
+
+    def learn_word(self, message: ev.PeerMessage) -> None:
+        if len(message.payload) % ENTRY.size:
+            return
+        for server_id, units, ratio, age in ENTRY.iter_unpack(message.payload):
+            server = self.servers.get(server_id)
+            if server is None:
+                continue
+            server.peers[message.peer] = (self.now, units * 4.0)
+            self.book(server)
+            if ratio < 255 and (not server.link.loads or server.link.loads[-1][0] < self.now - age * 20_000):
+                server.link.load(self.now - age * 20_000, ratio / 100)
+
+    # The idle account
+
+    def rack(self, server: Server) -> Pipe:
+        return self.racks[server.row.cell % len(self.racks)]
+
+    def rate(self, sess: Sess, rung: int) -> float:
+        return self.facts.ladder.rate_kb[rung] * sess.group.rate_factor
+
+    def own(self, server: Server) -> float:
+        """What our sessions ask of a server; viewers of one live title at one rung share a stream."""
+        total, streams = 0.0, set()
+        for sess in server.sessions.values():
+            stream = (sess.req.title, sess.req.service_group, sess.rung)
+            shared = sess.group.live and stream in streams
+            total += self.rate(sess, sess.rung) * (self.facts.ladder.join if shared else 1.0)
+            streams.add(stream)
+        return total
+
+    def book(self, server: Server) -> None:
+        heard = [kb for when, kb in server.peers.values() if when > self.now - 4 * TELL_EVERY]
+        server.link.book(self.now, self.own(server) + sum(heard))
+        rack = self.rack(server)
+        rack.book(self.now, sum(s.link.known[-1][1] for s in self.servers.values() if self.rack(s) is rack))
+
+    def asked(self, server: Server) -> float:
+        """What is asked of a link: the last reports, and what we know to have changed since."""
+        known = server.link.known[-1][1]
+        if server.link.loads:
+            return max(self.own(server), server.link.unknown(self.now) + known)
+        return known if server.peers else known * self.facts.fronts
+
+    def warmth(self, server: Server) -> float:
+        rules = self.facts.rules
+        age = self.now - max(server.row.started_at or -(1 << 60), server.back)
+        if age >= rules.cold:
+            return 1.0
+        return rules.cold_from + (1 - rules.cold_from) * age / rules.cold
+
+    def idle(self, server: Server) -> float:
+        """Told link less headroom and what is asked, capped by its share of its rack's idle uplink."""
+        link = server.link.kb * self.warmth(server) * (1 - HEADROOM)
+        room = link - self.asked(server)
+        rack = self.rack(server)
+        mates = [s for s in self.servers.values()
+                 if self.rack(s) is rack and s.row.state is not ServerState.GONE]
+        asked = {s.row.server: self.asked(s) for s in mates}
+        total = sum(asked.values())
+        if rack.loads and rack.loads[-1][0] > self.now - 2 * MISSING:
+            told = rack.unknown(self.now) + rack.known[-1][1]
+            total = told if "uplink_asked" in self.facts.report_fields else max(total, told)
+        spare = rack.kb * (1 - HEADROOM) - total
+        if spare < 0:
+            return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
+        rooms = sum(max(0.0, s.link.kb * (1 - HEADROOM) - asked[s.row.server]) for s in mates)
+        return min(room, spare * max(room, 0.0) / max(rooms, 1.0))
+
+    # Sizing and placement
+
+    def gain(self, sess: Sess, rung: int) -> float:
+        """Utility per rate of the step from the rung below."""
+        ladder = self.facts.ladder
+        step = self.rate(sess, rung) - self.rate(sess, rung - 1)
+        return sess.utility * (ladder.utility[rung] - ladder.utility[rung - 1]) / max(step, 1e-9)
+
+    def size(self, sessions: list[Sess], budget: float, cap: dict[int, int]) -> dict[int, int]:
+        """The design's loop: all at the lowest rung, then a step for whoever gains most utility per rate."""
+        rungs = {sess.req.req_id: min(sess.group.floor, sess.top) for sess in sessions}
+        budget -= sum(self.rate(sess, rungs[sess.req.req_id]) for sess in sessions)
+        heap = [(-self.gain(sess, rungs[sess.req.req_id] + 1), i) for i, sess in enumerate(sessions)
+                if rungs[sess.req.req_id] < cap[sess.req.req_id]]
+        heapq.heapify(heap)
+        while heap:
+            _, i = heapq.heappop(heap)
+            sess, rung = sessions[i], rungs[sessions[i].req.req_id] + 1
+            step = self.rate(sess, rung) - self.rate(sess, rung - 1)
+            if step > budget:
+                continue
+            budget -= step
+            rungs[sess.req.req_id] = rung
+            if rung < cap[sess.req.req_id]:
+                heapq.heappush(heap, (-self.gain(sess, rung + 1), i))
+        return rungs
+
+    def place(self, sess: Sess) -> Server | None:
+        """Size by the holders' pooled idle, take the one with most, cap the rung to fit and size again."""
+        open_now = [s for s in self.servers.values() if not self.barred(sess, s)]
+        if not open_now:
+            return None
+        tried = {server for server, _, _ in sess.attempts}
+        fit = [s for s in open_now if s.rested_until() <= self.now]
+        fit = [s for s in fit if s.row.server not in tried] or fit
+        if not fit:
+            fit = [min(open_now, key=lambda s: (s.rested_until(), s.row.server))]
+        idle = {s.row.server: self.idle(s) for s in fit}
+        best = max(fit, key=lambda s: (idle[s.row.server], -s.row.server))
+        pooled, me = sum(max(0.0, kb) for kb in idle.values()), sess.req.req_id
+        rung = self.size([sess], pooled, {me: sess.top})[me]
+        if self.rate(sess, rung) > idle[best.row.server]:
+            fits = [r for r in range(sess.group.floor, rung + 1)
+                    if self.rate(sess, r) <= idle[best.row.server]]
+            cap = max(fits, default=min(sess.group.floor, sess.top))
+            rung = self.size([sess], pooled, {me: cap})[me]
+        sess.rung = rung
+        return best
+
+    # The guard: every SETUP passes here, at the moment it is sent
+
+    def barred(self, sess: Sess, server: Server) -> bool:
+        row, plant = server.row, self.facts.plant
+        return (row.state is not ServerState.READY
+                or (row.cell - sess.req.home) % plant.cells >= sess.req.span
+                or self.spent(sess)
+                or not self.may_repeat(sess, server)
+                or (sess.group.seats > 0 and self.seats.get(seat(sess), 0) >= sess.group.seats)
+                or self.paced_until(server) > self.now)
+
+    def spent(self, sess: Sess) -> bool:
+        """Whether no SETUP at all may follow: too many, none left in the budget, or one still out."""
+        rules = self.facts.rules
+        out = any(end is None for _, _, end in sess.attempts)
+        if out or len(sess.attempts) >= self.facts.permissions.max_attempts:
+            return True
+        if rules.spare_setups is None or not sess.attempts:
+            return False
+        since = self.now - rules.resend_span
+        self.taken = [at for at in self.taken if at > since]
+        resent = sum(at >= since for at in self.resent)
+        return resent + 1 > rules.spare_setups + rules.resend_ratio * len(self.taken)
+
+    def may_repeat(self, sess: Sess, server: Server) -> bool:
+        """Unsafe: only after proof that nothing ran. Keyed: only where and while the key is remembered."""
+        ran = [(at, sent) for at, sent, end in sess.attempts if end not in NEVER_RAN]
+        if not ran or sess.group.effect is Effect.SAFE:
+            return True
+        if sess.group.effect is Effect.UNSAFE:
+            return False
+        for at, sent in ran:
+            other = self.servers[at].row
+            same = {Scope.ALL: True, Scope.ZONE: other.zone == server.row.zone,
+                    Scope.CELL: other.cell == server.row.cell}[sess.group.scope]
+            if not same or self.now >= sent + sess.group.memory:
+                return False
+        return True
+
+    def paced_until(self, server: Server) -> int:
+        """When this front may next send to a server that is cold, or may be.
+
+        Known to be cold: time is cut into slots that each hold one set-up, and the fronts take turns. Only
+        perhaps cold (seen down, or we have just begun ourselves): our own sends are spaced by our share.
+        """
+        rules, fronts = self.facts.rules, self.facts.fronts
+        started = max(server.row.started_at or -(1 << 60), server.back)
+        known = self.now - started < rules.cold
+        if not known and server.lost is None and self.now - self.born >= rules.cold:
+            return 0
+        places = self.facts.plant.streams[server.row.kind]
+        slot = int(rules.cold / max(places * rules.cold_from * rules.fall_multiple, 0.01))
+        if not known:
+            return server.sent + slot * fronts
+        turn = self.now // slot
+        if turn % fronts == self.facts.me and server.sent < turn * slot:
+            return 0
+        return (turn + (self.facts.me - turn - 1) % fronts + 1) * slot
+
+    def may_refuse(self, sess: Sess) -> bool:
+        ran = any(end not in NEVER_RAN for _, _, end in sess.attempts)
+        return (not ran or sess.group.effect is Effect.SAFE
+                or (sess.group.effect is Effect.KEYED and sess.group.scope is Scope.ALL))
+
+    # A session, from arrival to end
+
+    def open(self, req: ev.SessionRequest) -> Sess:
+        group = self.facts.groups[req.service_group]
+        top = min(req.top, group.top, len(self.facts.ladder.rate_kb) - 1)
+        sess = Sess(req, group, group.utility * self.within_share(req.tenant), self.now + req.time_left,
+                    min(group.floor, top), top)
+        self.sessions[req.req_id] = sess
+        return sess
+
+    def within_share(self, tenant: int) -> float:
+        """The worth of a tenant's request: less where it sends beyond its share."""
+        if tenant >= len(self.facts.tenants) or len(self.arrivals) < 2:
+            return 1.0
+        count = sum(whose == tenant for _, whose in self.arrivals)
+        span = max(self.now - self.arrivals[0][0], SECOND)
+        rate = count * self.facts.fronts * SECOND / span
+        inside = min(1.0, self.facts.tenants[tenant].quota_per_s / max(rate, 1e-9))
+        return inside + self.facts.over_share_utility * (1 - inside)
+
+    def session(self, req: ev.SessionRequest) -> Script:
+        sess = self.open(req)
+        while True:
+            server = self.place(sess)
+            if server is None:
+                chance = self.next_chance(sess)
+                if chance is None:
+                    break
+                if isinstance((yield act.Wait(chance)), ev.ViewerLeft):
+                    self.close(sess)
+                    return
+                continue
+            timeout = self.patience(sess)
+            self.commit(sess, server)
+            yield act.SetRung(req.req_id, sess.rung)
+            got = yield act.Setup(req.req_id, server.row.server, timeout)
+            if isinstance(got, ev.Started):
+                sess.began = self.now
+                yield act.Play()
+                self.close(sess)
+                return
+            if isinstance(got, ev.ViewerLeft) or (isinstance(got, ev.Ended) and got.final):
+                self.close(sess)
+                return
+            if self.now >= sess.deadline:
+                break
+        if self.may_refuse(sess):
+            allowed = self.facts.permissions
+            yield act.BusyReply(req.req_id, allowed.max_come_back // 2 if allowed.come_back else 0)
+        else:
+            yield act.TearDown(req.req_id)
+        self.close(sess)
+
+    def handed_over(self, event: ev.HandedOver) -> Script:
+        sess = self.open(event.request)
+        server = self.servers.get(event.server)
+        if server is not None:
+            self.commit(sess, server)
+        sess.began = self.now
+        yield act.Play()
+        self.close(sess)
+
+    def patience(self, sess: Sess) -> int:
+        """A set-up timeout that leaves time for another holder before the start target, if it can."""
+        left = sess.deadline - self.now
+        last = len(sess.attempts) + 1 >= self.facts.permissions.max_attempts
+        if last or sess.group.effect is Effect.UNSAFE:
+            return left
+        target = sess.deadline - sess.req.time_left + sess.group.start_target
+        usual = sorted(self.lags)[len(self.lags) * 9 // 10] if self.lags else 0
+        return min(left, max((target - self.now) * 45 // 100, usual * 2, sess.group.start_target // 5))
+
+    def next_chance(self, sess: Sess) -> int | None:
+        """When a holder that only its pace holds back may be sent to; None if there is none in time."""
+        waits = [self.paced_until(s) for s in self.servers.values()
+                 if s.row.state is ServerState.READY
+                 and (s.row.cell - sess.req.home) % self.facts.plant.cells < sess.req.span]
+        seats = sess.group.seats > 0 and self.seats.get(seat(sess), 0) >= sess.group.seats
+        soon = min((at for at in waits if at > self.now), default=None)
+        if soon is None or seats or self.spent(sess) or soon >= sess.deadline:
+            return None
+        return soon
+
+    def commit(self, sess: Sess, server: Server) -> None:
+        """A SETUP goes out: the account, the seats, the pace and the budget know it at once."""
+        if sess.attempts:
+            self.resent.append(self.now)
+            del self.resent[:-200]
+        sess.attempts.append((server.row.server, self.now, None))
+        sess.server, server.sent = server.row.server, self.now
+        server.sessions[sess.req.req_id] = sess
+        self.seats[seat(sess)] = self.seats.get(seat(sess), 0) + 1
+        self.book(server)
+
+    def release(self, sess: Sess) -> None:
+        server = self.servers.get(sess.server)
+        if server is not None and server.sessions.pop(sess.req.req_id, None) is not None:
+            self.seats[seat(sess)] -= 1
+            self.book(server)
+
+    def close(self, sess: Sess) -> None:
+        """The viewer is answered; a SETUP still out keeps its seat and its rate until its outcome."""
+        if all(end is not None for _, _, end in sess.attempts):
+            self.release(sess)
+            self.sessions.pop(sess.req.req_id, None)
+
+    # Upkeep
+
+    def upkeep(self) -> Iterable[Script]:
+        yield self.resizing()
+        if self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF:
+            yield self.probing()
+        if self.facts.permissions.messages and self.facts.fronts > 1:
+            yield self.telling()
+        if self.facts.asked_discovery:
+            yield self.watch()
+
+    def resizing(self) -> Script:
+        yield act.Wait(self.now + SECOND + RESIZE_EVERY * self.facts.me // max(1, self.facts.fronts))
+        while True:
+            for server in list(self.servers.values()):
+                for sess, rung in self.resized(server):
+                    sess.rung = rung
+                    yield act.SetRung(sess.req.req_id, rung)
+                self.book(server)
+            yield act.Wait(self.now + RESIZE_EVERY)
+
+    def resized(self, server: Server) -> list[tuple[Sess, int]]:
+        """Size a server's playing sessions within our share of its idle; only changes that pay."""
+        mine = [s for s in server.sessions.values() if s.began is not None]
+        own, idle = self.own(server), self.idle(server)
+        if not mine or server.row.state is ServerState.GONE:
+            return []
+        # Every front sees the same idle at once: each raises into its share and cuts its part of the excess
+        room = idle / self.facts.fronts if idle > 0 else idle * own / max(self.asked(server), own, 1.0)
+        spent = sum(self.rate(s, s.rung) for s in mine)
+        want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
+        cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
+        ups = [s for s in mine if want[s.req.req_id] > s.rung]
+        ups.sort(key=lambda s: -self.gain(s, s.rung + 1))
+        changes: list[tuple[Sess, int]] = []
+        while room < 0 and cuts:
+            sess = cuts.pop(0)
+            changes.append((sess, want[sess.req.req_id]))
+            room += self.rate(sess, sess.rung) - self.rate(sess, want[sess.req.req_id])
+        for sess in ups:
+            rung = want[sess.req.req_id]
+            need, worth, freed = self.rate(sess, rung) - self.rate(sess, sess.rung), self.earns(sess, rung), 0
+            while room < need and freed < len(cuts):
+                cut = cuts[freed]
+                room += self.rate(cut, cut.rung) - self.rate(cut, want[cut.req.req_id])
+                worth += self.earns(cut, want[cut.req.req_id])
+                freed += 1
+            if room >= need and worth > 0:
+                changes += [(cut, want[cut.req.req_id]) for cut in cuts[:freed]] + [(sess, rung)]
+                room -= need
+                del cuts[:freed]
+            else:
+                room -= sum(self.rate(c, c.rung) - self.rate(c, want[c.req.req_id]) for c in cuts[:freed])
+        return changes
+
+    def earns(self, sess: Sess, rung: int) -> float:
+        """What a change of rung earns over the time the session is likely to have left, less its cost."""
+        ladder = self.facts.ladder
+        played = self.now - (sess.began or self.now)
+        longer = sorted(length for length in self.lengths if length > played)
+        left = longer[len(longer) // 2] - played if longer else max(played, RESIZE_EVERY)
+        if sess.req.length_hint is not None:
+            left = max(sess.req.length_hint - played, 0)
+        change = (ladder.utility[rung] - ladder.utility[sess.rung]) * left / SECOND
+        return sess.utility * (change - PAYS * ladder.switch_cost_s)
+
+    def probing(self) -> Script:
+        """Probe in turn, as often as the price allows; messages share the work among fronts."""
+        turn = 0
+        while True:
+            ready = [s for s in self.servers.values() if s.row.state is ServerState.READY]
+            if ready:
+                turn += 1
+                yield act.Probe(ready[turn % len(ready)].row.server)
+            recent = sum(at > self.now - 10 * SECOND for at, _ in self.arrivals)
+            per_s = max(recent / 10, 0.5) * PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
+            yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
+
+    def telling(self) -> Script:
+        yield act.Wait(self.now + TELL_EVERY * (self.facts.me + 1) // self.facts.fronts)
+        told: dict[int, int] = {}
+        while True:
+            entries = []
+            for server in self.servers.values():
+                units = min(round(self.own(server) / 4), 65535)
+                at, ratio = server.link.loads[-1] if server.link.loads else (0, 0.0)
+                age = (self.now - at) // 20_000
+                fresh = 0 <= age < TELL_EVERY // 20_000
+                if units or told.get(server.row.server) or fresh:
+                    told[server.row.server] = units
+                    entries.append(ENTRY.pack(server.row.server, units, min(round(ratio * 100), 254)
+                                              if fresh else 255, min(max(age, 0), 255)))
+            for start in range(0, len(entries), 256 // ENTRY.size):
+                yield act.Tell(None, b"".join(entries[start:start + 256 // ENTRY.size]))
+            yield act.Wait(self.now + TELL_EVERY)
+
+    def watch(self) -> Script:
+        while True:
+            yield act.Watch(True)
+            self.watching = True
+            while self.watching:
+                yield act.Wait(self.now + SECOND)
+            yield act.Wait(self.now + SECOND + self.draw(SECOND))
+
+
+def seat(sess: Sess) -> tuple[int, int]:
+    return (sess.req.title, sess.req.service_group)
--- /dev/null
+++ b/ponddoor/interface/events.py
@@ -0,0 +1,159 @@
+"""What happens to a front."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class ServerState(Enum):
+    """What the list says of a server."""
+
+    GONE = 0
+    DRAINING = 1
+    READY = 2
+
+
+class NewsScope(Enum):
+    """How a piece of news relates to the list in hand."""
+
+    CHANGES = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Result(Enum):
+    """How a SETUP, or the session it began, ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class NoteKind(Enum):
+    """What a note on a session tells."""
+
+    DELIVERED = 1
+    RUNG = 2
+    LINK_ASKED = 3
+    UPLINK_ASKED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRow:
+    """One server as the list has it."""
+
+    server: int
+    zone: int
+    kind: int
+    cell: int
+    state: ServerState
+    weight: float
+    started_at: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerNews:
+    """News of the list of servers."""
+
+    scope: NewsScope
+    rows: tuple[ServerRow, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SessionRequest:
+    """A viewer wants a session."""
+
+    req_id: int
+    service_group: int
+    tenant: int
+    key: int
+    title: int
+    time_left: int
+    length_hint: int | None
+    home: int
+    span: int
+    top: int
+    moved: bool = False
+    again: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """A session that plays already when the front starts."""
+
+    request: SessionRequest
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """News of a session's server: the share delivered, the rung, or what is asked of a link."""
+
+    req_id: int
+    kind: NoteKind
+    value: float
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The session plays."""
+
+    req_id: int
+    attempt: int
+    server: int
+    lag: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A SETUP or the session it began is over; `final` if nothing more is owed to the viewer."""
+
+    req_id: int
+    attempt: int
+    server: int
+    result: Result
+    final: bool
+    lag: int
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ViewerLeft:
+    """The viewer is gone; nothing is owed."""
+
+    req_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """The result of a probe."""
+
+    server: int
+    lag: int
+    result: Result
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message from another front."""
+
+    peer: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TimerDue:
+    """A timer has come due."""
+
+    cookie: int
+
+
+Event = (ServerNews | SessionRequest | HandedOver | Note | Started | Ended | ViewerLeft | Probed
+         | PeerMessage | TimerDue)
--- /dev/null
+++ b/ponddoor/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The mechanical driver between a host and the decisions."""
--- /dev/null
+++ b/ponddoor/simhost/codec.py
@@ -0,0 +1,293 @@
+"""The bench's wire: binary frames to events and actions, and back. The wire's words live only here."""
+
+import json
+import math
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from ponddoor.interface import actions as act
+from ponddoor.interface import events as ev
+from ponddoor.interface import facts as fx
+
+
+class MalformedError(Exception):
+    """The input does not follow the wire."""
+
+
+@dataclass(frozen=True, slots=True)
+class Boot:
+    """An instance begins."""
+
+    facts: fx.SiteFacts
+
+
+@dataclass(frozen=True, slots=True)
+class Killed:
+    """An instance is gone with all it held."""
+
+
+_RESULTS = {100: ev.Result.SERVED, 301: ev.Result.ERROR, 302: ev.Result.FULL, 303: ev.Result.TIMEOUT,
+            304: ev.Result.CONNECT_FAILED, 305: ev.Result.RESET, 306: ev.Result.CANCELLED,
+            307: ev.Result.MOOT}
+_EFFECTS = {"repeatable": fx.Effect.SAFE, "by_key": fx.Effect.KEYED, "once": fx.Effect.UNSAFE}
+_REPORTING = {"inline": fx.Reporting.INLINE, "on_probe": fx.Reporting.ON_PROBE, "off": fx.Reporting.OFF}
+_FIELDS = {"rif": "streams", "q": "waiting", "busy": "util", "lat_ms": "setup_ms", "rate": "setups_per_s",
+           "fail_rate": "failed_per_s", "x0": "link_asked", "x1": "uplink_asked"}
+_EVERY_PEER = 0xFFFFFFFF
+_ROW = struct.Struct(">IHHHBfd")
+_REQUEST = struct.Struct(">IHHQQddfffB")
+_RECORD = struct.Struct(">HI")
+_HINT, _MOVED, _AGAIN = 1, 8, 16
+
+
+def micros(ms: float) -> int:
+    """The wire's milliseconds as whole microseconds."""
+    if not math.isfinite(ms):
+        raise MalformedError(f"a time of {ms}")
+    return round(ms * 1000)
+
+
+class _Fields:
+    """Reads the fields of one record in turn."""
+
+    def __init__(self, body: bytes, what: str) -> None:
+        self._body, self._at, self._what = body, 0, what
+
+    def take(self, form: struct.Struct) -> tuple[Any, ...]:
+        end = self._at + form.size
+        if end > len(self._body):
+            raise MalformedError(f"{self._what}: cut short")
+        values = form.unpack_from(self._body, self._at)
+        self._at = end
+        return values
+
+    def blob(self, size: int) -> bytes:
+        end = self._at + size
+        if end > len(self._body):
+            raise MalformedError(f"{self._what}: cut short")
+        piece = self._body[self._at:end]
+        self._at = end
+        return piece
+
+
+_U8, _U16, _U32 = struct.Struct(">B"), struct.Struct(">H"), struct.Struct(">I")
+_NOTE, _STARTED = struct.Struct(">IfBHI"), struct.Struct(">IdHI")
+_RETURNED, _STATUS = struct.Struct(">IIHHBd"), struct.Struct(">IdH")
+_BOOT, _FLEET = struct.Struct(">QI"), struct.Struct(">BQB")
+
+
+class Reader:
+    """Decodes batches. Keeps the numbered lists of servers, and the report fields of each instance."""
+
+    def __init__(self) -> None:
+        self._lists: dict[int, tuple[ev.ServerRow, ...]] = {}
+        self._report_fields: dict[int, tuple[str, ...]] = {}
+
+    def batch(self, body: bytes, count: int) -> Iterator[tuple[int, Boot | Killed | ev.Event]]:
+        """Yields each event with its instance, in order; the wire's clock is in the header."""
+        at, front = 0, None
+        for _ in range(count):
+            if at + _RECORD.size > len(body):
+                raise MalformedError("a record's header is cut short")
+            code, size = _RECORD.unpack_from(body, at)
+            at += _RECORD.size
+            if at + size > len(body):
+                raise MalformedError(f"record of code {code}: {size} bytes told, {len(body) - at} there")
+            fields = _Fields(body[at:at + size], f"record of code {code}")
+            at += size
+            if code == 10:
+                front, = fields.take(_U32)
+            elif code == 12:
+                self._read_list(fields)
+            elif front is None:
+                raise MalformedError(f"record of code {code} before any instance is named")
+            else:
+                yield front, self._event(front, code, fields)
+        if at != len(body):
+            raise MalformedError(f"{len(body) - at} bytes after the last record")
+
+    def _read_list(self, fields: _Fields) -> None:
+        number, = fields.take(_U8)
+        rows = []
+        for _ in range(fields.take(_U32)[0]):
+            server, zone, kind, cell, state, weight, started = fields.take(_ROW)
+            if state not in (0, 1, 2):
+                raise MalformedError(f"server state {state}")
+            rows.append(ev.ServerRow(server, zone, kind, cell, ev.ServerState(state), weight,
+                                     micros(started)))
+        self._lists[number] = tuple(rows)
+
+    def _event(self, front: int, code: int, fields: _Fields) -> Boot | Killed | ev.Event:
+        match code:
+            case 5:
+                seed, size = fields.take(_BOOT)
+                facts, names = site_facts(seed, fields.blob(size))
+                self._report_fields[front] = names
+                return Boot(facts)
+            case 11:
+                return Killed()
+            case 13:
+                scope, _, number = fields.take(_FLEET)
+                if scope not in (0, 1, 2, 3):
+                    raise MalformedError(f"fleet news of kind {scope}")
+                if scope == 3:
+                    return ev.ServerNews(ev.NewsScope.FAILED)
+                if number not in self._lists:
+                    raise MalformedError(f"no list numbered {number}")
+                return ev.ServerNews(ev.NewsScope(scope), self._lists[number])
+            case 4:
+                return _request(fields)
+            case 8:
+                request = _request(fields)
+                return ev.HandedOver(request, fields.take(_U32)[0])
+            case 6:
+                req_id, value, kind, _, server = fields.take(_NOTE)
+                if kind not in (1, 2, 3, 4):
+                    raise MalformedError(f"note of kind {kind}")
+                return ev.Note(req_id, ev.NoteKind(kind), value, server)
+            case 3:
+                req_id, lag, attempt, server = fields.take(_STARTED)
+                return ev.Started(req_id, attempt, server, micros(lag))
+            case 9:
+                req_id, server, result, attempt, final, lag = fields.take(_RETURNED)
+                return ev.Ended(req_id, attempt, server, _result(result), bool(final), micros(lag),
+                                self._report(front, fields))
+            case 2:
+                server, lag, result = fields.take(_STATUS)
+                return ev.Probed(server, micros(lag), _result(result), self._report(front, fields))
+            case 7:
+                return ev.ViewerLeft(fields.take(_U32)[0])
+            case 1:
+                return ev.TimerDue(fields.take(_U32)[0])
+            case 14:
+                peer, size = *fields.take(_U16), *fields.take(_U16)
+                return ev.PeerMessage(peer, fields.blob(size))
+            case _:
+                raise MalformedError(f"unknown event code {code}")
+
+    def _report(self, front: int, fields: _Fields) -> dict[str, float]:
+        size, = fields.take(_U8)
+        values = fields.take(struct.Struct(f">{size}f"))
+        return dict(zip(self._report_fields.get(front, ()), values, strict=False))
+
+
+def _result(code: int) -> ev.Result:
+    if code not in _RESULTS:
+        raise MalformedError(f"unknown outcome {code}")
+    return _RESULTS[code]
+
+
+def _request(fields: _Fields) -> ev.SessionRequest:
+    req_id, group, tenant, key, title, left, hint, home, span, top, bits = fields.take(_REQUEST)
+    return ev.SessionRequest(req_id, group, tenant, key, title, micros(left),
+                             micros(hint) if bits & _HINT else None, int(home), int(span), int(top),
+                             bool(bits & _MOVED), bool(bits & _AGAIN))
+
+
+def site_facts(seed: int, text: bytes) -> tuple[fx.SiteFacts, tuple[str, ...]]:
+    """The settings as facts, and the names of the values in a load report."""
+    try:
+        raw = json.loads(text)
+        return _facts(seed, raw)
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as problem:
+        raise MalformedError(f"unusable settings: {problem!r}") from problem
+
+
+def _facts(seed: int, raw: dict[str, Any]) -> tuple[fx.SiteFacts, tuple[str, ...]]:
+    fam, safety, allow, prices = raw["specifics"], raw["safety"], raw["permissions"], raw["prices"]
+    groups = tuple(
+        fx.ServiceGroup(
+            name=lane["name"], start_target=micros(lane["aim"]), setup_timeout=micros(lane["deadline"]),
+            utility=lane["value"], effect=_EFFECTS[lane["semantics"]],
+            scope=fx.Scope(lane.get("group", "all")), memory=micros(lane.get("memorySpan", 0)),
+            floor=fam["floorByClass"][i], top=fam["classTop"][i], seats=fam["classSeats"][i],
+            live=fam["live"][i], rate_factor=fam["rateFactor"][i])
+        for i, lane in enumerate(raw["lanes"]))
+    names = tuple(_FIELDS.get(name, name) for name in raw["reporting"]["fields"])
+    spare = safety.get("spareAttempts")
+    share = safety.get("resendRatio")
+    limited = bool(safety.get("ratioSpan")) and (spare is not None or share is not None)
+    facts = fx.SiteFacts(
+        me=raw["me"], fronts=raw["balancers"], zone=raw["zone"], seed=seed,
+        asked_discovery=raw["discovery"] == "on_request", reporting=_REPORTING[raw["reporting"]["how"]],
+        report_fields=names, over_share_utility=raw.get("overShareWorth", 1.0), groups=groups,
+        tenants=tuple(fx.Tenant(unit["name"], unit["quotaPerS"], unit["share"])
+                      for unit in raw.get("accounts", ())),
+        ladder=fx.Ladder(tuple(fam["rungKb"]), tuple(fam["ladderWorth"]), fam["changeCostsS"],
+                         fam["shortfallCost"], fam.get("join", 1.0)),
+        plant=fx.Plant(
+            cells=fam["positions"], racks=fam["groups"], kb_per_weight=fam["kbPerWeight"],
+            uplink_kb=fam["rackKb"], streams=tuple(fam["kindStreams"]), refuse_at=fam.get("guard", 0.0),
+            note_delay=micros(fam.get("toldLate", 0)), note_every=micros(fam.get("tell", 0))),
+        rules=fx.Rules(
+            cold=micros(safety["cold"]), cold_from=safety["coldFrom"],
+            drain_grace=micros(safety["drainGrace"]), fall_multiple=safety["fallMultiple"],
+            fall=micros(safety["fall"]), answer_grace=micros(safety["graceToAnswer"]),
+            ask_every=micros(safety.get("askEvery", 0)),
+            spare_setups=int(spare or 0) if limited else None, resend_ratio=share or 0.0,
+            resend_span=micros(safety.get("ratioSpan", 0))),
+        permissions=fx.Permissions(
+            probes=allow["probes"], messages=allow["mayTell"], cancel=allow["cancelling"],
+            max_attempts=allow["maxAttempts"], come_back=allow["retryAfter"],
+            max_come_back=micros(allow["maxRetryAfter"]),
+            connect_timeout=micros(allow["connectTimeout"])),
+        prices=fx.Prices(cross_zone=prices["crossZone"], probe=prices["probe"], message=prices["peer"],
+                         move=prices["moves"]))
+    return facts, names
+
+
+def encode(front: int, wanted: list[act.Action]) -> bytes:
+    """The records for one instance's actions, in order."""
+    return _record(15, _U32.pack(front)) + b"".join(map(_action, wanted)) if wanted else b""
+
+
+def bail_out(front: int, text: str) -> bytes:
+    """The records that declare the decisions of one instance broken."""
+    return _record(15, _U32.pack(front)) + _record(10, _blob(text.encode()[:500]))
+
+
+def frame(records: bytes) -> bytes:
+    """A whole reply."""
+    return _U32.pack(len(records)) + records
+
+
+def _record(code: int, body: bytes = b"") -> bytes:
+    return _RECORD.pack(code, len(body)) + body
+
+
+def _blob(piece: bytes) -> bytes:
+    return _U16.pack(len(piece)) + piece
+
+
+def _action(wanted: act.Action) -> bytes:
+    match wanted:
+        case act.Setup(req_id, server, timeout):
+            return _record(1, struct.pack(">IdI", req_id, timeout / 1000, server))
+        case act.BusyReply(req_id, come_back):
+            return _record(2, struct.pack(">Id", req_id, come_back / 1000))
+        case act.TearDown(req_id):
+            return _record(3, _U32.pack(req_id))
+        case act.Cancel(req_id, attempt):
+            return _record(4, struct.pack(">IH", req_id, attempt))
+        case act.SetTimer(at, cookie):
+            return _record(5, struct.pack(">dI", at / 1000, cookie))
+        case act.Probe(server):
+            return _record(6, _U32.pack(server))
+        case act.CloseIdle(server):
+            return _record(7, _U32.pack(server))
+        case act.Tell(peer, payload):
+            return _record(8, _U32.pack(_EVERY_PEER if peer is None else peer) + _blob(payload))
+        case act.Log(text):
+            return _record(9, _blob(text.encode()[:500]))
+        case act.Watch(active):
+            return _record(11, _U8.pack(active))
+        case act.Fetch():
+            return _record(12)
+        case act.SetRung(req_id, rung):
+            return _record(13, struct.pack(">IB", req_id, rung))
+        case act.Move(req_id):
+            return _record(14, _U32.pack(req_id))
+        case act.Play() | act.Wait():
+            raise TypeError(f"{wanted} is for the runtime, not for the wire")
--- /dev/null
+++ b/ponddoor/simhost/host.py
@@ -0,0 +1,47 @@
+"""Hosts the fronts: reads batches, hands each event to its instance's driver, writes one reply a batch."""
+
+import struct
+from typing import BinaryIO
+
+from ponddoor.decide import Front
+from ponddoor.interface.events import Event
+from ponddoor.runtime.driver import Driver
+from ponddoor.simhost import codec
+
+_HEADER = struct.Struct(">IdI")
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends; raises MalformedError on input that does not follow the wire."""
+    reader = codec.Reader()
+    drivers: dict[int, Driver] = {}
+    while header := source.read(_HEADER.size):
+        if len(header) < _HEADER.size:
+            raise codec.MalformedError("a batch's header is cut short")
+        size, clock, count = _HEADER.unpack(header)
+        body = source.read(size)
+        if len(body) < size:
+            raise codec.MalformedError(f"a batch of {size} bytes ends after {len(body)}")
+        now, replies = codec.micros(clock), []
+        for front, event in reader.batch(body, count):
+            replies.append(_handle(drivers, front, now, event))
+        sink.write(codec.frame(b"".join(replies)))
+        sink.flush()
+
+
+def _handle(drivers: dict[int, Driver], front: int, now: int,
+            event: codec.Boot | codec.Killed | Event) -> bytes:
+    if isinstance(event, codec.Killed):
+        drivers.pop(front, None)
+        return b""
+    try:
+        if isinstance(event, codec.Boot):
+            drivers[front] = Driver(Front(event.facts, now))
+            return b""
+        if front not in drivers:
+            raise codec.MalformedError(f"an event for instance {front}, which is not running")
+        return codec.encode(front, drivers[front].handle(now, event))
+    except codec.MalformedError:
+        raise
+    except Exception as problem:  # whatever the decisions raise is theirs: the wire has a word for it
+        return codec.bail_out(front, f"{type(problem).__name__}: {problem}")
