--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -29,6 +29,7 @@
 REPORT_AGE = SECOND // 3  # how old a report is taken to be when it comes
 MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
 PROBE_POINTS = 0.01       # of service, that probing may cost
+NEAR = 0.5                # of the most idle, with which a holder of the own zone is taken
 TELL_EVERY = 2 * SECOND
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -360,6 +361,11 @@
             fit = [min(open_now, key=lambda s: (s.rested_until(), s.row.server))]
         idle = {s.row.server: self.idle(s) for s in fit}
         best = max(fit, key=lambda s: (idle[s.row.server], -s.row.server))
+        near = [s for s in fit if s.row.zone == self.facts.zone and self.facts.prices.cross_zone > 0]
+        if near:
+            close = max(near, key=lambda s: (idle[s.row.server], -s.row.server))
+            if idle[close.row.server] >= NEAR * idle[best.row.server] > 0:
+                best = close
         pooled, me = sum(max(0.0, kb) for kb in idle.values()), sess.req.req_id
         rung = self.size([sess], pooled, {me: sess.top})[me]
         if self.rate(sess, rung) > idle[best.row.server]:
