--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -23,9 +23,9 @@
 from ponddoor.interface.script import Script
 
 SECOND = 1_000_000
-HEADROOM = 0.08           # of a link or uplink, left for true rates above the ladder and for others' raises
+HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
 RESIZE_EVERY = 5 * SECOND
-PAYS = 2.0                # a change of rung must earn its cost so many times over
+PAYS = 5.0                # a change of rung must earn its cost so many times over
 REPORT_AGE = SECOND // 3  # how old a report is taken to be when it comes
 MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
 PROBE_POINTS = 0.01       # of service, that probing may cost
