Learn links from known rates over reported ratio, uplinks from shortages

Where all fronts' rates are known by message, known rate over ratio is the link; a shortage on a link with room gives the uplink.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -30,6 +30,7 @@
 MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
 PROBE_POINTS = 0.01       # of service, that probing may cost
 NEAR = 0.5                # of the most idle, with which a holder of the own zone is taken
+REGAIN = 0.01             # of an uplink seen short, that is tried again each second
 TELL_EVERY = 2 * SECOND
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -55,6 +56,13 @@
         self.loads.append((taken, ratio))
         del self.loads[:-3]
 
+    def learned(self, whole: bool) -> float:
+        """What the pipe gives: where all that is asked is known, the reports' ratios tell; else as told."""
+        seen = [self.known_at(taken) / ratio for taken, ratio in self.loads if ratio > 0.25]
+        if not whole or not seen:
+            return self.kb
+        return min(max(sorted(seen)[len(seen) // 2], self.kb * 0.1), self.kb * 1.6)
+
     def unknown(self, now: int) -> float:
         """What others ask, by the last reports: each speaks of its moment, so what was known then is off."""
         fresh = [(taken, ratio) for taken, ratio in self.loads if taken >= self.loads[-1][0] - 3 * SECOND]
@@ -119,6 +127,7 @@
         self.taken: list[int] = []                  # requests within the budget's span
         self.resent: list[int] = []                 # further SETUPs within it
         self.watching = False
+        self.heard: dict[int, int] = {}             # when each other front last spoke
 
     def clock(self, now: int) -> None:
         self.now = now
@@ -257,6 +266,7 @@
     def learn_word(self, message: ev.PeerMessage) -> None:
         if len(message.payload) % ENTRY.size:
             return
+        self.heard[message.peer] = self.now
         for server_id, units, ratio, age in ENTRY.iter_unpack(message.payload):
             server = self.servers.get(server_id)
             if server is None:
@@ -290,9 +300,16 @@
         rack = self.rack(server)
         rack.book(self.now, sum(s.link.known[-1][1] for s in self.servers.values() if self.rack(s) is rack))
 
+    def whole(self, server: Server) -> bool:
+        """Whether the other fronts' rates are all known: then nothing asked of the server is not."""
+        heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
+        return self.facts.permissions.messages and heard >= self.facts.fronts - 1
+
     def asked(self, server: Server) -> float:
         """What is asked of a link: the last reports, and what we know to have changed since."""
         known = server.link.known[-1][1]
+        if self.whole(server):
+            return known
         if server.link.loads:
             return max(self.own(server), server.link.unknown(self.now) + known)
         return known if server.peers else known * self.facts.fronts
@@ -306,21 +323,29 @@
 
     def idle(self, server: Server) -> float:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink."""
-        link = server.link.kb * self.warmth(server) * (1 - HEADROOM)
-        room = link - self.asked(server)
+        whole = self.whole(server)
         rack = self.rack(server)
         mates = [s for s in self.servers.values()
                  if self.rack(s) is rack and s.row.state is not ServerState.GONE]
         asked = {s.row.server: self.asked(s) for s in mates}
-        total = sum(asked.values())
-        if rack.loads and rack.loads[-1][0] > self.now - 2 * MISSING:
-            told = rack.unknown(self.now) + rack.known[-1][1]
-            total = told if "uplink_asked" in self.facts.report_fields else max(total, told)
-        spare = rack.kb * (1 - HEADROOM) - total
+        rooms = {s.row.server: self.gives(s, whole) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
+        room, total = rooms.get(server.row.server, 0.0), sum(asked.values())
+        uplink = rack.kb
+        if "uplink_asked" in self.facts.report_fields:
+            total = rack.unknown(self.now) + rack.known[-1][1] if rack.loads else total
+        elif rack.loads:
+            age = self.now - rack.loads[-1][0]
+            short = (rack.known_at(rack.loads[-1][0]) if whole else total) / rack.loads[-1][1]
+            uplink = short * (1 + REGAIN * age / SECOND)
+        spare = uplink * (1 - HEADROOM) - total
         if spare < 0:
             return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
-        rooms = sum(max(0.0, s.link.kb * (1 - HEADROOM) - asked[s.row.server]) for s in mates)
-        return min(room, spare * max(room, 0.0) / max(rooms, 1.0))
+        return min(room, spare * max(room, 0.0) / max(sum(max(0.0, kb) for kb in rooms.values()), 1.0))
+
+    def gives(self, server: Server, whole: bool) -> float:
+        if whole and server.link.loads:
+            return server.link.learned(whole)
+        return server.link.kb * self.warmth(server)
 
     # Sizing and placement
 
