Try uplinks a little beyond what is told while nobody is short

Cause: half the racks carry more than the told mean, and nothing ever showed it. May harm where a shortage is heard by nobody.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -330,13 +330,14 @@
         asked = {s.row.server: self.asked(s) for s in mates}
         rooms = {s.row.server: self.gives(s, whole) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
         room, total = rooms.get(server.row.server, 0.0), sum(asked.values())
-        uplink = rack.kb
+        uplink, since = rack.kb, self.born
         if "uplink_asked" in self.facts.report_fields:
             total = rack.unknown(self.now) + rack.known[-1][1] if rack.loads else total
-        elif rack.loads:
-            age = self.now - rack.loads[-1][0]
-            short = (rack.known_at(rack.loads[-1][0]) if whole else total) / rack.loads[-1][1]
-            uplink = short * (1 + REGAIN * age / SECOND)
+        else:
+            if rack.loads:
+                since = rack.loads[-1][0]
+                uplink = (rack.known_at(since) if whole else total) / rack.loads[-1][1]
+            uplink = min(uplink * (1 + REGAIN * (self.now - since) / SECOND), max(uplink, rack.kb, total * 1.1))
         spare = uplink * (1 - HEADROOM) - total
         if spare < 0:
             return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
