--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -97,7 +97,6 @@
     notes: list[tuple[int, float]] = field(default_factory=list)    # (when, share delivered)
     peers: dict[int, tuple[int, float]] = field(default_factory=dict)  # a front's last word: (when, kB/s)
     sent: int = -(1 << 60)
-    due: int = 0                # when its sessions are next resized
     lost: int | None = None     # when it was last seen to be down
     back: int = -(1 << 60)      # when it was first seen to be up again
 
@@ -208,7 +207,6 @@
             server.lost = self.now
         if event.result is Result.FULL and self.facts.plant.refuse_at:
             server.link.load(self.now, max(self.facts.plant.refuse_at, 1.0))
-            self.hurry(server)
         elif event.result in (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET, Result.FULL):
             self.judge(event.server, False)
         if event.result is Result.SERVED and sess.began is not None:
@@ -246,7 +244,6 @@
         if mild >= 0.98 or len(server.notes) < 2:
             return
         ratio = 1 / max(mild, 0.1)
-        self.hurry(server)
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
         if last[0] < taken - MISSING or last[1] >= 0.99:
             server.link.load(taken, max(ratio, last[1]))
@@ -402,8 +399,6 @@
                     if self.rate(sess, r) <= idle[best.row.server]]
             cap = max(fits, default=min(sess.group.floor, sess.top))
             rung = self.size([sess], pooled, {me: cap})[me]
-        if self.rate(sess, rung) > idle[best.row.server]:
-            self.hurry(best)
         sess.rung = rung
         return best
 
@@ -591,20 +586,12 @@
     def resizing(self) -> Script:
         yield act.Wait(self.now + SECOND + RESIZE_EVERY * self.facts.me // max(1, self.facts.fronts))
         while True:
-            for server in [s for s in self.servers.values() if s.due <= self.now]:
-                server.due = self.now + RESIZE_EVERY
+            for server in list(self.servers.values()):
                 for sess, rung in self.resized(server):
                     sess.rung = rung
                     yield act.SetRung(sess.req.req_id, rung)
                 self.book(server)
-            yield act.Wait(self.now + SECOND // 4)
-
-    def hurry(self, server: Server) -> None:
-        """Resize at the next look, not in turn: for a crowd, a weakened link, a title above its rung.
-
-        It may harm where the shortage was over before it was heard of: then rungs are cut for nothing.
-        """
-        server.due = min(server.due, self.now)
+            yield act.Wait(self.now + RESIZE_EVERY)
 
     def resized(self, server: Server) -> list[tuple[Sess, int]]:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
