--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -247,7 +247,7 @@
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
         if last[0] < taken - MISSING or last[1] >= 0.99:
             server.link.load(taken, max(ratio, last[1]))
-        elif last[1] < ratio * 0.93:
+        elif "uplink_asked" not in self.facts.report_fields:
             self.rack(server).load(taken, ratio)
 
     def learn_report(self, server_id: int, report: dict[str, float]) -> None:
