Tell a shortage on the uplink from one on the link by how many of the rack are short

Now an uplink is short where most of a rack's servers with sessions are short at once, by our notes and by those other fronts tell; else it is the link.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -34,7 +34,9 @@
 TELL_EVERY = 2 * SECOND
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
-ENTRY = struct.Struct(">IHBB")  # server, our rate there in 4 kB/s, last ratio in hundredths, its age in 20 ms
+# a server, our rate there in 4 kB/s, its last report in hundredths and that one's age in 20 ms, and likewise
+# the share last delivered; 255 where there is none
+ENTRY = struct.Struct(">IHBBBB")
 
 
 @dataclass(slots=True)
@@ -56,10 +58,10 @@
         self.loads.append((taken, ratio))
         del self.loads[:-3]
 
-    def learned(self, whole: bool) -> float:
+    def learned(self) -> float:
         """What the pipe gives: where all that is asked is known, the reports' ratios tell; else as told."""
         seen = [self.known_at(taken) / ratio for taken, ratio in self.loads if ratio > 0.25]
-        if not whole or not seen:
+        if not seen:
             return self.kb
         return min(max(sorted(seen)[len(seen) // 2], self.kb * 0.1), self.kb * 1.6)
 
@@ -97,6 +99,8 @@
     notes: list[tuple[int, float]] = field(default_factory=list)    # (when, share delivered)
     peers: dict[int, tuple[int, float]] = field(default_factory=dict)  # a front's last word: (when, kB/s)
     sent: int = -(1 << 60)
+    heard: tuple[int, float] = (0, 0.0)  # the last report that came to us, and not to another front
+    felt: tuple[int, float] = (0, 0.0)   # the last note on the share delivered, likewise
     lost: int | None = None     # when it was last seen to be down
     back: int = -(1 << 60)      # when it was first seen to be up again
 
@@ -230,25 +234,29 @@
             case ev.NoteKind.UPLINK_ASKED:
                 self.rack(server).load(taken, note.value)
             case ev.NoteKind.DELIVERED:
+                server.felt = (taken, note.value)
                 self.learn_shortage(server, taken, note.value)
 
     def learn_shortage(self, server: Server, taken: int, share: float) -> None:
         """Guards against titles above their rung and reports that are late, missing or stop at full.
 
         The milder of the last two notes counts, so that a brief pause, which fills one, diverts nobody.
-        Where the link itself is known to have room, it is the rack's uplink that is short.
+        Where most of a rack's servers are short at once it is their uplink, else the server's own link.
         """
         server.notes.append((taken, share))
         del server.notes[:-2]
         mild = max(share for _, share in server.notes)
         if mild >= 0.98 or len(server.notes) < 2:
             return
-        ratio = 1 / max(mild, 0.1)
+        rack, mates = self.rack(server), self.mates(server)
+        played = [m for m in mates if m.sessions or any(kb for _, kb in m.peers.values())]
+        short = [m.notes[-1][1] for m in played
+                 if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
-        if last[0] < taken - MISSING or last[1] >= 0.99:
-            server.link.load(taken, max(ratio, last[1]))
+        if 2 * len(short) <= len(played) or len(short) < 2:
+            server.link.load(taken, max(1 / max(mild, 0.1), last[1] if last[0] > taken - MISSING else 0.0))
         elif "uplink_asked" not in self.facts.report_fields:
-            self.rack(server).load(taken, ratio)
+            rack.load(taken, 1 / max(*short, 0.1))
 
     def learn_report(self, server_id: int, report: dict[str, float]) -> None:
         server = self.servers.get(server_id)
@@ -260,6 +268,7 @@
             if "link_asked" not in report and ratio >= 0.99 and server.notes and server.notes[-1][1] < 0.98:
                 ratio = 1 / max(server.notes[-1][1], 0.1)  # util stops at full: the notes tell how far over
             server.link.load(taken, ratio)
+            server.heard = (taken, ratio)
         if "uplink_asked" in report:
             self.rack(server).load(taken, report["uplink_asked"])
 
@@ -267,14 +276,17 @@
         if len(message.payload) % ENTRY.size:
             return
         self.heard[message.peer] = self.now
-        for server_id, units, ratio, age in ENTRY.iter_unpack(message.payload):
+        for server_id, units, ratio, age, share, note_age in ENTRY.iter_unpack(message.payload):
             server = self.servers.get(server_id)
             if server is None:
                 continue
             server.peers[message.peer] = (self.now, units * 4.0)
             self.book(server)
-            if ratio < 255 and (not server.link.loads or server.link.loads[-1][0] < self.now - age * 20_000):
-                server.link.load(self.now - age * 20_000, ratio / 100)
+            taken, noted = self.now - age * 20_000, self.now - note_age * 20_000
+            if share < 255 and (not server.notes or server.notes[-1][0] < noted):
+                self.learn_shortage(server, noted, share / 100)
+            if ratio < 255 and (not server.link.loads or server.link.loads[-1][0] < taken):
+                server.link.load(taken, ratio / 100)
 
     # The idle account
 
@@ -300,15 +312,15 @@
         rack = self.rack(server)
         rack.book(self.now, sum(s.link.known[-1][1] for s in self.servers.values() if self.rack(s) is rack))
 
-    def whole(self, server: Server) -> bool:
-        """Whether the other fronts' rates are all known: then nothing asked of the server is not."""
+    def whole(self) -> bool:
+        """Whether the other fronts' rates are all known: then all that is asked of every server is."""
         heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
         return self.facts.permissions.messages and heard >= self.facts.fronts - 1
 
     def asked(self, server: Server) -> float:
         """What is asked of a link: the last reports, and what we know to have changed since."""
         known = server.link.known[-1][1]
-        if self.whole(server):
+        if self.whole():
             return known
         if server.link.loads:
             return max(self.own(server), server.link.unknown(self.now) + known)
@@ -323,31 +335,38 @@
 
     def idle(self, server: Server) -> float:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink."""
-        whole = self.whole(server)
-        rack = self.rack(server)
-        mates = [s for s in self.servers.values()
-                 if self.rack(s) is rack and s.row.state is not ServerState.GONE]
+        rack, mates = self.rack(server), self.mates(server)
         asked = {s.row.server: self.asked(s) for s in mates}
-        rooms = {s.row.server: self.gives(s, whole) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
+        rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
         room, total = rooms.get(server.row.server, 0.0), sum(asked.values())
-        uplink, since = rack.kb, self.born
-        if "uplink_asked" in self.facts.report_fields:
-            total = rack.unknown(self.now) + rack.known[-1][1] if rack.loads else total
-        else:
-            if rack.loads:
-                since = rack.loads[-1][0]
-                uplink = (rack.known_at(since) if whole else total) / rack.loads[-1][1]
-            uplink = min(uplink * (1 + REGAIN * (self.now - since) / SECOND), max(uplink, rack.kb, total * 1.1))
-        spare = uplink * (1 - HEADROOM) - total
+        if "uplink_asked" in self.facts.report_fields and rack.loads:
+            total = rack.unknown(self.now) + rack.known[-1][1]
+        spare = self.gives_rack(rack, mates) * (1 - HEADROOM) - total
         if spare < 0:
             return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
         return min(room, spare * max(room, 0.0) / max(sum(max(0.0, kb) for kb in rooms.values()), 1.0))
 
-    def gives(self, server: Server, whole: bool) -> float:
-        if whole and server.link.loads:
-            return server.link.learned(whole)
+    def mates(self, server: Server) -> list[Server]:
+        """The servers that share a rack's uplink with this one, itself included."""
+        rack = self.rack(server)
+        return [s for s in self.servers.values()
+                if self.rack(s) is rack and s.row.state is not ServerState.GONE]
+
+    def gives(self, server: Server) -> float:
+        if self.whole() and server.link.loads:
+            return server.link.learned()
         return server.link.kb * self.warmth(server)
 
+    def gives_rack(self, rack: Pipe, mates: list[Server]) -> float:
+        """An uplink as told or, once short, as the shortage shows; while nobody is short, a little more."""
+        if "uplink_asked" in self.facts.report_fields:
+            return rack.kb
+        uplink, since, total = rack.kb, self.born, sum(map(self.asked, mates))
+        if rack.loads:
+            since = rack.loads[-1][0]
+            uplink = (rack.known_at(since) if self.whole() else total) / rack.loads[-1][1]
+        return min(uplink * (1 + REGAIN * (self.now - since) / SECOND), max(uplink, rack.kb, total * 1.1))
+
     # Sizing and placement
 
     def gain(self, sess: Sess, rung: int) -> float:
@@ -653,17 +672,19 @@
     def telling(self) -> Script:
         yield act.Wait(self.now + TELL_EVERY * (self.facts.me + 1) // self.facts.fronts)
         told: dict[int, int] = {}
+
+        def aged(sample: tuple[int, float]) -> tuple[int, int]:
+            age = (self.now - sample[0]) // 20_000
+            return (min(round(sample[1] * 100), 254), age) if age < 2 * TELL_EVERY // 20_000 else (255, 255)
+
         while True:
             entries = []
             for server in self.servers.values():
                 units = min(round(self.own(server) / 4), 65535)
-                at, ratio = server.link.loads[-1] if server.link.loads else (0, 0.0)
-                age = (self.now - at) // 20_000
-                fresh = 0 <= age < TELL_EVERY // 20_000
-                if units or told.get(server.row.server) or fresh:
+                report, share = aged(server.heard), aged(server.felt)
+                if units or told.get(server.row.server) or report[0] < 255:
                     told[server.row.server] = units
-                    entries.append(ENTRY.pack(server.row.server, units, min(round(ratio * 100), 254)
-                                              if fresh else 255, min(max(age, 0), 255)))
+                    entries.append(ENTRY.pack(server.row.server, units, *report, *share))
             for start in range(0, len(entries), 256 // ENTRY.size):
                 yield act.Tell(None, b"".join(entries[start:start + 256 // ENTRY.size]))
             yield act.Wait(self.now + TELL_EVERY)
