--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -253,6 +253,9 @@
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
+        room = last[0] > taken - MISSING and last[1] < 0.9 and "link_asked" in self.facts.report_fields
+        if room and "uplink_asked" in self.facts.report_fields:
+            return
         if 2 * len(short) <= len(played) or len(short) < 2:
             server.link.load(taken, max(1 / max(mild, 0.1), last[1] if last[0] > taken - MISSING else 0.0))
         elif "uplink_asked" not in self.facts.report_fields:
