--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -20,9 +20,10 @@
 from ponddoor.interface import events as ev
 from ponddoor.interface.events import Result, ServerState
 from ponddoor.interface.facts import Effect, Reporting, Scope, ServiceGroup, SiteFacts
-from ponddoor.interface.script import Script
+from ponddoor.interface.script import Resumed, Script
 
 SECOND = 1_000_000
+LONG_AGO = -(1 << 60)
 HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
 RESIZE_EVERY = 5 * SECOND
 PAYS = 5.0                # a change of rung must earn its cost so many times over
@@ -48,22 +49,18 @@
     loads: list[tuple[int, float]] = field(default_factory=list)  # (taken at, asked over what it gives)
 
     def book(self, now: int, kb: float) -> None:
-        self.known.append((now, kb))
-        del self.known[:-40]
+        self.known = [*self.known[-39:], (now, kb)]
 
     def known_at(self, moment: int) -> float:
         return next((kb for at, kb in reversed(self.known) if at <= moment), self.known[0][1])
 
     def load(self, taken: int, ratio: float) -> None:
-        self.loads.append((taken, ratio))
-        del self.loads[:-3]
+        self.loads = [*self.loads[-2:], (taken, ratio)]
 
     def learned(self) -> float:
         """What the pipe gives: where all that is asked is known, the reports' ratios tell; else as told."""
         seen = [self.known_at(taken) / ratio for taken, ratio in self.loads if ratio > 0.25]
-        if not seen:
-            return self.kb
-        return min(max(sorted(seen)[len(seen) // 2], self.kb * 0.1), self.kb * 1.6)
+        return min(max(sorted(seen)[len(seen) // 2], self.kb * 0.1), self.kb * 1.6) if seen else self.kb
 
     def unknown(self, now: int) -> float:
         """What others ask, by the last reports: each speaks of its moment, so what was known then is off."""
@@ -84,9 +81,13 @@
     rung: int
     top: int
     server: int = -1
+    over: bool = False
     began: int | None = None
     attempts: list[tuple[int, int, Result | None]] = field(default_factory=list)  # (server, sent at, end)
 
+    def seat(self) -> tuple[int, int]:
+        return (self.req.title, self.req.service_group)
+
 
 @dataclass(slots=True)
 class Server:
@@ -98,11 +99,11 @@
     ends: list[tuple[int, bool]] = field(default_factory=list)      # (when, whether it went well)
     notes: list[tuple[int, float]] = field(default_factory=list)    # (when, share delivered)
     peers: dict[int, tuple[int, float]] = field(default_factory=dict)  # a front's last word: (when, kB/s)
-    sent: int = -(1 << 60)
+    sent: int = LONG_AGO
     heard: tuple[int, float] = (0, 0.0)  # the last report that came to us, and not to another front
     felt: tuple[int, float] = (0, 0.0)   # the last note on the share delivered, likewise
     lost: int | None = None     # when it was last seen to be down
-    back: int = -(1 << 60)      # when it was first seen to be up again
+    back: int = LONG_AGO      # when it was first seen to be up again
 
     def rested_until(self) -> int:
         """Guards against servers that are silent, stand still or fail set-ups; none need be told apart.
@@ -110,9 +111,8 @@
         It covers overloaded and cut-off ones too. It may harm where set-ups fail by chance everywhere: then
         all rest, and the holder whose rest ends first is taken.
         """
-        if not self.ends or self.ends[-1][1]:
-            return 0
-        return self.ends[-1][0] + REST * (1 << min(sum(not well for _, well in self.ends) - 1, 3))
+        bad = sum(not well for _, well in self.ends)
+        return self.ends[-1][0] + REST * (1 << min(bad - 1, 3)) if bad and not self.ends[-1][1] else 0
 
 
 class Front:
@@ -147,53 +147,42 @@
             case ev.ServerNews():
                 self.learn_list(event)
             case ev.SessionRequest():
-                self.arrivals.append((self.now, event.tenant))
-                del self.arrivals[:-60]
-                self.taken.append(self.now)
+                self.arrivals = [*self.arrivals[-59:], (self.now, event.tenant)]
+                since = self.now - self.facts.rules.resend_span
+                self.taken = [*(at for at in self.taken if at > since), self.now]
             case ev.Started():
-                self.lags.append(event.lag)
-                del self.lags[:-30]
-                self.judge(event.server, True)
+                self.lags = [*self.lags[-29:], event.lag]
+                self.judge(self.servers[event.server], True)
             case ev.Ended():
                 self.learn_end(event)
             case ev.Note():
                 self.learn_note(event)
             case ev.Probed():
-                if event.result is Result.SERVED:
-                    self.learn_report(event.server, event.report)
-                else:
-                    self.judge(event.server, False)
+                server, well = self.servers[event.server], event.result is Result.SERVED
+                if not well or server.lost is not None:  # an answered probe only proves that it runs
+                    self.judge(server, well)
+                self.learn_report(server, event.report)
             case ev.PeerMessage():
                 self.learn_word(event)
-            case _:
-                pass
 
     def learn_list(self, news: ev.ServerNews) -> None:
         self.watching = news.scope is not ev.NewsScope.FAILED
-        if not self.watching:
-            return
-        named = {row.server for row in news.rows}
-        if news.scope is not ev.NewsScope.CHANGES:
-            for server in self.servers.values():
-                if server.row.server not in named:
-                    server.row = replace(server.row, state=ServerState.GONE)
+        if news.scope in (ev.NewsScope.FULL, ev.NewsScope.CACHED):
+            for server in self.servers.values():  # whoever is not named below is gone
+                server.row = replace(server.row, state=ServerState.GONE)
         for row in news.rows:
             held = self.servers.get(row.server)
             if held is None:
                 held = self.servers[row.server] = Server(row, Pipe(0.0))
             if row.state is ServerState.GONE:
-                row = replace(held.row, state=ServerState.GONE)
+                row = replace(held.row, state=ServerState.GONE)  # its entry may tell no more than that
             elif row.started_at > held.row.started_at:  # a new process: what was seen of the old one is void
                 held.ends, held.notes, held.link.loads, held.lost = [], [], [], None
             held.row = row
             held.link.kb = row.weight * self.facts.plant.kb_per_weight
 
-    def judge(self, server_id: int, well: bool) -> None:
-        server = self.servers.get(server_id)
-        if server is None:
-            return
-        server.ends.append((self.now, well))
-        del server.ends[:-6]
+    def judge(self, server: Server, well: bool) -> None:
+        server.ends = [*server.ends[-5:], (self.now, well)]
         if well and server.lost is not None:
             if server.row.started_at < server.lost:  # it may have restarted just now, unseen by the list
                 server.back = self.now
@@ -203,21 +192,19 @@
         sess, server = self.sessions.get(event.req_id), self.servers.get(event.server)
         if sess is None or server is None:
             return
-        if event.attempt < len(sess.attempts):
-            sess.attempts[event.attempt] = (*sess.attempts[event.attempt][:2], event.result)
-        if event.report:
-            self.learn_report(event.server, event.report)
+        self.learn_report(server, event.report)
         if event.result in (Result.CONNECT_FAILED, Result.RESET):
             server.lost = self.now
         if event.result is Result.FULL and self.facts.plant.refuse_at:
             server.link.load(self.now, max(self.facts.plant.refuse_at, 1.0))
-        elif event.result in (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET, Result.FULL):
-            self.judge(event.server, False)
+        elif event.result not in (Result.SERVED, Result.CANCELLED, Result.MOOT):
+            self.judge(server, False)
+        sess.attempts[event.attempt] = (*sess.attempts[event.attempt][:2], event.result)
         if event.result is Result.SERVED and sess.began is not None:
-            self.lengths.append(self.now - sess.began)
-            del self.lengths[:-30]
-        if event.server == sess.server:
-            self.release(sess)
+            self.lengths = [*self.lengths[-29:], self.now - sess.began]
+        self.release(sess)
+        if sess.over:
+            self.close(sess)
 
     def learn_note(self, note: ev.Note) -> None:
         sess, server = self.sessions.get(note.req_id), self.servers.get(note.server)
@@ -243,8 +230,7 @@
         The milder of the last two notes counts, so that a brief pause, which fills one, diverts nobody.
         Where most of a rack's servers are short at once it is their uplink, else the server's own link.
         """
-        server.notes.append((taken, share))
-        del server.notes[:-2]
+        server.notes = [*server.notes[-1:], (taken, share)]
         mild = max(share for _, share in server.notes)
         if mild >= 0.98 or len(server.notes) < 2:
             return
@@ -253,20 +239,15 @@
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
-        room = last[0] > taken - MISSING and last[1] < 0.9 and "link_asked" in self.facts.report_fields
-        if room and "uplink_asked" in self.facts.report_fields:
-            return
-        if 2 * len(short) <= len(played) or len(short) < 2:
+        if last[0] > taken - MISSING and last[1] < 0.9 and "uplink_asked" in self.facts.report_fields:
+            return  # the link is reported to have room, and the uplink is reported as well
+        if len(short) < 2 or 2 * len(short) <= len(played):
             server.link.load(taken, max(1 / max(mild, 0.1), last[1] if last[0] > taken - MISSING else 0.0))
         elif "uplink_asked" not in self.facts.report_fields:
             rack.load(taken, 1 / max(*short, 0.1))
 
-    def learn_report(self, server_id: int, report: dict[str, float]) -> None:
-        server = self.servers.get(server_id)
-        if server is None:
-            return
-        taken = self.now - REPORT_AGE
-        ratio = report.get("link_asked", report.get("util"))
+    def learn_report(self, server: Server, report: dict[str, float]) -> None:
+        taken, ratio = self.now - REPORT_AGE, report.get("link_asked", report.get("util"))
         if ratio is not None:
             if "link_asked" not in report and ratio >= 0.99 and server.notes and server.notes[-1][1] < 0.98:
                 ratio = 1 / max(server.notes[-1][1], 0.1)  # util stops at full: the notes tell how far over
@@ -329,13 +310,6 @@
             return max(self.own(server), server.link.unknown(self.now) + known)
         return known if server.peers else known * self.facts.fronts
 
-    def warmth(self, server: Server) -> float:
-        rules = self.facts.rules
-        age = self.now - max(server.row.started_at or -(1 << 60), server.back)
-        if age >= rules.cold:
-            return 1.0
-        return rules.cold_from + (1 - rules.cold_from) * age / rules.cold
-
     def idle(self, server: Server) -> float:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink."""
         rack, mates = self.rack(server), self.mates(server)
@@ -356,9 +330,12 @@
                 if self.rack(s) is rack and s.row.state is not ServerState.GONE]
 
     def gives(self, server: Server) -> float:
+        """A link as learned or told; a cold server's is cold too."""
         if self.whole() and server.link.loads:
             return server.link.learned()
-        return server.link.kb * self.warmth(server)
+        cold, least = self.facts.rules.cold, self.facts.rules.cold_from
+        age = self.now - max(server.row.started_at or LONG_AGO, server.back)
+        return server.link.kb * min(1.0, least + (1 - least) * age / cold)
 
     def gives_rack(self, rack: Pipe, mates: list[Server]) -> float:
         """An uplink as told or, once short, as the shortage shows; while nobody is short, a little more."""
@@ -386,7 +363,7 @@
                 if rungs[sess.req.req_id] < cap[sess.req.req_id]]
         heapq.heapify(heap)
         while heap:
-            _, i = heapq.heappop(heap)
+            i = heapq.heappop(heap)[1]
             sess, rung = sessions[i], rungs[sessions[i].req.req_id] + 1
             step = self.rate(sess, rung) - self.rate(sess, rung - 1)
             if step > budget:
@@ -404,36 +381,31 @@
             return None
         tried = {server for server, _, _ in sess.attempts}
         fit = [s for s in open_now if s.rested_until() <= self.now]
-        fit = [s for s in fit if s.row.server not in tried] or fit
-        if not fit:
-            fit = [min(open_now, key=lambda s: (s.rested_until(), s.row.server))]
+        fit = ([s for s in fit if s.row.server not in tried] or fit
+               or [min(open_now, key=lambda s: (s.rested_until(), s.row.server))])
         idle = {s.row.server: self.idle(s) for s in fit}
-        best = max(fit, key=lambda s: (idle[s.row.server], -s.row.server))
-        near = [s for s in fit if s.row.zone == self.facts.zone and self.facts.prices.cross_zone > 0]
-        if near:
-            close = max(near, key=lambda s: (idle[s.row.server], -s.row.server))
-            if idle[close.row.server] >= NEAR * idle[best.row.server] > 0:
-                best = close
+        by_idle = sorted(fit, key=lambda s: (-idle[s.row.server], s.row.server))
+        best, near = by_idle[0], [s for s in by_idle if s.row.zone == self.facts.zone]
+        # Crossing zones has a price: a holder of the own zone is taken while it has enough of the most idle
+        priced = self.facts.prices.cross_zone > 0 and near
+        if priced and idle[near[0].row.server] >= NEAR * idle[best.row.server] > 0:
+            best = near[0]
         pooled, me = sum(max(0.0, kb) for kb in idle.values()), sess.req.req_id
-        rung = self.size([sess], pooled, {me: sess.top})[me]
-        if self.rate(sess, rung) > idle[best.row.server]:
-            fits = [r for r in range(sess.group.floor, rung + 1)
-                    if self.rate(sess, r) <= idle[best.row.server]]
-            cap = max(fits, default=min(sess.group.floor, sess.top))
-            rung = self.size([sess], pooled, {me: cap})[me]
-        sess.rung = rung
+        sess.rung = self.size([sess], pooled, {me: sess.top})[me]
+        while sess.rung > sess.group.floor and self.rate(sess, sess.rung) > idle[best.row.server]:
+            sess.rung = self.size([sess], pooled, {me: sess.rung - 1})[me]
         return best
 
     # The guard: every SETUP passes here, at the moment it is sent
 
-    def barred(self, sess: Sess, server: Server) -> bool:
+    def barred(self, sess: Sess, server: Server, paced: bool = True) -> bool:
         row, plant = server.row, self.facts.plant
         return (row.state is not ServerState.READY
                 or (row.cell - sess.req.home) % plant.cells >= sess.req.span
                 or self.spent(sess)
                 or not self.may_repeat(sess, server)
-                or (sess.group.seats > 0 and self.seats.get(seat(sess), 0) >= sess.group.seats)
-                or self.paced_until(server) > self.now)
+                or 0 < sess.group.seats <= self.seats.get(sess.seat(), 0)
+                or (paced and self.paced_until(server) > self.now))
 
     def spent(self, sess: Sess) -> bool:
         """Whether no SETUP at all may follow: too many, none left in the budget, or one still out."""
@@ -441,27 +413,20 @@
         out = any(end is None for _, _, end in sess.attempts)
         if out or len(sess.attempts) >= self.facts.permissions.max_attempts:
             return True
-        if rules.spare_setups is None or not sess.attempts:
-            return False
         since = self.now - rules.resend_span
-        self.taken = [at for at in self.taken if at > since]
-        resent = sum(at >= since for at in self.resent)
-        return resent + 1 > rules.spare_setups + rules.resend_ratio * len(self.taken)
+        taken, resent = sum(at > since for at in self.taken), sum(at >= since for at in self.resent)
+        return (rules.spare_setups is not None and bool(sess.attempts)
+                and resent + 1 > rules.spare_setups + rules.resend_ratio * taken)
 
     def may_repeat(self, sess: Sess, server: Server) -> bool:
         """Unsafe: only after proof that nothing ran. Keyed: only where and while the key is remembered."""
-        ran = [(at, sent) for at, sent, end in sess.attempts if end not in NEVER_RAN]
+        ran = [(self.servers[at].row, sent) for at, sent, end in sess.attempts if end not in NEVER_RAN]
         if not ran or sess.group.effect is Effect.SAFE:
             return True
-        if sess.group.effect is Effect.UNSAFE:
-            return False
-        for at, sent in ran:
-            other = self.servers[at].row
-            same = {Scope.ALL: True, Scope.ZONE: other.zone == server.row.zone,
-                    Scope.CELL: other.cell == server.row.cell}[sess.group.scope]
-            if not same or self.now >= sent + sess.group.memory:
-                return False
-        return True
+        same = {Scope.ALL: True, Scope.ZONE: all(row.zone == server.row.zone for row, _ in ran),
+                Scope.CELL: all(row.cell == server.row.cell for row, _ in ran)}[sess.group.scope]
+        return (sess.group.effect is Effect.KEYED and same
+                and all(self.now < sent + sess.group.memory for _, sent in ran))
 
     def paced_until(self, server: Server) -> int:
         """When this front may next send to a server that is cold, or may be.
@@ -470,12 +435,11 @@
         perhaps cold (seen down, or we have just begun ourselves): our own sends are spaced by our share.
         """
         rules, fronts = self.facts.rules, self.facts.fronts
-        started = max(server.row.started_at or -(1 << 60), server.back)
-        known = self.now - started < rules.cold
+        known = self.now - max(server.row.started_at or LONG_AGO, server.back) < rules.cold
         if not known and server.lost is None and self.now - self.born >= rules.cold:
             return 0
-        places = self.facts.plant.streams[server.row.kind]
-        slot = int(rules.cold / max(places * rules.cold_from * rules.fall_multiple, 0.01))
+        per_slot = self.facts.plant.streams[server.row.kind] * rules.cold_from * rules.fall_multiple
+        slot = int(rules.cold / max(per_slot, 0.01))
         if not known:
             return server.sent + slot * fronts
         turn = self.now // slot
@@ -484,17 +448,17 @@
         return (turn + (self.facts.me - turn - 1) % fronts + 1) * slot
 
     def may_refuse(self, sess: Sess) -> bool:
-        ran = any(end not in NEVER_RAN for _, _, end in sess.attempts)
-        return (not ran or sess.group.effect is Effect.SAFE
-                or (sess.group.effect is Effect.KEYED and sess.group.scope is Scope.ALL))
+        ran, group = any(end not in NEVER_RAN for _, _, end in sess.attempts), sess.group
+        known = group.effect is Effect.KEYED and group.scope is Scope.ALL
+        return not ran or known or group.effect is Effect.SAFE
 
     # A session, from arrival to end
 
     def open(self, req: ev.SessionRequest) -> Sess:
         group = self.facts.groups[req.service_group]
         top = min(req.top, group.top, len(self.facts.ladder.rate_kb) - 1)
-        sess = Sess(req, group, group.utility * self.within_share(req.tenant), self.now + req.time_left,
-                    min(group.floor, top), top)
+        utility = group.utility * self.within_share(req.tenant)
+        sess = Sess(req, group, utility, self.now + req.time_left, min(group.floor, top), top)
         self.sessions[req.req_id] = sess
         return sess
 
@@ -502,50 +466,49 @@
         """The worth of a tenant's request: less where it sends beyond its share."""
         if tenant >= len(self.facts.tenants) or len(self.arrivals) < 2:
             return 1.0
-        count = sum(whose == tenant for _, whose in self.arrivals)
         span = max(self.now - self.arrivals[0][0], SECOND)
-        rate = count * self.facts.fronts * SECOND / span
+        rate = sum(whose == tenant for _, whose in self.arrivals) * self.facts.fronts * SECOND / span
         inside = min(1.0, self.facts.tenants[tenant].quota_per_s / max(rate, 1e-9))
         return inside + self.facts.over_share_utility * (1 - inside)
 
     def session(self, req: ev.SessionRequest) -> Script:
         sess = self.open(req)
-        while True:
+        yield from self.serve(sess)
+        self.close(sess)
+
+    def serve(self, sess: Sess) -> Script:
+        req_id, allowed = sess.req.req_id, self.facts.permissions
+        got: Resumed = None
+        while self.now < sess.deadline:
             server = self.place(sess)
             if server is None:
-                chance = self.next_chance(sess)
-                if chance is None:
+                open_then = [s for s in self.servers.values() if not self.barred(sess, s, paced=False)]
+                chance = min(map(self.paced_until, open_then), default=sess.deadline)
+                if chance >= sess.deadline:
                     break
-                if isinstance((yield act.Wait(chance)), ev.ViewerLeft):
-                    self.close(sess)
-                    return
-                continue
-            timeout = self.patience(sess)
-            self.commit(sess, server)
-            yield act.SetRung(req.req_id, sess.rung)
-            got = yield act.Setup(req.req_id, server.row.server, timeout)
+                got = yield act.Wait(chance)
+            else:
+                timeout = self.patience(sess)
+                self.commit(sess, server)
+                if sess.top >= sess.group.floor:
+                    yield act.SetRung(req_id, sess.rung)
+                got = yield act.Setup(req_id, server.row.server, timeout)
             if isinstance(got, ev.Started):
                 sess.began = self.now
                 yield act.Play()
-                self.close(sess)
                 return
             if isinstance(got, ev.ViewerLeft) or (isinstance(got, ev.Ended) and got.final):
-                self.close(sess)
                 return
-            if self.now >= sess.deadline:
-                break
+        # Given up: the answer goes out at once, with half the longest come-back time that viewers heed
         if self.may_refuse(sess):
-            allowed = self.facts.permissions
-            yield act.BusyReply(req.req_id, allowed.max_come_back // 2 if allowed.come_back else 0)
+            yield act.BusyReply(req_id, allowed.max_come_back // 2 if allowed.come_back else 0)
         else:
-            yield act.TearDown(req.req_id)
-        self.close(sess)
+            yield act.TearDown(req_id)
 
     def handed_over(self, event: ev.HandedOver) -> Script:
         sess = self.open(event.request)
-        server = self.servers.get(event.server)
-        if server is not None:
-            self.commit(sess, server)
+        if event.server in self.servers:
+            self.commit(sess, self.servers[event.server])
         sess.began = self.now
         yield act.Play()
         self.close(sess)
@@ -560,36 +523,26 @@
         usual = sorted(self.lags)[len(self.lags) * 9 // 10] if self.lags else 0
         return min(left, max((target - self.now) * 45 // 100, usual * 2, sess.group.start_target // 5))
 
-    def next_chance(self, sess: Sess) -> int | None:
-        """When a holder that only its pace holds back may be sent to; None if there is none in time."""
-        waits = [self.paced_until(s) for s in self.servers.values()
-                 if s.row.state is ServerState.READY
-                 and (s.row.cell - sess.req.home) % self.facts.plant.cells < sess.req.span]
-        seats = sess.group.seats > 0 and self.seats.get(seat(sess), 0) >= sess.group.seats
-        soon = min((at for at in waits if at > self.now), default=None)
-        if soon is None or seats or self.spent(sess) or soon >= sess.deadline:
-            return None
-        return soon
-
     def commit(self, sess: Sess, server: Server) -> None:
         """A SETUP goes out: the account, the seats, the pace and the budget know it at once."""
         if sess.attempts:
-            self.resent.append(self.now)
-            del self.resent[:-200]
+            since = self.now - self.facts.rules.resend_span
+            self.resent = [*(at for at in self.resent if at >= since), self.now]
         sess.attempts.append((server.row.server, self.now, None))
         sess.server, server.sent = server.row.server, self.now
         server.sessions[sess.req.req_id] = sess
-        self.seats[seat(sess)] = self.seats.get(seat(sess), 0) + 1
+        self.seats[sess.seat()] = self.seats.get(sess.seat(), 0) + 1
         self.book(server)
 
     def release(self, sess: Sess) -> None:
         server = self.servers.get(sess.server)
         if server is not None and server.sessions.pop(sess.req.req_id, None) is not None:
-            self.seats[seat(sess)] -= 1
+            self.seats[sess.seat()] -= 1
             self.book(server)
 
     def close(self, sess: Sess) -> None:
         """The viewer is answered; a SETUP still out keeps its seat and its rate until its outcome."""
+        sess.over = True
         if all(end is not None for _, _, end in sess.attempts):
             self.release(sess)
             self.sessions.pop(sess.req.req_id, None)
@@ -627,32 +580,26 @@
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
         cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
         ups = [s for s in mine if want[s.req.req_id] > s.rung]
-        ups.sort(key=lambda s: -self.gain(s, s.rung + 1))
-        changes: list[tuple[Sess, int]] = []
+        need = {s.req.req_id: self.rate(s, want[s.req.req_id]) - self.rate(s, s.rung) for s in mine}
+        earns = {s.req.req_id: self.earns(s, want[s.req.req_id]) for s in mine}
+        changed: list[Sess] = []
         while room < 0 and cuts:
-            sess = cuts.pop(0)
-            changes.append((sess, want[sess.req.req_id]))
-            room += self.rate(sess, sess.rung) - self.rate(sess, want[sess.req.req_id])
-        for sess in ups:
-            rung = want[sess.req.req_id]
-            need, worth, freed = self.rate(sess, rung) - self.rate(sess, sess.rung), self.earns(sess, rung), 0
-            while room < need and freed < len(cuts):
-                cut = cuts[freed]
-                room += self.rate(cut, cut.rung) - self.rate(cut, want[cut.req.req_id])
-                worth += self.earns(cut, want[cut.req.req_id])
+            changed.append(cuts.pop(0))
+            room -= need[changed[-1].req.req_id]
+        for sess in sorted(ups, key=lambda s: -self.gain(s, s.rung + 1)):
+            freed, spare = 0, room - need[sess.req.req_id]
+            while spare < 0 and freed < len(cuts):
+                spare -= need[cuts[freed].req.req_id]
                 freed += 1
-            if room >= need and worth > 0:
-                changes += [(cut, want[cut.req.req_id]) for cut in cuts[:freed]] + [(sess, rung)]
-                room -= need
+            if spare >= 0 and earns[sess.req.req_id] + sum(earns[c.req.req_id] for c in cuts[:freed]) > 0:
+                changed += [*cuts[:freed], sess]
+                room = spare
                 del cuts[:freed]
-            else:
-                room -= sum(self.rate(c, c.rung) - self.rate(c, want[c.req.req_id]) for c in cuts[:freed])
-        return changes
+        return [(s, want[s.req.req_id]) for s in changed]
 
     def earns(self, sess: Sess, rung: int) -> float:
         """What a change of rung earns over the time the session is likely to have left, less its cost."""
-        ladder = self.facts.ladder
-        played = self.now - (sess.began or self.now)
+        ladder, played = self.facts.ladder, self.now - (sess.began or self.now)
         longer = sorted(length for length in self.lengths if length > played)
         left = longer[len(longer) // 2] - played if longer else max(played, RESIZE_EVERY)
         if sess.req.length_hint is not None:
@@ -676,18 +623,16 @@
         yield act.Wait(self.now + TELL_EVERY * (self.facts.me + 1) // self.facts.fronts)
         told: dict[int, int] = {}
 
-        def aged(sample: tuple[int, float]) -> tuple[int, int]:
-            age = (self.now - sample[0]) // 20_000
-            return (min(round(sample[1] * 100), 254), age) if age < 2 * TELL_EVERY // 20_000 else (255, 255)
-
         while True:
             entries = []
             for server in self.servers.values():
-                units = min(round(self.own(server) / 4), 65535)
-                report, share = aged(server.heard), aged(server.felt)
-                if units or told.get(server.row.server) or report[0] < 255:
+                units, samples = min(round(self.own(server) / 4), 65535), [255, 255, 255, 255]
+                for i, (at, figure) in enumerate((server.heard, server.felt)):
+                    if at > self.now - 2 * TELL_EVERY:
+                        samples[2 * i:2 * i + 2] = min(round(figure * 100), 254), (self.now - at) // 20_000
+                if units or told.get(server.row.server) or samples[0] < 255:
                     told[server.row.server] = units
-                    entries.append(ENTRY.pack(server.row.server, units, *report, *share))
+                    entries.append(ENTRY.pack(server.row.server, units, *samples))
             for start in range(0, len(entries), 256 // ENTRY.size):
                 yield act.Tell(None, b"".join(entries[start:start + 256 // ENTRY.size]))
             yield act.Wait(self.now + TELL_EVERY)
@@ -699,7 +644,3 @@
             while self.watching:
                 yield act.Wait(self.now + SECOND)
             yield act.Wait(self.now + SECOND + self.draw(SECOND))
-
-
-def seat(sess: Sess) -> tuple[int, int]:
-    return (sess.req.title, sess.req.service_group)
