--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -119,8 +119,7 @@
     """The decisions of one front."""
 
     def __init__(self, facts: SiteFacts, now: int) -> None:
-        self.facts, self.now, self.born = facts, now, now
-        self.chance = facts.seed
+        self.facts, self.now, self.born, self.chance = facts, now, now, facts.seed
         self.servers: dict[int, Server] = {}
         self.racks = [Pipe(facts.plant.uplink_kb) for _ in range(max(1, facts.plant.racks))]
         self.sessions: dict[int, Sess] = {}
@@ -132,6 +131,7 @@
         self.resent: list[int] = []                 # further SETUPs within it
         self.watching = False
         self.heard: dict[int, int] = {}             # when each other front last spoke
+        self.near = NEAR if facts.prices.cross_zone > 0 else 1.0
 
     def clock(self, now: int) -> None:
         self.now = now
@@ -234,8 +234,7 @@
         mild = max(share for _, share in server.notes)
         if mild >= 0.98 or len(server.notes) < 2:
             return
-        rack, mates = self.rack(server), self.mates(server)
-        played = [m for m in mates if m.sessions or any(kb for _, kb in m.peers.values())]
+        played = [m for m in self.mates(server) if m.sessions or any(kb for _, kb in m.peers.values())]
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
@@ -244,7 +243,7 @@
         if len(short) < 2 or 2 * len(short) <= len(played):
             server.link.load(taken, max(1 / max(mild, 0.1), last[1] if last[0] > taken - MISSING else 0.0))
         elif "uplink_asked" not in self.facts.report_fields:
-            rack.load(taken, 1 / max(*short, 0.1))
+            self.rack(server).load(taken, 1 / max(*short, 0.1))
 
     def learn_report(self, server: Server, report: dict[str, float]) -> None:
         taken, ratio = self.now - REPORT_AGE, report.get("link_asked", report.get("util"))
@@ -261,8 +260,7 @@
             return
         self.heard[message.peer] = self.now
         for server_id, units, ratio, age, share, note_age in ENTRY.iter_unpack(message.payload):
-            server = self.servers.get(server_id)
-            if server is None:
+            if (server := self.servers.get(server_id)) is None:
                 continue
             server.peers[message.peer] = (self.now, units * 4.0)
             self.book(server)
@@ -325,9 +323,8 @@
 
     def mates(self, server: Server) -> list[Server]:
         """The servers that share a rack's uplink with this one, itself included."""
-        rack = self.rack(server)
-        return [s for s in self.servers.values()
-                if self.rack(s) is rack and s.row.state is not ServerState.GONE]
+        running = [s for s in self.servers.values() if s.row.state is not ServerState.GONE]
+        return [s for s in running if self.rack(s) is self.rack(server)]
 
     def gives(self, server: Server) -> float:
         """A link as learned or told; a cold server's is cold too."""
@@ -386,10 +383,8 @@
         idle = {s.row.server: self.idle(s) for s in fit}
         by_idle = sorted(fit, key=lambda s: (-idle[s.row.server], s.row.server))
         best, near = by_idle[0], [s for s in by_idle if s.row.zone == self.facts.zone]
-        # Crossing zones has a price: a holder of the own zone is taken while it has enough of the most idle
-        priced = self.facts.prices.cross_zone > 0 and near
-        if priced and idle[near[0].row.server] >= NEAR * idle[best.row.server] > 0:
-            best = near[0]
+        if near and idle[near[0].row.server] >= self.near * idle[best.row.server] > 0:
+            best = near[0]  # crossing zones has its price
         pooled, me = sum(max(0.0, kb) for kb in idle.values()), sess.req.req_id
         sess.rung = self.size([sess], pooled, {me: sess.top})[me]
         while sess.rung > sess.group.floor and self.rate(sess, sess.rung) > idle[best.row.server]:
@@ -408,15 +403,11 @@
                 or (paced and self.paced_until(server) > self.now))
 
     def spent(self, sess: Sess) -> bool:
-        """Whether no SETUP at all may follow: too many, none left in the budget, or one still out."""
-        rules = self.facts.rules
-        out = any(end is None for _, _, end in sess.attempts)
-        if out or len(sess.attempts) >= self.facts.permissions.max_attempts:
-            return True
-        since = self.now - rules.resend_span
+        """Whether no SETUP may follow: too many, or none left in the budget; `serve` has but one out."""
+        rules, since = self.facts.rules, self.now - self.facts.rules.resend_span
         taken, resent = sum(at > since for at in self.taken), sum(at >= since for at in self.resent)
-        return (rules.spare_setups is not None and bool(sess.attempts)
-                and resent + 1 > rules.spare_setups + rules.resend_ratio * taken)
+        over = rules.spare_setups is not None and resent + 1 > rules.spare_setups + rules.resend_ratio * taken
+        return len(sess.attempts) >= self.facts.permissions.max_attempts or (over and bool(sess.attempts))
 
     def may_repeat(self, sess: Sess, server: Server) -> bool:
         """Unsafe: only after proof that nothing ran. Keyed: only where and while the key is remembered."""
@@ -604,15 +595,14 @@
         left = longer[len(longer) // 2] - played if longer else max(played, RESIZE_EVERY)
         if sess.req.length_hint is not None:
             left = max(sess.req.length_hint - played, 0)
-        change = (ladder.utility[rung] - ladder.utility[sess.rung]) * left / SECOND
-        return sess.utility * (change - PAYS * ladder.switch_cost_s)
+        more = ladder.utility[rung] - ladder.utility[sess.rung]
+        return sess.utility * (more * left / SECOND - PAYS * ladder.switch_cost_s)
 
     def probing(self) -> Script:
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
         turn = 0
         while True:
-            ready = [s for s in self.servers.values() if s.row.state is ServerState.READY]
-            if ready:
+            if ready := [s for s in self.servers.values() if s.row.state is ServerState.READY]:
                 turn += 1
                 yield act.Probe(ready[turn % len(ready)].row.server)
             recent = sum(at > self.now - 10 * SECOND for at, _ in self.arrivals)
@@ -633,8 +623,8 @@
                 if units or told.get(server.row.server) or samples[0] < 255:
                     told[server.row.server] = units
                     entries.append(ENTRY.pack(server.row.server, units, *samples))
-            for start in range(0, len(entries), 256 // ENTRY.size):
-                yield act.Tell(None, b"".join(entries[start:start + 256 // ENTRY.size]))
+            for start in range(0, len(entries), 25):  # a message holds 256 bytes
+                yield act.Tell(None, b"".join(entries[start:start + 25]))
             yield act.Wait(self.now + TELL_EVERY)
 
     def watch(self) -> Script:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,157 @@
+"""Plays scenarios: small text files, a line a step; docs/design.md tells the notation."""
+
+import re
+from collections.abc import Callable
+from dataclasses import fields, replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ponddoor.decide import ENTRY, Front
+from ponddoor.interface import actions as act
+from ponddoor.interface import events as ev
+from ponddoor.interface import facts as fx
+from ponddoor.runtime.driver import Driver
+
+GROUP = fx.ServiceGroup("g", 1_000_000, 3_000_000, 1.0, fx.Effect.SAFE, fx.Scope.ALL, 1_000_000, 0, 9, 0,
+                        False, 1.0)
+SITE = fx.SiteFacts(
+    me=0, fronts=1, zone=0, seed=1, asked_discovery=False, reporting=fx.Reporting.ON_PROBE,
+    report_fields=("link_asked",), over_share_utility=1.0, groups=(GROUP,), tenants=(),
+    ladder=fx.Ladder((100.0, 200.0, 400.0, 800.0), (0.3, 0.5, 0.8, 1.0), 0.1, 6.0, 1.0),
+    plant=fx.Plant(8, 1, 1.0, 1e6, (1000,), 0.0, 1_000_000, 0),
+    rules=fx.Rules(12_000_000, 0.4, 500_000, 2.5, 1_000_000, 40_000, 0, None, 0.0, 0),
+    permissions=fx.Permissions(False, False, True, 3, True, 2_000_000, 250_000),
+    prices=fx.Prices(0.0, 0.01, 0.01, 0.1))
+
+
+def amount(text: str) -> Any:
+    """A value of the notation: a number, yes or no, a comma list, or a word; `s` ends a time."""
+    if "," in text:
+        return tuple(amount(part) for part in text.split(",") if part)
+    if re.fullmatch(r"-?[\d.]+s", text):
+        return round(float(text[:-1]) * 1_000_000)
+    if re.fullmatch(r"-?[\d.]+", text):
+        return float(text) if "." in text else int(text)
+    words: dict[str, Any] = {"yes": True, "no": False, "none": None}
+    words |= {kind.value: kind for kind in (*fx.Effect, *fx.Scope, *fx.Reporting) if kind is not fx.Scope.ALL}
+    return words.get(text, text)
+
+
+class Player:
+    """One front under a scenario: `at` steps happen to it, `expect` steps look at what it asked for."""
+
+    def __init__(self) -> None:
+        self.site, self.groups, self.rows = SITE, [], {}  # type: ignore[var-annotated]
+        self.driver: Driver | None = None
+        self.now, self.news = 0, [""]
+        self.timers: list[tuple[int, int]] = []
+        self.sent: dict[str, tuple[int, int]] = {}
+
+    def play(self, text: str) -> None:
+        for number, line in enumerate(text.splitlines(), 1):
+            words = line.split("#")[0].split()
+            if words:
+                try:
+                    getattr(self, words[0])(*words[1:])
+                except AssertionError as problem:
+                    raise AssertionError(f"line {number}: {line}: {problem}") from None
+
+    def site_part(self, options: dict[str, Any]) -> None:
+        for part in fields(fx.SiteFacts):
+            held = getattr(self.site, part.name)
+            if part.name in options:
+                self.site = replace(self.site, **{part.name: options[part.name]})
+            elif hasattr(held, "__dataclass_fields__"):
+                mine = {k: v for k, v in options.items() if k in held.__dataclass_fields__}
+                self.site = replace(self.site, **{part.name: replace(held, **mine)})
+
+    def given(self, what: str, *words: str) -> None:
+        options = {key: amount(value) for key, value in (w.split("=") for w in words if "=" in w)}
+        if what == "group":
+            self.groups.append(replace(GROUP, **options))
+        elif what == "tenant":
+            self.site = replace(self.site, tenants=(*self.site.tenants, fx.Tenant("t", share=1.0, **options)))
+        elif what == "server":
+            base = {"zone": 0, "kind": 0, "cell": 0, "state": 2, "weight": 1000.0, "started_at": 0} | options
+            state = ev.ServerState(base.pop("state"))
+            self.rows[words[0]] = ev.ServerRow(server=int(words[0]), state=state, **base)
+        else:
+            self.site_part(options)
+
+    def do(self, event: ev.Event) -> None:
+        if self.driver is None:
+            self.driver = Driver(Front(replace(self.site, groups=tuple(self.groups) or (GROUP,)), 0))
+            self.do(ev.ServerNews(ev.NewsScope.CACHED, tuple(self.rows.values())))
+        for action in self.driver.handle(self.now, event):
+            match action:
+                case act.SetTimer():
+                    self.timers.append((action.at, action.cookie))
+                case act.Setup():
+                    number = self.sent.get(str(action.req_id), (0, -1))[1] + 1
+                    self.sent[str(action.req_id)] = (action.server, number)
+                    self.news.append(f"setup {action.req_id} {action.server} {action.timeout / 1e6:g}s")
+                case act.SetRung():
+                    self.news.append(f"rung {action.req_id} {action.rung}")
+                case act.BusyReply():
+                    self.news.append(f"busy {action.req_id} {action.come_back / 1e6:g}s")
+                case act.Tell():
+                    self.news += [f"tell {e[0]} {e[1] * 4}" for e in ENTRY.iter_unpack(action.payload)]
+                case _:
+                    names = [str(getattr(action, f.name)) for f in fields(action)]
+                    self.news.append(" ".join([type(action).__name__.lower(), *names]))
+
+    def at(self, moment: str, what: str = "", *words: str) -> None:
+        """Time passes, timers come due, and then one thing happens. A `+` before it keeps what is seen."""
+        until, plain = amount(moment.lstrip("+")), [w for w in words if "=" not in w]
+        options = {key: amount(value) for key, value in (w.split("=") for w in words if "=" in w)}
+        self.news = self.news if moment.startswith("+") else []
+        while due := min((t for t in self.timers if t[0] <= until), default=None):
+            self.timers.remove(due)
+            self.now = max(self.now, due[0])
+            self.do(ev.TimerDue(due[1]))
+        self.now = until
+        event = self.event(what, plain, options) if what else None
+        if event is not None:
+            self.do(event)
+
+    def event(self, what: str, plain: list[str], options: dict[str, Any]) -> ev.Event | None:
+        if what in ("request", "playing"):
+            base = {"service_group": 0, "tenant": 0, "key": 0, "title": 1, "time_left": 3_000_000,
+                    "length_hint": None, "home": 0, "span": 8, "top": 9} | options
+            request = ev.SessionRequest(req_id=int(plain[0]), **base)
+            self.sent[plain[0]] = (int(plain[1]) if what == "playing" else 0, -1 if what == "request" else 0)
+            return request if what == "request" else ev.HandedOver(request, int(plain[1]))
+        if what == "news":
+            self.given("server", *plain, *(f"{k}={v}" for k, v in options.items()))
+            return ev.ServerNews(ev.NewsScope.CHANGES, (self.rows[plain[0]],))
+        if what == "word":
+            entry = ENTRY.pack(int(plain[1]), int(plain[2]) // 4, 255, 255, 255, 255)
+            return ev.PeerMessage(int(plain[0]), entry)
+        if what == "probed":
+            result = ev.Result(options.pop("result", "served").replace("_", " "))
+            return ev.Probed(int(plain[0]), 1000, result, options)
+        req_id, (server, attempt) = int(plain[0]), self.sent[plain[0]]
+        if what == "started":
+            return ev.Started(req_id, attempt, server, 100_000)
+        if what == "left":
+            return ev.ViewerLeft(req_id)
+        if what == "note":
+            kind = {"share": 1, "rung": 2, "link": 3, "uplink": 4}[plain[1]]
+            return ev.Note(req_id, ev.NoteKind(kind), float(plain[2]), server)
+        result = ev.Result(what.replace("_", " "))
+        return ev.Ended(req_id, attempt, server, result, "final" in plain, 1000, options)
+
+    def expect(self, *words: str) -> None:
+        """`expect no X` sees nothing that begins so, `expect N X` just N of them, `expect X` one at least."""
+        wanted = " ".join(words[{"no": 1, "just": 2}.get(words[0], 0):])
+        seen = [news for news in self.news if f"{news} ".startswith(f"{wanted} ")]
+        just = len(seen) == int(words[1]) if words[0] == "just" else bool(seen) != (words[0] == "no")
+        assert just, self.news
+
+
+@pytest.fixture
+def play() -> Callable[[Path], None]:
+    """Plays one scenario file on a front of its own."""
+    return lambda path: Player().play(path.read_text())
--- /dev/null
+++ b/tests/test_simhost.py
@@ -0,0 +1,123 @@
+"""The codec and the host, with frames of our own."""
+
+import io
+import json
+import struct
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from ponddoor.simhost.codec import MalformedError
+from ponddoor.simhost.host import serve
+
+FACTS: dict[str, Any] = {
+    "accounts": [], "balancers": 1, "discovery": "pushed", "me": 0, "zone": 0, "unheard_of": {"x": 1},
+    "lanes": [{"aim": 800.0, "deadline": 4000.0, "group": "all", "memorySpan": 0.0, "name": "talks",
+               "semantics": "repeatable", "value": 1.0}],
+    "permissions": {"cancelling": True, "connectTimeout": 250.0, "maxAttempts": 3, "maxRetryAfter": 500.0,
+                    "mayTell": False, "probes": False, "retryAfter": True},
+    "prices": {"crossZone": 0.0, "probe": 0.0, "peer": 0.0, "moves": 0.0},
+    "reporting": {"fields": ["x0"], "how": "inline"},
+    "safety": {"cold": 9000.0, "coldFrom": 0.5, "drainGrace": 500.0, "fall": 1000.0, "fallMultiple": 3.0,
+               "graceToAnswer": 40.0},
+    "specifics": {"changeCostsS": 0.5, "classSeats": [0], "classTop": [2], "floorByClass": [0], "groups": 2,
+                  "kbPerWeight": 1000.0, "kindStreams": [300], "ladderWorth": [0.2, 0.6, 1.0],
+                  "live": [False], "positions": 4, "rackKb": 90000.0, "rateFactor": [1.0],
+                  "rungKb": [100.0, 300.0, 900.0], "shortfallCost": 6.0}}
+SERVER = 0xABCDEF01
+
+
+def record(code: int, form: str = "", *values: Any) -> bytes:
+    body = struct.pack(">" + form, *values)
+    return struct.pack(">HI", code, len(body)) + body
+
+
+def batch(clock: float, *records: bytes) -> bytes:
+    body = b"".join(records)
+    return struct.pack(">IdI", len(body), clock, len(records)) + body
+
+
+def boot(facts: dict[str, Any]) -> list[bytes]:
+    text = json.dumps(facts).encode()
+    row = struct.pack(">IHHHBfd", SERVER, 0, 0, 1, 2, 5.0, 0.0)
+    return [record(10, "I", 4), record(5, f"QI{len(text)}s", 77, len(text), text),
+            record(12, f"BI{len(row)}s", 3, 1, row), record(13, "BQB", 2, 1, 3)]
+
+
+def ingress(call: int) -> bytes:
+    return record(4, "IHHQQddfffB", call, 0, 0, 9, 8, 4000.0, 0.0, 1.0, 1.0, 1.0, 0)
+
+
+def replies(*batches: bytes) -> list[list[tuple[int, bytes]]]:
+    sink, out = io.BytesIO(), []
+    serve(io.BytesIO(b"".join(batches)), sink)
+    data = sink.getvalue()
+    while data:
+        size, = struct.unpack_from(">I", data)
+        frame, data, records = data[4:4 + size], data[4 + size:], []
+        while frame:
+            code, length = struct.unpack_from(">HI", frame)
+            records.append((code, frame[6:6 + length]))
+            frame = frame[6 + length:]
+        out.append(records)
+    return out
+
+
+def test_session_from_frame_to_frame() -> None:
+    empty, begun, asked = replies(batch(0.0), batch(20000.0, *boot(FACTS)),
+                                  batch(20010.0, record(10, "I", 4), ingress(0xFFFFFFF0)))
+    assert empty == [] and all(code in (15, 5) for code, _ in begun)
+    assert [code for code, _ in asked] == [15, 13, 1]
+    assert asked[0][1] == struct.pack(">I", 4)
+    assert asked[1][1] == struct.pack(">IB", 0xFFFFFFF0, 1)
+    assert struct.unpack(">IdI", asked[2][1]) == (0xFFFFFFF0, 360.0, SERVER)
+
+
+def test_killed_then_booted_in_one_batch_forgets() -> None:
+    again = [record(10, "I", 4), record(11), *boot(FACTS)[1:]]
+    ended = record(9, "IIHHBdB", 7, SERVER, 301, 0, 0, 5.0, 0)
+    out = replies(batch(0.0, *boot(FACTS), ingress(7)), batch(10.0, *again),
+                  batch(20.0, record(10, "I", 4), ended))
+    assert out[2] == []
+
+
+def test_list_number_used_again() -> None:
+    row = struct.pack(">IHHHBfd", 5, 0, 0, 1, 2, 50.0, 0.0)
+    second = [record(12, f"BI{len(row)}s", 3, 1, row), record(10, "I", 4), record(13, "BQB", 0, 2, 3)]
+    out = replies(batch(0.0, *boot(FACTS)), batch(10.0, *second), batch(20.0, record(10, "I", 4), ingress(7)))
+    assert out[2][-1][1][-4:] == struct.pack(">I", 5)
+
+
+def test_exception_in_the_decisions_becomes_bail_out() -> None:
+    unknown_group = record(4, "IHHQQddfffB", 7, 99, 0, 9, 8, 4000.0, 0.0, 1.0, 1.0, 1.0, 0)
+    out = replies(batch(0.0, *boot(FACTS)), batch(10.0, record(10, "I", 4), unknown_group))
+    assert [code for code, _ in out[1]] == [15, 10] and b"IndexError" in out[1][1][1]
+
+
+BROKEN = {
+    "a header cut short": b"\0\0",
+    "a batch cut short": batch(0.0, record(10, "I", 4))[:-1],
+    "an unknown code": batch(0.0, record(10, "I", 4), record(99)),
+    "a field cut short": batch(0.0, record(10, "H", 4)),
+    "a record over the end": struct.pack(">IdI", 6, 0.0, 1) + struct.pack(">HI", 10, 4),
+    "bytes left over": struct.pack(">IdI", 3, 0.0, 0) + b"abc",
+    "settings without servers' places": batch(0.0, *boot({**FACTS, "specifics": {}})),
+    "an unknown way of reporting": batch(0.0, *boot({**FACTS, "reporting": {"fields": [], "how": "?"}})),
+    "an event before any instance": batch(0.0, record(1, "I", 1)),
+    "an event for one that does not run": batch(0.0, record(10, "I", 1), record(1, "I", 1)),
+}
+
+
+@pytest.mark.parametrize("data", BROKEN.values(), ids=BROKEN.keys())
+def test_malformed_input(data: bytes) -> None:
+    with pytest.raises(MalformedError):
+        serve(io.BytesIO(data), io.BytesIO())
+
+
+def test_malformed_input_ends_the_program_with_one_plain_line() -> None:
+    done = subprocess.run([sys.executable, "-m", "ponddoor.simhost"], input=BROKEN["an unknown code"],
+                          capture_output=True, check=False)
+    assert done.returncode == 2
+    assert done.stderr.decode().splitlines() == ["ponddoor.simhost: malformed input: unknown event code 99"]
