--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -610,7 +610,7 @@
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
 
     def telling(self) -> Script:
-        yield act.Wait(self.now + TELL_EVERY * (self.facts.me + 1) // self.facts.fronts)
+        yield act.Wait(self.now + SECOND // 10)  # the sessions handed over are in by then
         told: dict[int, int] = {}
 
         while True:
