Take only our part of a link's idle, on arrival and on resize

Cause: all fronts see the same idle, and an arrival took all of its holder's. An arrival and a raise now take the link's idle over the number of fronts; the rack's share, already cut by its servers, is not cut again.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -308,8 +308,10 @@
             return max(self.own(server), server.link.unknown(self.now) + known)
         return known if server.peers else known * self.facts.fronts
 
-    def idle(self, server: Server) -> float:
-        """Told link less headroom and what is asked, capped by its share of its rack's idle uplink."""
+    def idle(self, server: Server, part: float = 1.0) -> float:
+        """Told link less headroom and what is asked, capped by its share of its rack's idle uplink.
+
+        Every front sees the same idle at once, so we take but our `part` of the link's."""
         rack, mates = self.rack(server), self.mates(server)
         asked = {s.row.server: self.asked(s) for s in mates}
         rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
@@ -319,7 +321,7 @@
         spare = self.gives_rack(rack, mates) * (1 - HEADROOM) - total
         if spare < 0:
             return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
-        return min(room, spare * max(room, 0.0) / max(sum(max(0.0, kb) for kb in rooms.values()), 1.0))
+        return min(room * part, spare * room / sum(max(0.0, kb) for kb in rooms.values())) if room > 0 else room
 
     def mates(self, server: Server) -> list[Server]:
         """The servers that share a rack's uplink with this one, itself included."""
@@ -380,7 +382,7 @@
         fit = [s for s in open_now if s.rested_until() <= self.now]
         fit = ([s for s in fit if s.row.server not in tried] or fit
                or [min(open_now, key=lambda s: (s.rested_until(), s.row.server))])
-        idle = {s.row.server: self.idle(s) for s in fit}
+        idle = {s.row.server: self.idle(s, 1 / self.facts.fronts) for s in fit}
         by_idle = sorted(fit, key=lambda s: (-idle[s.row.server], s.row.server))
         best, near = by_idle[0], [s for s in by_idle if s.row.zone == self.facts.zone]
         if near and idle[near[0].row.server] >= self.near * idle[best.row.server] > 0:
@@ -562,11 +564,11 @@
     def resized(self, server: Server) -> list[tuple[Sess, int]]:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
         mine = [s for s in server.sessions.values() if s.began is not None]
-        own, idle = self.own(server), self.idle(server)
+        own, room = self.own(server), self.idle(server, 1 / self.facts.fronts)
         if not mine or server.row.state is ServerState.GONE:
             return []
-        # Every front sees the same idle at once: each raises into its share and cuts its part of the excess
-        room = idle / self.facts.fronts if idle > 0 else idle * own / max(self.asked(server), own, 1.0)
+        if room < 0:  # every front sees the same excess: each cuts its part
+            room *= own / max(self.asked(server), own, 1.0)
         spent = sum(self.rate(s, s.rung) for s in mine)
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
         cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
