--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -31,7 +31,7 @@
 MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
 PROBE_POINTS = 0.01       # of service, that probing may cost
 NEAR = 0.5                # of the most idle, with which a holder of the own zone is taken
-REGAIN = 0.01             # of an uplink seen short, that is tried again each second
+REGAIN = 0.02             # of an uplink seen short, that is tried again each second
 TELL_EVERY = 2 * SECOND
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -321,7 +321,9 @@
         spare = self.gives_rack(rack, mates) * (1 - HEADROOM) - total
         if spare < 0:
             return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
-        return min(room * part, spare * room / sum(max(0.0, kb) for kb in rooms.values())) if room > 0 else room
+        if room > 0:
+            return min(room * part, spare * room / sum(kb for kb in rooms.values() if kb > 0))
+        return room
 
     def mates(self, server: Server) -> list[Server]:
         """The servers that share a rack's uplink with this one, itself included."""
@@ -605,8 +607,8 @@
         turn = 0
         while True:
             if ready := [s for s in self.servers.values() if s.row.state is ServerState.READY]:
-                turn += 1
-                yield act.Probe(ready[turn % len(ready)].row.server)
+                turn = (turn + 1) % len(ready)
+                yield act.Probe(ready[turn].row.server)
             recent = sum(at > self.now - 10 * SECOND for at, _ in self.arrivals)
             per_s = max(recent / 10, 0.5) * PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
