--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -12,6 +12,7 @@
 """
 
 import heapq
+import itertools
 import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
@@ -57,6 +58,9 @@
     def load(self, taken: int, ratio: float) -> None:
         self.loads = [*self.loads[-2:], (taken, ratio)]
 
+    def fresh(self, now: int) -> bool:
+        return bool(self.loads) and self.loads[-1][0] > now - 2 * MISSING
+
     def learned(self) -> float:
         """What the pipe gives: where all that is asked is known, the reports' ratios tell; else as told."""
         seen = [self.known_at(taken) / ratio for taken, ratio in self.loads if ratio > 0.25]
@@ -171,9 +175,7 @@
             for server in self.servers.values():  # whoever is not named below is gone
                 server.row = replace(server.row, state=ServerState.GONE)
         for row in news.rows:
-            held = self.servers.get(row.server)
-            if held is None:
-                held = self.servers[row.server] = Server(row, Pipe(0.0))
+            held = self.servers.setdefault(row.server, Server(row, Pipe(0.0)))
             if row.state is ServerState.GONE:
                 row = replace(held.row, state=ServerState.GONE)  # its entry may tell no more than that
             elif row.started_at > held.row.started_at:  # a new process: what was seen of the old one is void
@@ -232,6 +234,8 @@
         """
         server.notes = [*server.notes[-1:], (taken, share)]
         mild = max(share for _, share in server.notes)
+        if share >= 0.98:  # what is delivered in full is not short: reports that it was are void
+            server.link.loads = [(at, ratio) for at, ratio in server.link.loads if ratio < 1 or at > taken]
         if mild >= 0.98 or len(server.notes) < 2:
             return
         played = [m for m in self.mates(server) if m.sessions or any(kb for _, kb in m.peers.values())]
@@ -291,8 +295,7 @@
     def book(self, server: Server) -> None:
         heard = [kb for when, kb in server.peers.values() if when > self.now - 4 * TELL_EVERY]
         server.link.book(self.now, self.own(server) + sum(heard))
-        rack = self.rack(server)
-        rack.book(self.now, sum(s.link.known[-1][1] for s in self.servers.values() if self.rack(s) is rack))
+        self.rack(server).book(self.now, sum(s.link.known[-1][1] for s in self.mates(server)))
 
     def whole(self) -> bool:
         """Whether the other fronts' rates are all known: then all that is asked of every server is."""
@@ -300,12 +303,17 @@
         return self.facts.permissions.messages and heard >= self.facts.fronts - 1
 
     def asked(self, server: Server) -> float:
-        """What is asked of a link: the last reports, and what we know to have changed since."""
-        known = server.link.known[-1][1]
+        """What is asked of a link: the last reports, and what we know to have changed since.
+
+        Guards against old word of shortage: long without a report, a server counts as full as those with one,
+        or nobody is sent there to bring news. It may harm where the silent ones are the full ones."""
+        known, servers = server.link.known[-1][1], self.servers.values()
         if self.whole():
             return known
-        if server.link.loads:
+        if server.link.fresh(self.now):
             return max(self.own(server), server.link.unknown(self.now) + known)
+        if likely := [s.link.loads[-1][1] for s in servers if s.link.fresh(self.now)]:
+            return max(self.own(server), server.link.kb * sum(likely) / len(likely))
         return known if server.peers else known * self.facts.fronts
 
     def idle(self, server: Server, part: float = 1.0) -> float:
@@ -321,12 +329,10 @@
         spare = self.gives_rack(rack, mates) * (1 - HEADROOM) - total
         if spare < 0:
             return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
-        if room > 0:
-            return min(room * part, spare * room / sum(kb for kb in rooms.values() if kb > 0))
-        return room
+        positive = sum(kb for kb in rooms.values() if kb > 0)
+        return min(room * part, spare * room / positive) if room > 0 else room
 
     def mates(self, server: Server) -> list[Server]:
-        """The servers that share a rack's uplink with this one, itself included."""
         running = [s for s in self.servers.values() if s.row.state is not ServerState.GONE]
         return [s for s in running if self.rack(s) is self.rack(server)]
 
@@ -360,9 +366,8 @@
         """The design's loop: all at the lowest rung, then a step for whoever gains most utility per rate."""
         rungs = {sess.req.req_id: min(sess.group.floor, sess.top) for sess in sessions}
         budget -= sum(self.rate(sess, rungs[sess.req.req_id]) for sess in sessions)
-        heap = [(-self.gain(sess, rungs[sess.req.req_id] + 1), i) for i, sess in enumerate(sessions)
-                if rungs[sess.req.req_id] < cap[sess.req.req_id]]
-        heapq.heapify(heap)
+        heap = sorted((-self.gain(sess, rungs[sess.req.req_id] + 1), i) for i, sess in enumerate(sessions)
+                      if rungs[sess.req.req_id] < cap[sess.req.req_id])
         while heap:
             i = heapq.heappop(heap)[1]
             sess, rung = sessions[i], rungs[sessions[i].req.req_id] + 1
@@ -473,7 +478,6 @@
 
     def serve(self, sess: Sess) -> Script:
         req_id, allowed = sess.req.req_id, self.facts.permissions
-        got: Resumed = None
         while self.now < sess.deadline:
             server = self.place(sess)
             if server is None:
@@ -481,7 +485,7 @@
                 chance = min(map(self.paced_until, open_then), default=sess.deadline)
                 if chance >= sess.deadline:
                     break
-                got = yield act.Wait(chance)
+                got: Resumed = yield act.Wait(chance)
             else:
                 timeout = self.patience(sess)
                 self.commit(sess, server)
@@ -569,8 +573,7 @@
         own, room = self.own(server), self.idle(server, 1 / self.facts.fronts)
         if not mine or server.row.state is ServerState.GONE:
             return []
-        if room < 0:  # every front sees the same excess: each cuts its part
-            room *= own / max(self.asked(server), own, 1.0)
+        room *= own / max(self.asked(server), own, 1.0) if room < 0 else 1  # an excess: each cuts its part
         spent = sum(self.rate(s, s.rung) for s in mine)
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
         cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
@@ -604,13 +607,11 @@
 
     def probing(self) -> Script:
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
-        turn = 0
-        while True:
+        for turn in itertools.count(1):
             if ready := [s for s in self.servers.values() if s.row.state is ServerState.READY]:
-                turn = (turn + 1) % len(ready)
-                yield act.Probe(ready[turn].row.server)
-            recent = sum(at > self.now - 10 * SECOND for at, _ in self.arrivals)
-            per_s = max(recent / 10, 0.5) * PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
+                yield act.Probe(ready[turn % len(ready)].row.server)
+            per_s = max(sum(at > self.now - 10 * SECOND for at, _ in self.arrivals) / 10, 0.5)
+            per_s *= PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
 
     def telling(self) -> Script:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -51,8 +51,8 @@
 
     def play(self, text: str) -> None:
         for number, line in enumerate(text.splitlines(), 1):
-            words = line.split("#")[0].split()
-            if words:
+            for step in line.split("#")[0].split(";"):
+                words = step.split() or ["given", "site"]
                 try:
                     getattr(self, words[0])(*words[1:])
                 except AssertionError as problem:
