Move sessions off servers that give next to nothing, where that earns its price

Asked for by the users: sessions that get nothing are moved only where that earns more than the price.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -8,7 +8,8 @@
 1. the guard: the six rules, at the one place that every SETUP passes (`Front.barred`);
 2. health: a server that fails is rested, then tried by one session at a time (`Server.rested_until`);
 3. further SETUPs: set-up timeouts that leave room for another holder (`Front.patience`);
-4. fronts' word: rates and reports told to one another, where messages are allowed (`Front.telling`).
+4. fronts' word: rates and reports told to one another, where messages are allowed (`Front.telling`);
+5. moves off servers that give next to nothing, where that earns its price (`Front.stranded`).
 """
 
 import heapq
@@ -36,8 +37,7 @@
 TELL_EVERY = 2 * SECOND
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
-# a server, our rate there in 4 kB/s, its last report in hundredths and that one's age in 20 ms, and likewise
-# the share last delivered; 255 where there is none
+# server, our rate there in 4 kB/s, last report in hundredths, its age in 20 ms; the share likewise; 255: none
 ENTRY = struct.Struct(">IHBBBB")
 
 
@@ -135,7 +135,6 @@
         self.resent: list[int] = []                 # further SETUPs within it
         self.watching = False
         self.heard: dict[int, int] = {}             # when each other front last spoke
-        self.near = NEAR if facts.prices.cross_zone > 0 else 1.0
 
     def clock(self, now: int) -> None:
         self.now = now
@@ -144,8 +143,6 @@
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
         return ((self.chance >> 32) * below) >> 32
 
-    # What is observed
-
     def observe(self, event: ev.Event) -> None:
         match event:
             case ev.ServerNews():
@@ -186,9 +183,8 @@
     def judge(self, server: Server, well: bool) -> None:
         server.ends = [*server.ends[-5:], (self.now, well)]
         if well and server.lost is not None:
-            if server.row.started_at < server.lost:  # it may have restarted just now, unseen by the list
-                server.back = self.now
-            server.lost = None
+            unseen = server.row.started_at < server.lost  # it may have restarted, and the list not know yet
+            server.back, server.lost = self.now if unseen else server.back, None
 
     def learn_end(self, event: ev.Ended) -> None:
         sess, server = self.sessions.get(event.req_id), self.servers.get(event.server)
@@ -260,10 +256,8 @@
             self.rack(server).load(taken, report["uplink_asked"])
 
     def learn_word(self, message: ev.PeerMessage) -> None:
-        if len(message.payload) % ENTRY.size:
-            return
-        self.heard[message.peer] = self.now
-        for server_id, units, ratio, age, share, note_age in ENTRY.iter_unpack(message.payload):
+        self.heard[message.peer], whole = self.now, len(message.payload) // ENTRY.size * ENTRY.size
+        for server_id, units, ratio, age, share, note_age in ENTRY.iter_unpack(message.payload[:whole]):
             if (server := self.servers.get(server_id)) is None:
                 continue
             server.peers[message.peer] = (self.now, units * 4.0)
@@ -274,8 +268,6 @@
             if ratio < 255 and (not server.link.loads or server.link.loads[-1][0] < taken):
                 server.link.load(taken, ratio / 100)
 
-    # The idle account
-
     def rack(self, server: Server) -> Pipe:
         return self.racks[server.row.cell % len(self.racks)]
 
@@ -354,8 +346,6 @@
             uplink = (rack.known_at(since) if self.whole() else total) / rack.loads[-1][1]
         return min(uplink * (1 + REGAIN * (self.now - since) / SECOND), max(uplink, rack.kb, total * 1.1))
 
-    # Sizing and placement
-
     def gain(self, sess: Sess, rung: int) -> float:
         """Utility per rate of the step from the rung below."""
         ladder = self.facts.ladder
@@ -391,9 +381,9 @@
                or [min(open_now, key=lambda s: (s.rested_until(), s.row.server))])
         idle = {s.row.server: self.idle(s, 1 / self.facts.fronts) for s in fit}
         by_idle = sorted(fit, key=lambda s: (-idle[s.row.server], s.row.server))
-        best, near = by_idle[0], [s for s in by_idle if s.row.zone == self.facts.zone]
-        if near and idle[near[0].row.server] >= self.near * idle[best.row.server] > 0:
-            best = near[0]  # crossing zones has its price
+        best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
+        near = next((s for s in by_idle if s.row.zone == self.facts.zone), best)
+        best = near if idle[near.row.server] >= close * idle[best.row.server] > 0 else best
         pooled, me = sum(max(0.0, kb) for kb in idle.values()), sess.req.req_id
         sess.rung = self.size([sess], pooled, {me: sess.top})[me]
         while sess.rung > sess.group.floor and self.rate(sess, sess.rung) > idle[best.row.server]:
@@ -452,14 +442,11 @@
         known = group.effect is Effect.KEYED and group.scope is Scope.ALL
         return not ran or known or group.effect is Effect.SAFE
 
-    # A session, from arrival to end
-
     def open(self, req: ev.SessionRequest) -> Sess:
         group = self.facts.groups[req.service_group]
         top = min(req.top, group.top, len(self.facts.ladder.rate_kb) - 1)
-        utility = group.utility * self.within_share(req.tenant)
-        sess = Sess(req, group, utility, self.now + req.time_left, min(group.floor, top), top)
-        self.sessions[req.req_id] = sess
+        worth, ends = group.utility * self.within_share(req.tenant), self.now + req.time_left
+        sess = self.sessions[req.req_id] = Sess(req, group, worth, ends, group.floor, top)
         return sess
 
     def within_share(self, tenant: int) -> float:
@@ -481,8 +468,8 @@
         while self.now < sess.deadline:
             server = self.place(sess)
             if server is None:
-                open_then = [s for s in self.servers.values() if not self.barred(sess, s, paced=False)]
-                chance = min(map(self.paced_until, open_then), default=sess.deadline)
+                later = [s for s in self.servers.values() if not self.barred(sess, s, paced=False)]
+                chance = min(map(self.paced_until, later), default=sess.deadline)
                 if chance >= sess.deadline:
                     break
                 got: Resumed = yield act.Wait(chance)
@@ -499,10 +486,8 @@
             if isinstance(got, ev.ViewerLeft) or (isinstance(got, ev.Ended) and got.final):
                 return
         # Given up: the answer goes out at once, with half the longest come-back time that viewers heed
-        if self.may_refuse(sess):
-            yield act.BusyReply(req_id, allowed.max_come_back // 2 if allowed.come_back else 0)
-        else:
-            yield act.TearDown(req_id)
+        advice = allowed.max_come_back // 2 if allowed.come_back else 0
+        yield act.BusyReply(req_id, advice) if self.may_refuse(sess) else act.TearDown(req_id)
 
     def handed_over(self, event: ev.HandedOver) -> Script:
         sess = self.open(event.request)
@@ -519,7 +504,7 @@
         if last or sess.group.effect is Effect.UNSAFE:
             return left
         target = sess.deadline - sess.req.time_left + sess.group.start_target
-        usual = sorted(self.lags)[len(self.lags) * 9 // 10] if self.lags else 0
+        usual = max(sorted(self.lags)[:len(self.lags) * 9 // 10 + 1], default=0)
         return min(left, max((target - self.now) * 45 // 100, usual * 2, sess.group.start_target // 5))
 
     def commit(self, sess: Sess, server: Server) -> None:
@@ -546,16 +531,12 @@
             self.release(sess)
             self.sessions.pop(sess.req.req_id, None)
 
-    # Upkeep
-
     def upkeep(self) -> Iterable[Script]:
-        yield self.resizing()
-        if self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF:
-            yield self.probing()
-        if self.facts.permissions.messages and self.facts.fronts > 1:
-            yield self.telling()
-        if self.facts.asked_discovery:
-            yield self.watch()
+        facts, probes = self.facts, self.facts.permissions.probes
+        wanted = [(True, self.resizing), (probes and facts.reporting is not Reporting.OFF, self.probing),
+                  (facts.permissions.messages and facts.fronts > 1, self.telling),
+                  (facts.asked_discovery, self.watch)]
+        return [script() for want, script in wanted if want]
 
     def resizing(self) -> Script:
         yield act.Wait(self.now + SECOND + RESIZE_EVERY * self.facts.me // max(1, self.facts.fronts))
@@ -564,9 +545,24 @@
                 for sess, rung in self.resized(server):
                     sess.rung = rung
                     yield act.SetRung(sess.req.req_id, rung)
+                for sess in self.stranded(server):
+                    yield act.Move(sess.req.req_id)
                 self.book(server)
             yield act.Wait(self.now + RESIZE_EVERY)
 
+    def stranded(self, server: Server) -> list[Sess]:
+        """Guards against servers that play on but give next to nothing, where a move earns its price.
+
+        It may harm where the stop is about to end."""
+        shares = [share for at, share in server.notes if at > self.now - MISSING]
+        if len(shares) < 2 or max(shares) >= 0.5 or not self.lengths:
+            return []
+        price = self.facts.prices.move * sum(self.lengths) / len(self.lengths)
+        worse = [s for s in server.sessions.values() if s.began is not None
+                 and self.left(s) * self.facts.ladder.utility[s.rung] > price]
+        return [s for s in worse if any(self.idle(o) > self.rate(s, s.rung) for o in self.servers.values()
+                                        if o is not server and not self.barred(s, o))]
+
     def resized(self, server: Server) -> list[tuple[Sess, int]]:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
         mine = [s for s in server.sessions.values() if s.began is not None]
@@ -595,15 +591,17 @@
                 del cuts[:freed]
         return [(s, want[s.req.req_id]) for s in changed]
 
-    def earns(self, sess: Sess, rung: int) -> float:
-        """What a change of rung earns over the time the session is likely to have left, less its cost."""
-        ladder, played = self.facts.ladder, self.now - (sess.began or self.now)
+    def left(self, sess: Sess) -> int:
+        played, hint = self.now - (sess.began or self.now), sess.req.length_hint
         longer = sorted(length for length in self.lengths if length > played)
         left = longer[len(longer) // 2] - played if longer else max(played, RESIZE_EVERY)
-        if sess.req.length_hint is not None:
-            left = max(sess.req.length_hint - played, 0)
+        return left if hint is None else max(hint - played, 0)
+
+    def earns(self, sess: Sess, rung: int) -> float:
+        """What a change of rung earns over the time the session is likely to have left, less its cost."""
+        ladder, left = self.facts.ladder, self.left(sess) / SECOND
         more = ladder.utility[rung] - ladder.utility[sess.rung]
-        return sess.utility * (more * left / SECOND - PAYS * ladder.switch_cost_s)
+        return sess.utility * (more * left - PAYS * ladder.switch_cost_s)
 
     def probing(self) -> Script:
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
