--- a/ponddoor/simhost/codec.py
+++ b/ponddoor/simhost/codec.py
@@ -181,6 +181,8 @@
 
 def _request(fields: _Fields) -> ev.SessionRequest:
     req_id, group, tenant, key, title, left, hint, home, span, top, bits = fields.take(_REQUEST)
+    if not all(map(math.isfinite, (home, span, top))):
+        raise MalformedError(f"request {req_id}: home {home}, span {span}, top {top}")
     return ev.SessionRequest(req_id, group, tenant, key, title, micros(left),
                              micros(hint) if bits & _HINT else None, int(home), int(span), int(top),
                              bool(bits & _MOVED), bool(bits & _AGAIN))
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -105,6 +105,8 @@
     "bytes left over": struct.pack(">IdI", 3, 0.0, 0) + b"abc",
     "settings without servers' places": batch(0.0, *boot({**FACTS, "specifics": {}})),
     "an unknown way of reporting": batch(0.0, *boot({**FACTS, "reporting": {"fields": [], "how": "?"}})),
+    "a top rung that is no number": batch(0.0, *boot(FACTS), record(
+        4, "IHHQQddfffB", 7, 0, 0, 9, 8, 4000.0, 0.0, 1.0, 1.0, float("nan"), 0)),
     "an event before any instance": batch(0.0, record(1, "I", 1)),
     "an event for one that does not run": batch(0.0, record(10, "I", 1), record(1, "I", 1)),
 }
