--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -226,7 +226,7 @@
         """Guards against titles above their rung and reports that are late, missing or stop at full.
 
         The milder of the last two notes counts, so that a brief pause, which fills one, diverts nobody.
-        Where most of a rack's servers are short at once it is their uplink, else the server's own link.
+        Most of a rack's servers short at once are short of uplink unless most of their links are full.
         """
         server.notes = [*server.notes[-1:], (taken, share)]
         mild = max(share for _, share in server.notes)
@@ -240,7 +240,8 @@
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
         if last[0] > taken - MISSING and last[1] < 0.9 and "uplink_asked" in self.facts.report_fields:
             return  # the link is reported to have room, and the uplink is reported as well
-        if len(short) < 2 or 2 * len(short) <= len(played):
+        full = sum(m.link.loads[-1][1] >= 0.99 for m in played if m.link.fresh(self.now))
+        if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
             server.link.load(taken, max(1 / max(mild, 0.1), last[1] if last[0] > taken - MISSING else 0.0))
         elif "uplink_asked" not in self.facts.report_fields:
             self.rack(server).load(taken, 1 / max(*short, 0.1))
@@ -532,10 +533,9 @@
             self.sessions.pop(sess.req.req_id, None)
 
     def upkeep(self) -> Iterable[Script]:
-        facts, probes = self.facts, self.facts.permissions.probes
-        wanted = [(True, self.resizing), (probes and facts.reporting is not Reporting.OFF, self.probing),
-                  (facts.permissions.messages and facts.fronts > 1, self.telling),
-                  (facts.asked_discovery, self.watch)]
+        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch),
+                  (self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF, self.probing),
+                  (self.facts.permissions.messages and self.facts.fronts > 1, self.telling)]
         return [script() for want, script in wanted if want]
 
     def resizing(self) -> Script:
