Take our share of a link's idle by what we ask of it, not by the number of fronts

Cause: an arrival and a raise took idle over the fronts, so with 200 fronts every session stayed at the lowest rung, and all fronts took the same of servers they knew nothing of (busiest server at 7 times the mean). Change: a raise takes idle times our part of what is asked there; an arrival a third at most; equals are drawn.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -35,6 +35,7 @@
 NEAR = 0.5                # of the most idle, with which a holder of the own zone is taken
 REGAIN = 0.02             # of an uplink seen short, that is tried again each second
 TELL_EVERY = 2 * SECOND
+CROWD = 3                 # arrivals that may meet at a holder before the account knows
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 # server, our rate there in 4 kB/s, last report in hundredths, its age in 20 ms; the share likewise; 255: none
@@ -307,7 +308,8 @@
             return max(self.own(server), server.link.unknown(self.now) + known)
         if likely := [s.link.loads[-1][1] for s in servers if s.link.fresh(self.now)]:
             return max(self.own(server), server.link.kb * sum(likely) / len(likely))
-        return known if server.peers else known * self.facts.fronts
+        ours = sum(map(self.own, servers)) * self.facts.fronts / len(servers)
+        return known if server.peers else max(known, ours)
 
     def idle(self, server: Server, part: float = 1.0) -> float:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink.
@@ -380,8 +382,9 @@
         fit = [s for s in open_now if s.rested_until() <= self.now]
         fit = ([s for s in fit if s.row.server not in tried] or fit
                or [min(open_now, key=lambda s: (s.rested_until(), s.row.server))])
-        idle = {s.row.server: self.idle(s, 1 / self.facts.fronts) for s in fit}
-        by_idle = sorted(fit, key=lambda s: (-idle[s.row.server], s.row.server))
+        idle = {s.row.server: self.idle(s, 1 / min(self.facts.fronts, CROWD)) for s in fit}
+        first = self.draw(len(fit))  # fronts that see alike must not all take the same of equals
+        by_idle = sorted(fit[first:] + fit[:first], key=lambda s: -idle[s.row.server])
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
         near = next((s for s in by_idle if s.row.zone == self.facts.zone), best)
         best = near if idle[near.row.server] >= close * idle[best.row.server] > 0 else best
@@ -566,10 +569,12 @@
     def resized(self, server: Server) -> list[tuple[Sess, int]]:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
         mine = [s for s in server.sessions.values() if s.began is not None]
-        own, room = self.own(server), self.idle(server, 1 / self.facts.fronts)
         if not mine or server.row.state is ServerState.GONE:
             return []
-        room *= own / max(self.asked(server), own, 1.0) if room < 0 else 1  # an excess: each cuts its part
+        own = self.own(server)
+        part = own / max(self.asked(server), own, 1.0)  # of raises and of cuts, each front takes its part
+        room = self.idle(server, part)
+        room *= part if room < 0 else 1
         spent = sum(self.rate(s, s.rung) for s in mine)
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
         cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
