Three hubs hear of all sessions and answer who asks; probe two holders where none answers

Cause: every front told every other of all its servers every two seconds: price and CPU grew with the square of the fronts. Change: the first three fronts by number are told (changes at once or every 2 s, all every 16 s) and answer two questions: the best holders of a title, and a front's own servers before it resizes. Unanswered, the next hub is asked without waiting, and an arrival probes two holders. With three fronts all are hubs, as before.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -8,8 +8,8 @@
 1. the guard: the six rules, at the one place that every SETUP passes (`Front.barred`);
 2. health: a server that fails is rested, then tried by one session at a time (`Server.rested_until`);
 3. further SETUPs: set-up timeouts that leave room for another holder (`Front.patience`);
-4. fronts' word: rates and reports told to one another, where messages are allowed (`Front.telling`);
-5. moves off servers that give next to nothing, where that earns its price (`Front.stranded`).
+4. fronts' word: rates and reports told to a few hubs, which answer who asks (`Front.telling`, `answering`);
+5. an inquiry before a placement, of a hub or of two holders, where the account is not whole (`inquire`).
 """
 
 import heapq
@@ -35,11 +35,17 @@
 NEAR = 0.5                # of the most idle, with which a holder of the own zone is taken
 REGAIN = 0.02             # of an uplink seen short, that is tried again each second
 TELL_EVERY = 2 * SECOND
+ALL_EVERY = 8             # so many tellings, all is told and not only what changed
+HUBS = 3                  # fronts that are told of all sessions: the first by number
+ASK_WAIT = SECOND // 12   # how long an answer of a hub or a probe is waited for
 CROWD = 3                 # arrivals that may meet at a holder before the account knows
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+CHANGES, ALL, MINE, HOLDERS, ANSWER = range(5)  # first byte of a message
 # server, our rate there in 4 kB/s, last report in hundredths, its age in 20 ms; the share likewise; 255: none
 ENTRY = struct.Struct(">IHBBBB")
+QUESTION = struct.Struct(">HHH")    # home, span, zone
+REPLY = struct.Struct(">IhHH")      # server, its idle, what is asked there, and what of it by who asks, in 4 kB/s
 
 
 @dataclass(slots=True)
@@ -51,7 +57,8 @@
     loads: list[tuple[int, float]] = field(default_factory=list)  # (taken at, asked over what it gives)
 
     def book(self, now: int, kb: float) -> None:
-        self.known = [*self.known[-39:], (now, kb)]
+        if abs(kb - self.known[-1][1]) > 1.0:
+            self.known = [*self.known[-39:], (now, kb)]
 
     def known_at(self, moment: int) -> float:
         return next((kb for at, kb in reversed(self.known) if at <= moment), self.known[0][1])
@@ -103,10 +110,12 @@
     sessions: dict[int, Sess] = field(default_factory=dict)
     ends: list[tuple[int, bool]] = field(default_factory=list)      # (when, whether it went well)
     notes: list[tuple[int, float]] = field(default_factory=list)    # (when, share delivered)
-    peers: dict[int, tuple[int, float]] = field(default_factory=dict)  # a front's last word: (when, kB/s)
+    peers: dict[int, float] = field(default_factory=dict)  # what each other front asks there, by its last word
     sent: int = LONG_AGO
-    heard: tuple[int, float] = (0, 0.0)  # the last report that came to us, and not to another front
-    felt: tuple[int, float] = (0, 0.0)   # the last note on the share delivered, likewise
+    heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
+    felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
+    said: int = 0             # our rate there as last told
+    told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a hub's word: when, idle and asked, without ours
     lost: int | None = None     # when it was last seen to be down
     back: int = LONG_AGO      # when it was first seen to be up again
 
@@ -136,6 +145,11 @@
         self.resent: list[int] = []                 # further SETUPs within it
         self.watching = False
         self.heard: dict[int, int] = {}             # when each other front last spoke
+        self.by_rack: list[list[Server]] = [[] for _ in self.racks]
+        self.hubs = [i for i in range(min(HUBS, facts.fronts)) if i != facts.me]
+        self.asks = facts.permissions.messages and facts.me >= HUBS
+        self.hub, self.answered, self.deaf = facts.me % HUBS, now, False
+        self.outlook: tuple[int, bool, float | None] = (LONG_AGO, False, None)
 
     def clock(self, now: int) -> None:
         self.now = now
@@ -166,6 +180,9 @@
                 self.learn_report(server, event.report)
             case ev.PeerMessage():
                 self.learn_word(event)
+            case ev.ViewerLeft():
+                if sess := self.sessions.get(event.req_id):
+                    sess.over = True
 
     def learn_list(self, news: ev.ServerNews) -> None:
         self.watching = news.scope is not ev.NewsScope.FAILED
@@ -180,6 +197,10 @@
                 held.ends, held.notes, held.link.loads, held.lost = [], [], [], None
             held.row = row
             held.link.kb = row.weight * self.facts.plant.kb_per_weight
+        self.by_rack = [[] for _ in self.racks]
+        for server in self.servers.values():
+            if server.row.state is not ServerState.GONE:
+                self.by_rack[server.row.cell % len(self.racks)].append(server)
 
     def judge(self, server: Server, well: bool) -> None:
         server.ends = [*server.ends[-5:], (self.now, well)]
@@ -235,7 +256,7 @@
             server.link.loads = [(at, ratio) for at, ratio in server.link.loads if ratio < 1 or at > taken]
         if mild >= 0.98 or len(server.notes) < 2:
             return
-        played = [m for m in self.mates(server) if m.sessions or any(kb for _, kb in m.peers.values())]
+        played = [m for m in self.mates(server) if m.sessions or any(m.peers.values())]
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
@@ -258,11 +279,24 @@
             self.rack(server).load(taken, report["uplink_asked"])
 
     def learn_word(self, message: ev.PeerMessage) -> None:
-        self.heard[message.peer], whole = self.now, len(message.payload) // ENTRY.size * ENTRY.size
-        for server_id, units, ratio, age, share, note_age in ENTRY.iter_unpack(message.payload[:whole]):
+        kind, body = message.payload[:1], message.payload[1:]
+        if kind == bytes([ANSWER]):
+            self.answered, self.deaf = self.now, False
+            for server_id, idle, asked, ours in REPLY.iter_unpack(body[:len(body) // REPLY.size * REPLY.size]):
+                if (server := self.servers.get(server_id)) is not None:
+                    server.told = (self.now, 4.0 * (idle + ours), 4.0 * (asked - ours))
+        if kind not in (bytes([CHANGES]), bytes([ALL])):
+            return
+        if kind == bytes([ALL]):
+            for server in [s for s in self.servers.values() if s.peers.pop(message.peer, 0.0)]:
+                self.book(server)
+        if kind == bytes([ALL]) or self.now - self.heard.get(message.peer, LONG_AGO) < 4 * TELL_EVERY:
+            self.heard[message.peer] = self.now  # of one not heard for long, more than the changes is missing
+        for entry in ENTRY.iter_unpack(body[:len(body) // ENTRY.size * ENTRY.size]):
+            server_id, units, ratio, age, share, note_age = entry
             if (server := self.servers.get(server_id)) is None:
                 continue
-            server.peers[message.peer] = (self.now, units * 4.0)
+            server.peers[message.peer] = units * 4.0
             self.book(server)
             taken, noted = self.now - age * 20_000, self.now - note_age * 20_000
             if share < 255 and (not server.notes or server.notes[-1][0] < noted):
@@ -287,49 +321,67 @@
         return total
 
     def book(self, server: Server) -> None:
-        heard = [kb for when, kb in server.peers.values() if when > self.now - 4 * TELL_EVERY]
+        heard = [kb for peer, kb in server.peers.items() if self.heard.get(peer, 0) > self.now - 4 * TELL_EVERY]
         server.link.book(self.now, self.own(server) + sum(heard))
         self.rack(server).book(self.now, sum(s.link.known[-1][1] for s in self.mates(server)))
 
+    def view(self) -> tuple[int, bool, float | None]:
+        """Whether most other fronts' rates are known, so that all that is asked is, and the fleet's usual load."""
+        if self.outlook[0] != self.now:
+            heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
+            loads = [s.link.loads[-1][1] for s in self.servers.values() if s.link.fresh(self.now)]
+            self.outlook = (self.now, self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1),
+                            sum(loads) / len(loads) if loads else None)
+        return self.outlook
+
     def whole(self) -> bool:
-        """Whether the other fronts' rates are all known: then all that is asked of every server is."""
-        heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
-        return self.facts.permissions.messages and heard >= self.facts.fronts - 1
+        return self.view()[1]
 
     def asked(self, server: Server) -> float:
-        """What is asked of a link: the last reports, and what we know to have changed since.
+        """What is asked of a link: a hub's word, or the last reports and what we know to have changed since.
 
         Guards against old word of shortage: long without a report, a server counts as full as those with one,
         or nobody is sent there to bring news. It may harm where the silent ones are the full ones."""
-        known, servers = server.link.known[-1][1], self.servers.values()
+        if server.told[0] > self.now - TELL_EVERY:
+            return server.told[2] + self.own(server)
+        known = server.link.known[-1][1]
         if self.whole():
             return known
         if server.link.fresh(self.now):
             return max(self.own(server), server.link.unknown(self.now) + known)
-        if likely := [s.link.loads[-1][1] for s in servers if s.link.fresh(self.now)]:
-            return max(self.own(server), server.link.kb * sum(likely) / len(likely))
-        ours = sum(map(self.own, servers)) * self.facts.fronts / len(servers)
-        return known if server.peers else max(known, ours)
+        if (usual := self.view()[2]) is not None:
+            return max(self.own(server), server.link.kb * usual)
+        ours = sum(map(self.own, self.servers.values())) * self.facts.fronts / len(self.servers)
+        return max(known, 0.0 if server.peers else ours)
 
-    def idle(self, server: Server, part: float = 1.0) -> float:
+    def idles(self, servers: list[Server], part: float = 1.0) -> dict[int, float]:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink.
 
         Every front sees the same idle at once, so we take but our `part` of the link's."""
-        rack, mates = self.rack(server), self.mates(server)
+        found: dict[int, float] = {}
+        for rack in sorted({s.row.cell % len(self.racks) for s in servers}):
+            found |= self.rack_idles(rack, part)
+        for server in servers:
+            if server.told[0] > self.now - TELL_EVERY:
+                room = server.told[1] - self.own(server)
+                found[server.row.server] = room * part if room > 0 else room
+        return {s.row.server: found.get(s.row.server, 0.0) for s in servers}
+
+    def rack_idles(self, number: int, part: float) -> dict[int, float]:
+        rack, mates = self.racks[number], self.by_rack[number]
         asked = {s.row.server: self.asked(s) for s in mates}
         rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
-        room, total = rooms.get(server.row.server, 0.0), sum(asked.values())
+        total = in_all = sum(asked.values())
         if "uplink_asked" in self.facts.report_fields and rack.loads:
             total = rack.unknown(self.now) + rack.known[-1][1]
         spare = self.gives_rack(rack, mates) * (1 - HEADROOM) - total
         if spare < 0:
-            return min(room, spare * asked.get(server.row.server, 0.0) / max(sum(asked.values()), 1.0))
+            return {at: min(room, spare * asked[at] / max(in_all, 1.0)) for at, room in rooms.items()}
         positive = sum(kb for kb in rooms.values() if kb > 0)
-        return min(room * part, spare * room / positive) if room > 0 else room
+        return {at: min(room * part, spare * room / positive) if room > 0 else room for at, room in rooms.items()}
 
     def mates(self, server: Server) -> list[Server]:
-        running = [s for s in self.servers.values() if s.row.state is not ServerState.GONE]
-        return [s for s in running if self.rack(s) is self.rack(server)]
+        return self.by_rack[server.row.cell % len(self.racks)]
 
     def gives(self, server: Server) -> float:
         """A link as learned or told; a cold server's is cold too."""
@@ -382,7 +434,8 @@
         fit = [s for s in open_now if s.rested_until() <= self.now]
         fit = ([s for s in fit if s.row.server not in tried] or fit
                or [min(open_now, key=lambda s: (s.rested_until(), s.row.server))])
-        idle = {s.row.server: self.idle(s, 1 / min(self.facts.fronts, CROWD)) for s in fit}
+        fit = [s for s in fit if s.told[0] > self.now - TELL_EVERY] or fit
+        idle = self.idles(fit, 1 / min(self.facts.fronts, CROWD))
         first = self.draw(len(fit))  # fronts that see alike must not all take the same of equals
         by_idle = sorted(fit[first:] + fit[:first], key=lambda s: -idle[s.row.server])
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
@@ -441,6 +494,10 @@
             return 0
         return (turn + (self.facts.me - turn - 1) % fronts + 1) * slot
 
+    def arrival_rate(self, span: int) -> float:
+        """Our requests a second over the last while, this one included."""
+        return max(sum(at > self.now - span for at, _ in self.arrivals), 1) * SECOND / span
+
     def may_refuse(self, sess: Sess) -> bool:
         ran, group = any(end not in NEVER_RAN for _, _, end in sess.attempts), sess.group
         known = group.effect is Effect.KEYED and group.scope is Scope.ALL
@@ -470,7 +527,10 @@
     def serve(self, sess: Sess) -> Script:
         req_id, allowed = sess.req.req_id, self.facts.permissions
         while self.now < sess.deadline:
-            server = self.place(sess)
+            yield from self.inquire(sess)
+            if sess.over:
+                return
+            server = self.place(sess) if self.now < sess.deadline else None
             if server is None:
                 later = [s for s in self.servers.values() if not self.barred(sess, s, paced=False)]
                 chance = min(map(self.paced_until, later), default=sess.deadline)
@@ -480,6 +540,7 @@
             else:
                 timeout = self.patience(sess)
                 self.commit(sess, server)
+                yield from self.tell([server], CHANGES)
                 if sess.top >= sess.group.floor:
                     yield act.SetRung(req_id, sess.rung)
                 got = yield act.Setup(req_id, server.row.server, timeout)
@@ -538,43 +599,31 @@
     def upkeep(self) -> Iterable[Script]:
         wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch),
                   (self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF, self.probing),
-                  (self.facts.permissions.messages and self.facts.fronts > 1, self.telling)]
+                  (self.facts.permissions.messages and self.facts.fronts > 1, self.telling),
+                  (self.facts.permissions.messages and self.facts.me < HUBS, self.answering)]
         return [script() for want, script in wanted if want]
 
     def resizing(self) -> Script:
         yield act.Wait(self.now + SECOND + RESIZE_EVERY * self.facts.me // max(1, self.facts.fronts))
         while True:
-            for server in list(self.servers.values()):
+            next_time = self.now + RESIZE_EVERY
+            if self.sessions:
+                yield from self.ask(bytes([MINE]), self.now + ASK_WAIT)
+            for server in [s for s in self.servers.values() if s.sessions]:
                 for sess, rung in self.resized(server):
                     sess.rung = rung
                     yield act.SetRung(sess.req.req_id, rung)
-                for sess in self.stranded(server):
-                    yield act.Move(sess.req.req_id)
                 self.book(server)
-            yield act.Wait(self.now + RESIZE_EVERY)
-
-    def stranded(self, server: Server) -> list[Sess]:
-        """Guards against servers that play on but give next to nothing, where a move earns its price.
-
-        It may harm where the stop is about to end."""
-        shares = [share for at, share in server.notes if at > self.now - MISSING]
-        if len(shares) < 2 or max(shares) >= 0.5 or not self.lengths:
-            return []
-        price = self.facts.prices.move * sum(self.lengths) / len(self.lengths)
-        worse = [s for s in server.sessions.values() if s.began is not None
-                 and self.left(s) * self.facts.ladder.utility[s.rung] > price]
-        return [s for s in worse if any(self.idle(o) > self.rate(s, s.rung) for o in self.servers.values()
-                                        if o is not server and not self.barred(s, o))]
+            yield act.Wait(next_time)
 
     def resized(self, server: Server) -> list[tuple[Sess, int]]:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
         mine = [s for s in server.sessions.values() if s.began is not None]
         if not mine or server.row.state is ServerState.GONE:
             return []
-        own = self.own(server)
-        part = own / max(self.asked(server), own, 1.0)  # of raises and of cuts, each front takes its part
-        room = self.idle(server, part)
-        room *= part if room < 0 else 1
+        ours = self.own(server) / max(self.asked(server), self.own(server), 1.0)  # each raises and cuts its part
+        room = self.idles([server], ours)[server.row.server]
+        room *= ours if room < 0 else 1
         spent = sum(self.rate(s, s.rung) for s in mine)
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
         cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
@@ -608,31 +657,96 @@
         more = ladder.utility[rung] - ladder.utility[sess.rung]
         return sess.utility * (more * left - PAYS * ladder.switch_cost_s)
 
+    def inquire(self, sess: Sess) -> Script:
+        """Guards against placing blind, where the account is not whole: asks a hub, else probes two holders.
+
+        It covers hubs that are gone, and messages that are lost. It may harm where answers are slow."""
+        req = sess.req
+        until = min(self.now + ASK_WAIT, sess.deadline)
+        yield from self.ask(bytes([HOLDERS]) + QUESTION.pack(req.home, req.span, self.facts.zone), until)
+        if self.whole() or not self.facts.permissions.probes or (self.asks and not self.deaf):
+            return
+        open_now = [s for s in self.servers.values() if not self.barred(sess, s) and s.rested_until() <= self.now]
+        near = [s for s in open_now if s.row.zone == self.facts.zone] or open_now
+        first, wanted = self.draw(max(len(near), 1)), 0
+        for server in (near[first:] + near[:first])[:2]:
+            yield act.Probe(server.row.server)
+            wanted += 1
+        if wanted:
+            yield act.Wait(until)
+
+    def ask(self, question: bytes, until: int) -> Script:
+        """Ask a hub and wait a little; one that does not answer is given up for the next, without a wait."""
+        if not self.asks:
+            return
+        since = self.now
+        yield act.Tell(self.hub, question)
+        while self.answered <= since and not self.deaf and self.now < until:
+            yield act.Listen(until)
+        if self.answered <= since:
+            self.hub, self.deaf = (self.hub + 1) % HUBS, True
+
+    def answering(self) -> Script:
+        """A hub's answers: the best holders, some of the asker's zone, cold ones apart; or where it has sessions."""
+        while True:
+            got = yield act.Listen(None)
+            if not isinstance(got, ev.PeerMessage) or not self.whole():
+                continue
+            kind, body, about = got.payload[:1], got.payload[1:], list(self.servers.values())
+            if kind == bytes([MINE]):
+                about = [s for s in about if s.peers.get(got.peer)][:25]
+            elif kind == bytes([HOLDERS]) and len(body) == QUESTION.size:
+                home, span, zone = QUESTION.unpack(body)
+                about = [s for s in about if (s.row.cell - home) % self.facts.plant.cells < span
+                         and s.row.state is ServerState.READY and s.rested_until() <= self.now]
+                cold = {s.row.server: self.paced_until(s) > 0 for s in about}
+                idle = self.idles(about)
+                about.sort(key=lambda s: -idle[s.row.server])
+                warm = [s for s in about if not cold[s.row.server]]
+                picks = [warm[:4], [s for s in warm if s.row.zone == zone][:4],
+                         [s for s in about if cold[s.row.server]][:2]]
+                about = list({s.row.server: s for pick in picks for s in pick}.values())
+            else:
+                continue
+            idle, reply = self.idles(about), bytes([ANSWER])
+            for server in about:
+                figures = (idle[server.row.server], self.asked(server), server.peers.get(got.peer, 0.0))
+                room, asked, theirs = (max(-32768, min(round(kb / 4), 32767)) for kb in figures)
+                reply += REPLY.pack(server.row.server, room, max(asked, 0), max(theirs, 0))
+            yield act.Tell(got.peer, reply)
+
     def probing(self) -> Script:
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
         for turn in itertools.count(1):
-            if ready := [s for s in self.servers.values() if s.row.state is ServerState.READY]:
-                yield act.Probe(ready[turn % len(ready)].row.server)
-            per_s = max(sum(at > self.now - 10 * SECOND for at, _ in self.arrivals) / 10, 0.5)
-            per_s *= PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
+            ready = [s for s in self.servers.values() if s.row.state is ServerState.READY]
+            if ready and not self.deaf:
+                first = len(ready) * self.facts.me // self.facts.fronts
+                yield act.Probe(ready[(first + turn) % len(ready)].row.server)
+            per_s = self.arrival_rate(30 * SECOND) * PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
 
+    def tell(self, servers: list[Server], kind: int) -> Script:
+        """Tell the hubs of our rates, and of what came to us alone; of a shortage, a few fronts tell."""
+        entries = []
+        for server in servers:
+            own, samples = self.own(server), [255, 255, 255, 255]
+            for i, sample in enumerate((server.heard, server.felt)):
+                if sample and (i == 0 or self.draw(1000) < 3000 * own / max(self.asked(server), 1.0)):
+                    age = min((self.now - sample[0]) // 20_000, 255)
+                    samples[2 * i:2 * i + 2] = min(round(sample[1] * 100), 254), age
+            server.heard, server.felt, server.said = None, None, min(round(own / 4), 65535)
+            entries.append(ENTRY.pack(server.row.server, server.said, *samples))
+        for start in range(0, max(len(entries), 1), 25):  # a message holds 256 bytes
+            for hub in self.hubs if self.facts.permissions.messages else []:
+                yield act.Tell(hub, bytes([kind]) + b"".join(entries[start:start + 25]))
+            kind = CHANGES
+
     def telling(self) -> Script:
         yield act.Wait(self.now + SECOND // 10)  # the sessions handed over are in by then
-        told: dict[int, int] = {}
-
-        while True:
-            entries = []
-            for server in self.servers.values():
-                units, samples = min(round(self.own(server) / 4), 65535), [255, 255, 255, 255]
-                for i, (at, figure) in enumerate((server.heard, server.felt)):
-                    if at > self.now - 2 * TELL_EVERY:
-                        samples[2 * i:2 * i + 2] = min(round(figure * 100), 254), (self.now - at) // 20_000
-                if units or told.get(server.row.server) or samples[0] < 255:
-                    told[server.row.server] = units
-                    entries.append(ENTRY.pack(server.row.server, units, *samples))
-            for start in range(0, len(entries), 25):  # a message holds 256 bytes
-                yield act.Tell(None, b"".join(entries[start:start + 25]))
+        for turn in itertools.count():
+            held, whole = list(self.servers.values()), turn % ALL_EVERY == 0
+            yield from self.tell([s for s in held if s.heard or s.felt or s.said != min(round(self.own(s) / 4), 65535)
+                                  or (whole and s.sessions)], ALL if whole else CHANGES)
             yield act.Wait(self.now + TELL_EVERY)
 
     def watch(self) -> Script:
--- a/ponddoor/interface/actions.py
+++ b/ponddoor/interface/actions.py
@@ -1,8 +1,8 @@
 """What a front asks for.
 
 A generator of the decisions yields these. `Setup` is resumed with Started, Ended or ViewerLeft; `Play`
-with Ended or ViewerLeft; `Wait` with None at its time, or earlier with ViewerLeft. All others take effect
-at once.
+with Ended or ViewerLeft; `Wait` with None at its time, or earlier with ViewerLeft; `Listen` likewise, or
+with the next PeerMessage. All others take effect at once.
 """
 
 from dataclasses import dataclass
@@ -29,6 +29,13 @@
     until: int
 
 
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """Wait for the next message of another front, until a moment at most (None: for ever)."""
+
+    until: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class SetRung:
     """Choose the session's rung."""
@@ -116,5 +123,5 @@
     cookie: int
 
 
-Action = (Setup | Play | Wait | SetRung | BusyReply | TearDown | Cancel | Move | Probe | CloseIdle | Tell
-          | Watch | Fetch | Log | SetTimer)
+Action = (Setup | Play | Wait | Listen | SetRung | BusyReply | TearDown | Cancel | Move | Probe | CloseIdle
+          | Tell | Watch | Fetch | Log | SetTimer)
--- a/ponddoor/interface/script.py
+++ b/ponddoor/interface/script.py
@@ -3,7 +3,7 @@
 from collections.abc import Generator
 
 from ponddoor.interface.actions import Action
-from ponddoor.interface.events import Ended, Started, ViewerLeft
+from ponddoor.interface.events import Ended, PeerMessage, Started, ViewerLeft
 
-Resumed = Started | Ended | ViewerLeft | None
+Resumed = Started | Ended | ViewerLeft | PeerMessage | None
 Script = Generator[Action, Resumed, None]
--- a/ponddoor/runtime/driver.py
+++ b/ponddoor/runtime/driver.py
@@ -3,8 +3,17 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from ponddoor.interface.actions import Action, Play, SetTimer, Setup, Wait
-from ponddoor.interface.events import Ended, Event, HandedOver, SessionRequest, Started, TimerDue, ViewerLeft
+from ponddoor.interface.actions import Action, Listen, Play, SetTimer, Setup, Wait
+from ponddoor.interface.events import (
+    Ended,
+    Event,
+    HandedOver,
+    PeerMessage,
+    SessionRequest,
+    Started,
+    TimerDue,
+    ViewerLeft,
+)
 from ponddoor.interface.script import Resumed, Script
 
 
@@ -26,6 +35,7 @@
         self._sessions: dict[int, Script] = {}
         self._timers: dict[int, tuple[Script, int | None]] = {}
         self._waits: dict[int, int] = {}
+        self._listening: dict[int, tuple[Script, int | None]] = {}
         self._cookie = 0
         self._begun = False
 
@@ -45,8 +55,11 @@
             case Started() | Ended() | ViewerLeft():
                 script = self._sessions.get(event.req_id)
                 if script is not None:
-                    self._timers.pop(self._waits.pop(event.req_id, -1), None)
+                    self._take(self._waits.get(event.req_id, -1))
                     self._resume(script, event.req_id, event, out)
+            case PeerMessage():
+                for cookie in list(self._listening):
+                    self._resume(*self._take(cookie), event, out)
             case _:
                 pass
         if not self._begun:
@@ -60,15 +73,19 @@
         self._resume(script, req_id, None, out)
 
     def _wake(self, cookie: int, out: list[Action]) -> None:
-        script, req_id = self._timers.pop(cookie, (None, None))
-        if script is None:
-            return
+        script, req_id = self._take(cookie)
+        self._resume(script, req_id, None, out)
+
+    def _take(self, cookie: int) -> tuple[Script | None, int | None]:
+        """Whoever waits under a cookie waits no longer."""
+        listener = self._listening.pop(cookie, (None, None))
+        script, req_id = self._timers.pop(cookie, listener)
         if req_id is not None:
             self._waits.pop(req_id, None)
-        self._resume(script, req_id, None, out)
+        return script, req_id
 
-    def _resume(self, script: Script, req_id: int | None, value: Resumed, out: list[Action]) -> None:
-        while True:
+    def _resume(self, script: Script | None, req_id: int | None, value: Resumed, out: list[Action]) -> None:
+        while script is not None:
             try:
                 action = script.send(value)
             except StopIteration:
@@ -79,12 +96,15 @@
             match action:
                 case Play():
                     return
-                case Wait():
+                case Wait(until) | Listen(until):
                     self._cookie = (self._cookie + 1) % 2**32
-                    self._timers[self._cookie] = (script, req_id)
+                    if isinstance(action, Listen):
+                        self._listening[self._cookie] = (script, req_id)
+                    if until is not None:
+                        self._timers[self._cookie] = (script, req_id)
+                        out.append(SetTimer(until, self._cookie))
                     if req_id is not None:
                         self._waits[req_id] = self._cookie
-                    out.append(SetTimer(action.until, self._cookie))
                     return
                 case Setup():
                     out.append(action)
--- a/ponddoor/simhost/codec.py
+++ b/ponddoor/simhost/codec.py
@@ -291,5 +291,5 @@
             return _record(13, struct.pack(">IB", req_id, rung))
         case act.Move(req_id):
             return _record(14, _U32.pack(req_id))
-        case act.Play() | act.Wait():
+        case act.Play() | act.Wait() | act.Listen():
             raise TypeError(f"{wanted} is for the runtime, not for the wire")
