--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -26,7 +26,7 @@
 
 SECOND = 1_000_000
 LONG_AGO = -(1 << 60)
-HEADROOM = 0.10           # of a link or uplink, left for true rates above the ladder and for others' raises
+HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
 RESIZE_EVERY = 5 * SECOND
 PAYS = 5.0                # a change of rung must earn its cost so many times over
 REPORT_AGE = SECOND // 3  # how old a report is taken to be when it comes
