--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -621,9 +621,10 @@
         mine = [s for s in server.sessions.values() if s.began is not None]
         if not mine or server.row.state is ServerState.GONE:
             return []
-        ours = self.own(server) / max(self.asked(server), self.own(server), 1.0)  # each raises and cuts its part
-        room = self.idles([server], ours)[server.row.server]
-        room *= ours if room < 0 else 1
+        own, asked = self.own(server), max(self.asked(server), 1.0)
+        contend = min(self.facts.fronts, max(CROWD, asked / max(own, 1.0)))  # fronts that raise there with us
+        room = self.idles([server], 1 / contend)[server.row.server]
+        room *= own / max(asked, own) if room < 0 else 1
         spent = sum(self.rate(s, s.rung) for s in mine)
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
         cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
