--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -14,12 +14,12 @@
 
 import heapq
 import itertools
-import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from ponddoor.interface import actions as act
 from ponddoor.interface import events as ev
+from ponddoor.interface import words
 from ponddoor.interface.events import Result, ServerState
 from ponddoor.interface.facts import Effect, Reporting, Scope, ServiceGroup, SiteFacts
 from ponddoor.interface.script import Resumed, Script
@@ -41,11 +41,6 @@
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
-CHANGES, ALL, MINE, HOLDERS, ANSWER = range(5)  # first byte of a message
-# server, our rate there in 4 kB/s, last report in hundredths, its age in 20 ms; the share likewise; 255: none
-ENTRY = struct.Struct(">IHBBBB")
-QUESTION = struct.Struct(">HHH")    # home, span, zone
-REPLY = struct.Struct(">IhHH")      # server, its idle, what is asked there, and what of it by who asks, in 4 kB/s
 
 
 @dataclass(slots=True)
@@ -114,7 +109,7 @@
     sent: int = LONG_AGO
     heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
     felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
-    said: int = 0             # our rate there as last told
+    said: float = 0.0         # our rate there as last told
     told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a hub's word: when, idle and asked, without ours
     lost: int | None = None     # when it was last seen to be down
     back: int = LONG_AGO      # when it was first seen to be up again
@@ -146,8 +141,8 @@
         self.watching = False
         self.heard: dict[int, int] = {}             # when each other front last spoke
         self.by_rack: list[list[Server]] = [[] for _ in self.racks]
-        self.hubs = [i for i in range(min(HUBS, facts.fronts)) if i != facts.me]
-        self.asks = facts.permissions.messages and facts.me >= HUBS
+        self.hubs = [i for i in range(min(HUBS, facts.fronts)) if i != facts.me and facts.permissions.messages]
+        self.asks = bool(self.hubs) and facts.me >= HUBS
         self.hub, self.answered, self.deaf = facts.me % HUBS, now, False
         self.outlook: tuple[int, bool, float | None] = (LONG_AGO, False, None)
 
@@ -279,30 +274,27 @@
             self.rack(server).load(taken, report["uplink_asked"])
 
     def learn_word(self, message: ev.PeerMessage) -> None:
-        kind, body = message.payload[:1], message.payload[1:]
-        if kind == bytes([ANSWER]):
+        word, recent = words.unpack(message.payload), self.now - 4 * TELL_EVERY
+        if isinstance(word, words.Answer):
             self.answered, self.deaf = self.now, False
-            for server_id, idle, asked, ours in REPLY.iter_unpack(body[:len(body) // REPLY.size * REPLY.size]):
-                if (server := self.servers.get(server_id)) is not None:
-                    server.told = (self.now, 4.0 * (idle + ours), 4.0 * (asked - ours))
-        if kind not in (bytes([CHANGES]), bytes([ALL])):
-            return
-        if kind == bytes([ALL]):
-            for server in [s for s in self.servers.values() if s.peers.pop(message.peer, 0.0)]:
+            for room in word.rooms:
+                if (server := self.servers.get(room.server)) is not None:
+                    server.told = (self.now, room.idle + room.theirs, room.asked - room.theirs)
+        elif isinstance(word, words.Telling):
+            if word.whole:
+                for server in [s for s in self.servers.values() if s.peers.pop(message.peer, 0.0)]:
+                    self.book(server)
+            if word.whole or self.heard.get(message.peer, LONG_AGO) > recent:
+                self.heard[message.peer] = self.now  # long unheard, more than the last changes is missing
+            for rate in word.rates:
+                if (server := self.servers.get(rate.server)) is None:
+                    continue
+                server.peers[message.peer] = rate.kb
                 self.book(server)
-        if kind == bytes([ALL]) or self.now - self.heard.get(message.peer, LONG_AGO) < 4 * TELL_EVERY:
-            self.heard[message.peer] = self.now  # of one not heard for long, more than the changes is missing
-        for entry in ENTRY.iter_unpack(body[:len(body) // ENTRY.size * ENTRY.size]):
-            server_id, units, ratio, age, share, note_age = entry
-            if (server := self.servers.get(server_id)) is None:
-                continue
-            server.peers[message.peer] = units * 4.0
-            self.book(server)
-            taken, noted = self.now - age * 20_000, self.now - note_age * 20_000
-            if share < 255 and (not server.notes or server.notes[-1][0] < noted):
-                self.learn_shortage(server, noted, share / 100)
-            if ratio < 255 and (not server.link.loads or server.link.loads[-1][0] < taken):
-                server.link.load(taken, ratio / 100)
+                if rate.share and (not server.notes or server.notes[-1][0] < self.now - rate.share.age):
+                    self.learn_shortage(server, self.now - rate.share.age, rate.share.figure)
+                if rate.load and (not server.link.loads or server.link.loads[-1][0] < self.now - rate.load.age):
+                    server.link.load(self.now - rate.load.age, rate.load.figure)
 
     def rack(self, server: Server) -> Pipe:
         return self.racks[server.row.cell % len(self.racks)]
@@ -540,7 +532,7 @@
             else:
                 timeout = self.patience(sess)
                 self.commit(sess, server)
-                yield from self.tell([server], CHANGES)
+                yield from self.tell([server], False)
                 if sess.top >= sess.group.floor:
                     yield act.SetRung(req_id, sess.rung)
                 got = yield act.Setup(req_id, server.row.server, timeout)
@@ -599,8 +591,7 @@
     def upkeep(self) -> Iterable[Script]:
         wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch),
                   (self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF, self.probing),
-                  (self.facts.permissions.messages and self.facts.fronts > 1, self.telling),
-                  (self.facts.permissions.messages and self.facts.me < HUBS, self.answering)]
+                  (self.hubs, self.telling), (self.hubs and not self.asks, self.answering)]
         return [script() for want, script in wanted if want]
 
     def resizing(self) -> Script:
@@ -608,7 +599,7 @@
         while True:
             next_time = self.now + RESIZE_EVERY
             if self.sessions:
-                yield from self.ask(bytes([MINE]), self.now + ASK_WAIT)
+                yield from self.ask(words.AskOurs(), self.now + ASK_WAIT)
             for server in [s for s in self.servers.values() if s.sessions]:
                 for sess, rung in self.resized(server):
                     sess.rung = rung
@@ -664,7 +655,7 @@
         It covers hubs that are gone, and messages that are lost. It may harm where answers are slow."""
         req = sess.req
         until = min(self.now + ASK_WAIT, sess.deadline)
-        yield from self.ask(bytes([HOLDERS]) + QUESTION.pack(req.home, req.span, self.facts.zone), until)
+        yield from self.ask(words.AskHolders(req.home, req.span, self.facts.zone), until)
         if self.whole() or not self.facts.permissions.probes or (self.asks and not self.deaf):
             return
         open_now = [s for s in self.servers.values() if not self.barred(sess, s) and s.rested_until() <= self.now]
@@ -676,45 +667,39 @@
         if wanted:
             yield act.Wait(until)
 
-    def ask(self, question: bytes, until: int) -> Script:
+    def ask(self, question: words.Word, until: int) -> Script:
         """Ask a hub and wait a little; one that does not answer is given up for the next, without a wait."""
         if not self.asks:
             return
         since = self.now
-        yield act.Tell(self.hub, question)
+        yield act.Tell(self.hub, words.pack(question)[0])
         while self.answered <= since and not self.deaf and self.now < until:
             yield act.Listen(until)
         if self.answered <= since:
             self.hub, self.deaf = (self.hub + 1) % HUBS, True
 
     def answering(self) -> Script:
-        """A hub's answers: the best holders, some of the asker's zone, cold ones apart; or where it has sessions."""
+        """A hub's answers: some of the best holders, in all and in the asker's zone, cold ones apart."""
         while True:
             got = yield act.Listen(None)
-            if not isinstance(got, ev.PeerMessage) or not self.whole():
-                continue
-            kind, body, about = got.payload[:1], got.payload[1:], list(self.servers.values())
-            if kind == bytes([MINE]):
-                about = [s for s in about if s.peers.get(got.peer)][:25]
-            elif kind == bytes([HOLDERS]) and len(body) == QUESTION.size:
-                home, span, zone = QUESTION.unpack(body)
-                about = [s for s in about if (s.row.cell - home) % self.facts.plant.cells < span
-                         and s.row.state is ServerState.READY and s.rested_until() <= self.now]
-                cold = {s.row.server: self.paced_until(s) > 0 for s in about}
-                idle = self.idles(about)
-                about.sort(key=lambda s: -idle[s.row.server])
-                warm = [s for s in about if not cold[s.row.server]]
-                picks = [warm[:4], [s for s in warm if s.row.zone == zone][:4],
-                         [s for s in about if cold[s.row.server]][:2]]
-                about = list({s.row.server: s for pick in picks for s in pick}.values())
-            else:
+            word = words.unpack(got.payload) if isinstance(got, ev.PeerMessage) and self.whole() else None
+            if not isinstance(got, ev.PeerMessage) or not isinstance(word, words.AskOurs | words.AskHolders):
                 continue
-            idle, reply = self.idles(about), bytes([ANSWER])
-            for server in about:
-                figures = (idle[server.row.server], self.asked(server), server.peers.get(got.peer, 0.0))
-                room, asked, theirs = (max(-32768, min(round(kb / 4), 32767)) for kb in figures)
-                reply += REPLY.pack(server.row.server, room, max(asked, 0), max(theirs, 0))
-            yield act.Tell(got.peer, reply)
+            about = [s for s in self.servers.values() if s.row.state is ServerState.READY]
+            if isinstance(word, words.AskOurs):
+                about = [s for s in about if s.peers.get(got.peer)]
+            idle = self.idles(about)
+            if isinstance(word, words.AskHolders):
+                about = sorted((s for s in about if (s.row.cell - word.home) % self.facts.plant.cells < word.span
+                                and s.rested_until() <= self.now), key=lambda s: -idle[s.row.server])
+                cold = [s for s in about if self.paced_until(s)]
+                warm = [s for s in about if s not in cold]
+                near = [s for s in warm if s.row.zone == word.zone]
+                about = list({s.row.server: s for s in (*warm[:4], *near[:4], *cold[:2])}.values())
+            rooms = [words.Room(s.row.server, idle[s.row.server], self.asked(s), s.peers.get(got.peer, 0.0))
+                     for s in about]
+            for message in words.pack(words.Answer(tuple(rooms))):
+                yield act.Tell(got.peer, message)
 
     def probing(self) -> Script:
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
@@ -726,28 +711,25 @@
             per_s = self.arrival_rate(30 * SECOND) * PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
 
-    def tell(self, servers: list[Server], kind: int) -> Script:
-        """Tell the hubs of our rates, and of what came to us alone; of a shortage, a few fronts tell."""
-        entries = []
+    def tell(self, servers: list[Server], whole: bool) -> Script:
+        """Tell the hubs our rates, and what came to us alone; of one shortage, a few fronts tell."""
+        rates = []
         for server in servers:
-            own, samples = self.own(server), [255, 255, 255, 255]
-            for i, sample in enumerate((server.heard, server.felt)):
-                if sample and (i == 0 or self.draw(1000) < 3000 * own / max(self.asked(server), 1.0)):
-                    age = min((self.now - sample[0]) // 20_000, 255)
-                    samples[2 * i:2 * i + 2] = min(round(sample[1] * 100), 254), age
-            server.heard, server.felt, server.said = None, None, min(round(own / 4), 65535)
-            entries.append(ENTRY.pack(server.row.server, server.said, *samples))
-        for start in range(0, max(len(entries), 1), 25):  # a message holds 256 bytes
-            for hub in self.hubs if self.facts.permissions.messages else []:
-                yield act.Tell(hub, bytes([kind]) + b"".join(entries[start:start + 25]))
-            kind = CHANGES
+            server.said, few = self.own(server), CROWD * self.own(server) / max(self.asked(server), 1.0)
+            told = [words.Sample(seen[1], self.now - seen[0]) if seen else None for seen in (server.heard, server.felt)]
+            rates.append(words.Rate(server.row.server, server.said, told[0],
+                                    told[1] if self.draw(1000) < 1000 * few else None))
+            server.heard = server.felt = None
+        for message in words.pack(words.Telling(tuple(rates), whole)):
+            for hub in self.hubs:
+                yield act.Tell(hub, message)
 
     def telling(self) -> Script:
         yield act.Wait(self.now + SECOND // 10)  # the sessions handed over are in by then
         for turn in itertools.count():
-            held, whole = list(self.servers.values()), turn % ALL_EVERY == 0
-            yield from self.tell([s for s in held if s.heard or s.felt or s.said != min(round(self.own(s) / 4), 65535)
-                                  or (whole and s.sessions)], ALL if whole else CHANGES)
+            whole = turn % ALL_EVERY == 0
+            yield from self.tell([s for s in self.servers.values() if s.heard or s.felt
+                                  or s.said != self.own(s) or (whole and s.sessions)], whole)
             yield act.Wait(self.now + TELL_EVERY)
 
     def watch(self) -> Script:
