--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -83,7 +83,6 @@
 
     req: ev.SessionRequest
     group: ServiceGroup
-    utility: float
     deadline: int
     rung: int
     top: int
@@ -133,9 +132,8 @@
         self.racks = [Pipe(facts.plant.uplink_kb) for _ in range(max(1, facts.plant.racks))]
         self.sessions: dict[int, Sess] = {}
         self.seats: dict[tuple[int, int], int] = {}
-        self.lags: list[int] = []
         self.lengths: list[int] = []
-        self.arrivals: list[tuple[int, int]] = []   # (when, tenant) of the last requests
+        self.arrivals: list[int] = []               # when the last requests came
         self.taken: list[int] = []                  # requests within the budget's span
         self.resent: list[int] = []                 # further SETUPs within it
         self.watching = False
@@ -158,11 +156,10 @@
             case ev.ServerNews():
                 self.learn_list(event)
             case ev.SessionRequest():
-                self.arrivals = [*self.arrivals[-59:], (self.now, event.tenant)]
+                self.arrivals = [*self.arrivals[-59:], self.now]
                 since = self.now - self.facts.rules.resend_span
                 self.taken = [*(at for at in self.taken if at > since), self.now]
             case ev.Started():
-                self.lags = [*self.lags[-29:], event.lag]
                 self.judge(self.servers[event.server], True)
             case ev.Ended():
                 self.learn_end(event)
@@ -397,7 +394,7 @@
         """Utility per rate of the step from the rung below."""
         ladder = self.facts.ladder
         step = self.rate(sess, rung) - self.rate(sess, rung - 1)
-        return sess.utility * (ladder.utility[rung] - ladder.utility[rung - 1]) / max(step, 1e-9)
+        return sess.group.utility * (ladder.utility[rung] - ladder.utility[rung - 1]) / max(step, 1e-9)
 
     def size(self, sessions: list[Sess], budget: float, cap: dict[int, int]) -> dict[int, int]:
         """The design's loop: all at the lowest rung, then a step for whoever gains most utility per rate."""
@@ -488,7 +485,7 @@
 
     def arrival_rate(self, span: int) -> float:
         """Our requests a second over the last while, this one included."""
-        return max(sum(at > self.now - span for at, _ in self.arrivals), 1) * SECOND / span
+        return max(sum(at > self.now - span for at in self.arrivals), 1) * SECOND / span
 
     def may_refuse(self, sess: Sess) -> bool:
         ran, group = any(end not in NEVER_RAN for _, _, end in sess.attempts), sess.group
@@ -498,19 +495,10 @@
     def open(self, req: ev.SessionRequest) -> Sess:
         group = self.facts.groups[req.service_group]
         top = min(req.top, group.top, len(self.facts.ladder.rate_kb) - 1)
-        worth, ends = group.utility * self.within_share(req.tenant), self.now + req.time_left
-        sess = self.sessions[req.req_id] = Sess(req, group, worth, ends, group.floor, top)
+        sess = Sess(req, group, self.now + req.time_left, group.floor, top)
+        self.sessions[req.req_id] = sess
         return sess
 
-    def within_share(self, tenant: int) -> float:
-        """The worth of a tenant's request: less where it sends beyond its share."""
-        if tenant >= len(self.facts.tenants) or len(self.arrivals) < 2:
-            return 1.0
-        span = max(self.now - self.arrivals[0][0], SECOND)
-        rate = sum(whose == tenant for _, whose in self.arrivals) * self.facts.fronts * SECOND / span
-        inside = min(1.0, self.facts.tenants[tenant].quota_per_s / max(rate, 1e-9))
-        return inside + self.facts.over_share_utility * (1 - inside)
-
     def session(self, req: ev.SessionRequest) -> Script:
         sess = self.open(req)
         yield from self.serve(sess)
@@ -561,8 +549,7 @@
         if last or sess.group.effect is Effect.UNSAFE:
             return left
         target = sess.deadline - sess.req.time_left + sess.group.start_target
-        usual = max(sorted(self.lags)[:len(self.lags) * 9 // 10 + 1], default=0)
-        return min(left, max((target - self.now) * 45 // 100, usual * 2, sess.group.start_target // 5))
+        return min(left, max((target - self.now) * 45 // 100, sess.group.start_target // 5))
 
     def commit(self, sess: Sess, server: Server) -> None:
         """A SETUP goes out: the account, the seats, the pace and the budget know it at once."""
@@ -647,7 +634,7 @@
         """What a change of rung earns over the time the session is likely to have left, less its cost."""
         ladder, left = self.facts.ladder, self.left(sess) / SECOND
         more = ladder.utility[rung] - ladder.utility[sess.rung]
-        return sess.utility * (more * left - PAYS * ladder.switch_cost_s)
+        return sess.group.utility * (more * left - PAYS * ladder.switch_cost_s)
 
     def inquire(self, sess: Sess) -> Script:
         """Guards against placing blind, where the account is not whole: asks a hub, else probes two holders.
