--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -601,11 +601,8 @@
             return []
         own, asked = self.own(server), max(self.asked(server), 1.0)
         contend = min(self.facts.fronts, max(CROWD, asked / max(own, 1.0)))  # fronts that raise there with us
-        whole = self.idles([server])[server.row.server]
-        room = whole * own / max(asked, own) if whole < 0 else self.idles([server], 1 / contend)[server.row.server]
-        step = min((self.rate(s, s.rung + 1) - self.rate(s, s.rung) for s in mine if s.rung < s.top), default=0.0)
-        if 0 < room < step <= whole and self.draw(1000) < 1000 * room / step:
-            room = step  # a part under one step is taken as a whole step so much more rarely
+        room = self.idles([server], 1 / contend)[server.row.server]
+        room *= own / max(asked, own) if room < 0 else 1
         spent = sum(self.rate(s, s.rung) for s in mine)
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
         cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
