An arrival takes half of a known link's idle, a quarter of a guessed one

Change: half where the load is known (whole account, a hub's word, a fresh report), a quarter where it is guessed.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -38,6 +38,8 @@
 ALL_EVERY = 8             # so many tellings, all is told and not only what changed
 HUBS = 3                  # fronts that are told of all sessions: the first by number
 ASK_WAIT = SECOND // 12   # how long an answer of a hub or a probe is waited for
+KNOWN_PART = 0.5          # of a holder's idle, that an arrival takes
+GUESSED_PART = 0.25       # the same, where its load is not known but guessed
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -343,7 +345,11 @@
         ours = sum(map(self.own, self.servers.values())) * self.facts.fronts / len(self.servers)
         return max(known, 0.0 if server.peers else ours)
 
-    def idles(self, servers: list[Server], part: float = 1.0) -> dict[int, float]:
+    def known(self, server: Server) -> bool:
+        """Whether what is asked of a server is known, or else guessed from others."""
+        return self.whole() or server.told[0] > self.now - TELL_EVERY or server.link.fresh(self.now)
+
+    def idles(self, servers: list[Server], part: float | None = 1.0) -> dict[int, float]:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink.
 
         Every front sees the same idle at once, so we take but our `part` of the link's."""
@@ -353,11 +359,13 @@
         for server in servers:
             if server.told[0] > self.now - TELL_EVERY:
                 room = server.told[1] - self.own(server)
-                found[server.row.server] = room * part if room > 0 else room
+                found[server.row.server] = room * (KNOWN_PART if part is None else part) if room > 0 else room
         return {s.row.server: found.get(s.row.server, 0.0) for s in servers}
 
-    def rack_idles(self, number: int, part: float) -> dict[int, float]:
+    def rack_idles(self, number: int, part: float | None) -> dict[int, float]:
         rack, mates = self.racks[number], self.by_rack[number]
+        parts = {s.row.server: part if part is not None else KNOWN_PART if self.known(s) else GUESSED_PART
+                 for s in mates}
         asked = {s.row.server: self.asked(s) for s in mates}
         rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
         total = in_all = sum(asked.values())
@@ -367,7 +375,7 @@
         if spare < 0:
             return {at: min(room, spare * asked[at] / max(in_all, 1.0)) for at, room in rooms.items()}
         positive = sum(kb for kb in rooms.values() if kb > 0)
-        return {at: min(room * part, spare * room / positive) if room > 0 else room for at, room in rooms.items()}
+        return {at: min(room * parts[at], spare * room / positive) if room > 0 else room for at, room in rooms.items()}
 
     def mates(self, server: Server) -> list[Server]:
         return self.by_rack[server.row.cell % len(self.racks)]
@@ -424,7 +432,7 @@
         fit = ([s for s in fit if s.row.server not in tried] or fit
                or [min(open_now, key=lambda s: (s.rested_until(), s.row.server))])
         fit = [s for s in fit if s.told[0] > self.now - TELL_EVERY] or fit
-        idle = self.idles(fit, 1 / min(self.facts.fronts, CROWD))
+        idle = self.idles(fit, None)
         first = self.draw(len(fit))  # fronts that see alike must not all take the same of equals
         by_idle = sorted(fit[first:] + fit[:first], key=lambda s: -idle[s.row.server])
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
