Longer turns at cold servers at size; just started ones are guessed empty; simpler raises

Cause: one slot a front in rotation wastes nearly all slots with many fronts, and a started server of unknown load was guessed as full as the others. Change: a front's turn lasts as many slots as its own arrivals allow; the guess grows from nothing over three warm-ups; a raise no longer cuts others, and all fronts tell of a shortage.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -40,6 +40,7 @@
 ASK_WAIT = SECOND // 12   # how long an answer of a hub or a probe is waited for
 KNOWN_PART = 0.5          # of a holder's idle, that an arrival takes
 GUESSED_PART = 0.25       # the same, where its load is not known but guessed
+COLD_USE = 0.4            # of a cold server's pace, that the fronts expect to use together
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -341,7 +342,8 @@
         if server.link.fresh(self.now):
             return max(self.own(server), server.link.unknown(self.now) + known)
         if (usual := self.view()[2]) is not None:
-            return max(self.own(server), server.link.kb * usual)
+            age = (self.now - max(server.row.started_at or LONG_AGO, server.back)) / (3 * self.facts.rules.cold)
+            return max(self.own(server), server.link.kb * usual * min(1.0, age))
         ours = sum(map(self.own, self.servers.values())) * self.facts.fronts / len(self.servers)
         return max(known, 0.0 if server.peers else ours)
 
@@ -486,10 +488,12 @@
         slot = int(rules.cold / max(per_slot, 0.01))
         if not known:
             return server.sent + slot * fronts
-        turn = self.now // slot
-        if turn % fronts == self.facts.me and server.sent < turn * slot:
+        turn, lately = self.now // slot, sum(at > self.now - SECOND for at in self.arrivals) - 1
+        rate = max(self.arrival_rate(10 * SECOND), lately)
+        run, since = max(1, min(fronts, int(COLD_USE * SECOND / (slot * rate)))), (turn - self.facts.me) % fronts
+        if since < run and server.sent < (turn - since) * slot:
             return 0
-        return (turn + (self.facts.me - turn - 1) % fronts + 1) * slot
+        return (turn + fronts - since) * slot
 
     def arrival_rate(self, span: int) -> float:
         """Our requests a second over the last while, this one included."""
@@ -613,24 +617,13 @@
         room *= own / max(asked, own) if room < 0 else 1
         spent = sum(self.rate(s, s.rung) for s in mine)
         want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
-        cuts = sorted((s for s in mine if want[s.req.req_id] < s.rung), key=lambda s: self.gain(s, s.rung))
-        ups = [s for s in mine if want[s.req.req_id] > s.rung]
-        need = {s.req.req_id: self.rate(s, want[s.req.req_id]) - self.rate(s, s.rung) for s in mine}
-        earns = {s.req.req_id: self.earns(s, want[s.req.req_id]) for s in mine}
-        changed: list[Sess] = []
-        while room < 0 and cuts:
-            changed.append(cuts.pop(0))
-            room -= need[changed[-1].req.req_id]
-        for sess in sorted(ups, key=lambda s: -self.gain(s, s.rung + 1)):
-            freed, spare = 0, room - need[sess.req.req_id]
-            while spare < 0 and freed < len(cuts):
-                spare -= need[cuts[freed].req.req_id]
-                freed += 1
-            if spare >= 0 and earns[sess.req.req_id] + sum(earns[c.req.req_id] for c in cuts[:freed]) > 0:
-                changed += [*cuts[:freed], sess]
-                room = spare
-                del cuts[:freed]
-        return [(s, want[s.req.req_id]) for s in changed]
+        changed = []
+        for sess in sorted(mine, key=lambda s: (want[s.req.req_id] > s.rung, self.gain(s, max(s.rung, 1)))):
+            rung, need = want[sess.req.req_id], self.rate(sess, want[sess.req.req_id]) - self.rate(sess, sess.rung)
+            if (need < 0 and room < 0) or (0 < need <= room and self.earns(sess, rung) > 0):
+                changed.append((sess, rung))
+                room -= need
+        return changed
 
     def left(self, sess: Sess) -> int:
         played, hint = self.now - (sess.began or self.now), sess.req.length_hint
@@ -707,14 +700,12 @@
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
 
     def tell(self, servers: list[Server], whole: bool) -> Script:
-        """Tell the hubs our rates, and what came to us alone; of one shortage, a few fronts tell."""
+        """Tell the hubs our rates, and what came to us alone."""
         rates = []
         for server in servers:
-            server.said, few = self.own(server), CROWD * self.own(server) / max(self.asked(server), 1.0)
-            told = [words.Sample(seen[1], self.now - seen[0]) if seen else None for seen in (server.heard, server.felt)]
-            rates.append(words.Rate(server.row.server, server.said, told[0],
-                                    told[1] if self.draw(1000) < 1000 * few else None))
-            server.heard = server.felt = None
+            told = [words.Sample(s[1], self.now - s[0]) if s else None for s in (server.heard, server.felt)]
+            server.said, server.heard, server.felt = self.own(server), None, None
+            rates.append(words.Rate(server.row.server, server.said, *told))
         for message in words.pack(words.Telling(tuple(rates), whole)):
             for hub in self.hubs:
                 yield act.Tell(hub, message)
--- a/ponddoor/interface/words.py
+++ b/ponddoor/interface/words.py
@@ -1,13 +1,13 @@
 """What fronts say to one another, and the bytes of it. A message holds 256 bytes; longer words are split.
 
-Whatever is cut short, empty or of no known kind says nothing: the rest of a message is read as far as it goes.
+What is empty or of no known kind says nothing; what is cut short is read as far as it goes.
 """
 
 import struct
 from dataclasses import dataclass
 
 _CHANGES, _ALL, _OURS, _HOLDERS, _ANSWER = range(5)
-_RATE, _QUESTION, _ROOM = struct.Struct(">IHBBBB"), struct.Struct(">HHH"), struct.Struct(">IhHH")
+_RATE, _QUESTION, _ROOM = struct.Struct(">IHBBBB"), struct.Struct(">III"), struct.Struct(">IhHH")
 _KB, _AGE, _NONE, _A_MESSAGE = 4.0, 20_000, 255, 25  # steps of rates and ages, no sample, rows a message
 
 
@@ -75,7 +75,8 @@
     """The messages that say a word."""
     match word:
         case Telling(rates, whole):
-            rows = [_RATE.pack(r.server, _steps(r.kb, 65535), *_sample(r.load), *_sample(r.share)) for r in rates]
+            rows = [_RATE.pack(r.server, _steps(r.kb, 65535), *_sample(r.load), *_sample(r.share))
+                    for r in rates]
             return _split(_ALL if whole else _CHANGES, _CHANGES, rows)
         case AskOurs():
             return [bytes([_OURS])]
@@ -100,7 +101,7 @@
         return AskHolders(*_QUESTION.unpack_from(body))
     if kind == _ANSWER:
         rooms = _ROOM.iter_unpack(body[:len(body) // _ROOM.size * _ROOM.size])
-        return Answer(tuple(Room(at, idle * _KB, asked * _KB, theirs * _KB) for at, idle, asked, theirs in rooms))
+        return Answer(tuple(Room(at, *(steps * _KB for steps in figures)) for at, *figures in rooms))
     return None
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,10 +8,11 @@
 
 import pytest
 
-from ponddoor.decide import ENTRY, Front
+from ponddoor.decide import Front
 from ponddoor.interface import actions as act
 from ponddoor.interface import events as ev
 from ponddoor.interface import facts as fx
+from ponddoor.interface import words
 from ponddoor.runtime.driver import Driver
 
 GROUP = fx.ServiceGroup("g", 1_000_000, 3_000_000, 1.0, fx.Effect.SAFE, fx.Scope.ALL, 1_000_000, 0, 9, 0,
@@ -97,11 +98,21 @@
                 case act.BusyReply():
                     self.news.append(f"busy {action.req_id} {action.come_back / 1e6:g}s")
                 case act.Tell():
-                    self.news += [f"tell {e[0]} {e[1] * 4}" for e in ENTRY.iter_unpack(action.payload)]
+                    self.tell(action, words.unpack(action.payload))
                 case _:
                     names = [str(getattr(action, f.name)) for f in fields(action)]
                     self.news.append(" ".join([type(action).__name__.lower(), *names]))
 
+    def tell(self, action: act.Tell, word: words.Word | None) -> None:
+        match word:
+            case words.Telling(rates, whole):
+                self.news.append(f"tells {action.peer} {'all' if whole else 'changes'}")
+                self.news += [f"tell {rate.server} {rate.kb:g}" for rate in rates]
+            case words.Answer(rooms):
+                self.news += [f"answer {action.peer} {r.server} {r.idle:g} {r.asked:g}" for r in rooms]
+            case _:
+                self.news.append(f"asks {action.peer} {type(word).__name__}")
+
     def at(self, moment: str, what: str = "", *words: str) -> None:
         """Time passes, timers come due, and then one thing happens. A `+` before it keeps what is seen."""
         until, plain = amount(moment.lstrip("+")), [w for w in words if "=" not in w]
@@ -116,6 +127,21 @@
         if event is not None:
             self.do(event)
 
+    def word(self, plain: list[str], options: dict[str, Any]) -> bytes:
+        """`all|changes SERVER KB ...`, `answer SERVER IDLE ASKED`, `ours`, `holders`, or `raw HEX`."""
+        kind, numbers = plain[0], [int(text) for text in plain[1:] if plain[0] != "raw"]
+        word: words.Word = words.AskOurs()
+        if kind == "raw":
+            return bytes.fromhex("".join(plain[1:]))
+        if kind in ("all", "changes"):
+            pairs = zip(numbers[::2], numbers[1::2], strict=True)
+            word = words.Telling(tuple(words.Rate(at, kb) for at, kb in pairs), kind == "all")
+        elif kind == "answer":
+            word = words.Answer((words.Room(numbers[0], numbers[1], numbers[2], 0),))
+        elif kind == "holders":
+            word = words.AskHolders(options.get("home", 0), options.get("span", 8), options.get("zone", 0))
+        return words.pack(word)[0]
+
     def event(self, what: str, plain: list[str], options: dict[str, Any]) -> ev.Event | None:
         if what in ("request", "playing"):
             base = {"service_group": 0, "tenant": 0, "key": 0, "title": 1, "time_left": 3_000_000,
@@ -127,8 +153,7 @@
             self.given("server", *plain, *(f"{k}={v}" for k, v in options.items()))
             return ev.ServerNews(ev.NewsScope.CHANGES, (self.rows[plain[0]],))
         if what == "word":
-            entry = ENTRY.pack(int(plain[1]), int(plain[2]) // 4, 255, 255, 255, 255)
-            return ev.PeerMessage(int(plain[0]), entry)
+            return ev.PeerMessage(int(plain[0]), self.word(plain[1:], options))
         if what == "probed":
             result = ev.Result(options.pop("result", "served").replace("_", " "))
             return ev.Probed(int(plain[0]), 1000, result, options)
