State in a file of its own; uplinks seen short kept as figures, links learned only while whole

Cause: after messages were lost the hubs learned links and uplinks from samples of a time when the account was not whole (traced: links of 612 MB/s in place of 1036).

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -2,30 +2,30 @@
 
 The caller is `ponddoor.runtime.driver.Driver`: it sets the clock, hands every event to `Front.observe` and
 runs the generators `session`, `handed_over` and `upkeep`. What they yield and are resumed with is in
-`ponddoor/interface` (facts, events, actions). docs/design.md tells how this follows the design.
+`ponddoor/interface` (facts, events, actions, words), what a front remembers in `ponddoor/state.py`.
+docs/design.md tells how this follows the design.
 
 Beside the design stand these mechanisms:
 1. the guard: the six rules, at the one place that every SETUP passes (`Front.barred`);
-2. health: a server that fails is rested, then tried by one session at a time (`Server.rested_until`);
+2. health: a server that fails is rested, then tried by one session at a time (`rested_until`);
 3. further SETUPs: set-up timeouts that leave room for another holder (`Front.patience`);
 4. fronts' word: rates and reports told to a few hubs, which answer who asks (`Front.telling`, `answering`);
 5. an inquiry before a placement, of a hub or of two holders, where the account is not whole (`inquire`).
 """
 
-import heapq
 import itertools
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from ponddoor.interface import actions as act
 from ponddoor.interface import events as ev
 from ponddoor.interface import words
 from ponddoor.interface.events import Result, ServerState
-from ponddoor.interface.facts import Effect, Reporting, Scope, ServiceGroup, SiteFacts
+from ponddoor.interface.facts import Effect, Reporting, Scope, SiteFacts
 from ponddoor.interface.script import Resumed, Script
+from ponddoor.state import LONG_AGO, Chance, Pipe, Server, Sess
 
 SECOND = 1_000_000
-LONG_AGO = -(1 << 60)
 HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
 RESIZE_EVERY = 5 * SECOND
 PAYS = 5.0                # a change of rung must earn its cost so many times over
@@ -46,91 +46,11 @@
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
-@dataclass(slots=True)
-class Pipe:
-    """A server's link or a rack's uplink: what is told of it, what we know to ask of it, and its reports."""
-
-    kb: float
-    known: list[tuple[int, float]] = field(default_factory=lambda: [(0, 0.0)])
-    loads: list[tuple[int, float]] = field(default_factory=list)  # (taken at, asked over what it gives)
-
-    def book(self, now: int, kb: float) -> None:
-        if abs(kb - self.known[-1][1]) > 1.0:
-            self.known = [*self.known[-39:], (now, kb)]
-
-    def known_at(self, moment: int) -> float:
-        return next((kb for at, kb in reversed(self.known) if at <= moment), self.known[0][1])
-
-    def load(self, taken: int, ratio: float) -> None:
-        self.loads = [*self.loads[-2:], (taken, ratio)]
-
-    def fresh(self, now: int) -> bool:
-        return bool(self.loads) and self.loads[-1][0] > now - 2 * MISSING
-
-    def learned(self) -> float:
-        """What the pipe gives: where all that is asked is known, the reports' ratios tell; else as told."""
-        seen = [self.known_at(taken) / ratio for taken, ratio in self.loads if ratio > 0.25]
-        return min(max(sorted(seen)[len(seen) // 2], self.kb * 0.1), self.kb * 1.6) if seen else self.kb
-
-    def unknown(self, now: int) -> float:
-        """What others ask, by the last reports: each speaks of its moment, so what was known then is off."""
-        fresh = [(taken, ratio) for taken, ratio in self.loads if taken >= self.loads[-1][0] - 3 * SECOND]
-        weights = [2.0 ** i for i in range(len(fresh))]
-        return sum(weight * (ratio * self.kb - self.known_at(taken))
-                   for weight, (taken, ratio) in zip(weights, fresh, strict=True)) / sum(weights)
-
-
-@dataclass(slots=True)
-class Sess:
-    """One session, from its request to its end."""
-
-    req: ev.SessionRequest
-    group: ServiceGroup
-    deadline: int
-    rung: int
-    top: int
-    server: int = -1
-    over: bool = False
-    began: int | None = None
-    attempts: list[tuple[int, int, Result | None]] = field(default_factory=list)  # (server, sent at, end)
-
-    def seat(self) -> tuple[int, int]:
-        return (self.req.title, self.req.service_group)
-
-
-@dataclass(slots=True)
-class Server:
-    """One server as this front sees it."""
-
-    row: ev.ServerRow
-    link: Pipe
-    sessions: dict[int, Sess] = field(default_factory=dict)
-    ends: list[tuple[int, bool]] = field(default_factory=list)      # (when, whether it went well)
-    notes: list[tuple[int, float]] = field(default_factory=list)    # (when, share delivered)
-    peers: dict[int, float] = field(default_factory=dict)  # what each other front asks there, by its last word
-    sent: int = LONG_AGO
-    heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
-    felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
-    said: float = 0.0         # our rate there as last told
-    told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a hub's word: when, idle and asked, without ours
-    lost: int | None = None     # when it was last seen to be down
-    back: int = LONG_AGO      # when it was first seen to be up again
-
-    def rested_until(self) -> int:
-        """Guards against servers that are silent, stand still or fail set-ups; none need be told apart.
-
-        It covers overloaded and cut-off ones too. It may harm where set-ups fail by chance everywhere: then
-        all rest, and the holder whose rest ends first is taken.
-        """
-        bad = sum(not well for _, well in self.ends)
-        return self.ends[-1][0] + REST * (1 << min(bad - 1, 3)) if bad and not self.ends[-1][1] else 0
-
-
 class Front:
     """The decisions of one front."""
 
     def __init__(self, facts: SiteFacts, now: int) -> None:
-        self.facts, self.now, self.born, self.chance = facts, now, now, facts.seed
+        self.facts, self.now, self.born, self.chance = facts, now, now, Chance(facts.seed)
         self.servers: dict[int, Server] = {}
         self.racks = [Pipe(facts.plant.uplink_kb) for _ in range(max(1, facts.plant.racks))]
         self.sessions: dict[int, Sess] = {}
@@ -142,17 +62,25 @@
         self.watching = False
         self.heard: dict[int, int] = {}             # when each other front last spoke
         self.by_rack: list[list[Server]] = [[] for _ in self.racks]
-        self.hubs = [i for i in range(min(HUBS, facts.fronts)) if i != facts.me and facts.permissions.messages]
+        tells = range(min(HUBS, facts.fronts)) if facts.permissions.messages else ()
+        self.hubs = [hub for hub in tells if hub != facts.me]
         self.asks = bool(self.hubs) and facts.me >= HUBS
         self.hub, self.answered, self.deaf = facts.me % HUBS, now, False
-        self.outlook: tuple[int, bool, float | None] = (LONG_AGO, False, None)
+        self.viewed, self.whole_since = LONG_AGO, now
+        self.outlook: tuple[bool, float | None] = (False, None)
+        self.parts = [max(part, 1 / facts.fronts) for part in (KNOWN_PART, GUESSED_PART)]
 
     def clock(self, now: int) -> None:
         self.now = now
 
-    def draw(self, below: int) -> int:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
-        return ((self.chance >> 32) * below) >> 32
+    def rested_until(self, server: Server) -> int:
+        """Guards against servers that are silent, stand still or fail set-ups; none need be told apart.
+
+        It covers overloaded and cut-off ones too. It may harm where set-ups fail by chance everywhere: then
+        all rest, and the holder whose rest ends first is taken."""
+        bad = sum(not well for _, well in server.ends)
+        ends = server.ends[-1] if server.ends else (0, True)
+        return ends[0] + REST * (1 << min(bad - 1, 3)) if not ends[1] else 0
 
     def observe(self, event: ev.Event) -> None:
         match event:
@@ -211,7 +139,7 @@
         if event.result in (Result.CONNECT_FAILED, Result.RESET):
             server.lost = self.now
         if event.result is Result.FULL and self.facts.plant.refuse_at:
-            server.link.load(self.now, max(self.facts.plant.refuse_at, 1.0))
+            self.load(server.link, self.now, max(self.facts.plant.refuse_at, 1.0))
         elif event.result not in (Result.SERVED, Result.CANCELLED, Result.MOOT):
             self.judge(server, False)
         sess.attempts[event.attempt] = (*sess.attempts[event.attempt][:2], event.result)
@@ -232,9 +160,9 @@
                 sess.rung = round(note.value)
                 self.book(server)
             case ev.NoteKind.LINK_ASKED:
-                server.link.load(taken, note.value)
+                self.load(server.link, taken, note.value)
             case ev.NoteKind.UPLINK_ASKED:
-                self.rack(server).load(taken, note.value)
+                self.load(self.rack(server), taken, note.value)
             case ev.NoteKind.DELIVERED:
                 server.felt = (taken, note.value)
                 self.learn_shortage(server, taken, note.value)
@@ -257,21 +185,24 @@
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
         if last[0] > taken - MISSING and last[1] < 0.9 and "uplink_asked" in self.facts.report_fields:
             return  # the link is reported to have room, and the uplink is reported as well
-        full = sum(m.link.loads[-1][1] >= 0.99 for m in played if m.link.fresh(self.now))
+        full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
-            server.link.load(taken, max(1 / max(mild, 0.1), last[1] if last[0] > taken - MISSING else 0.0))
+            reported = last[1] if last[0] > taken - MISSING else 0.0
+            self.load(server.link, taken, max(1 / max(mild, 0.1), reported))
         elif "uplink_asked" not in self.facts.report_fields:
-            self.rack(server).load(taken, 1 / max(*short, 0.1))
+            rack = self.rack(server)
+            asked = rack.known_at(taken) if self.whole() else sum(map(self.asked, self.mates(server)))
+            rack.short = (taken, asked * max(*short, 0.1))
 
     def learn_report(self, server: Server, report: dict[str, float]) -> None:
         taken, ratio = self.now - REPORT_AGE, report.get("link_asked", report.get("util"))
         if ratio is not None:
             if "link_asked" not in report and ratio >= 0.99 and server.notes and server.notes[-1][1] < 0.98:
                 ratio = 1 / max(server.notes[-1][1], 0.1)  # util stops at full: the notes tell how far over
-            server.link.load(taken, ratio)
+            self.load(server.link, taken, ratio)
             server.heard = (taken, ratio)
         if "uplink_asked" in report:
-            self.rack(server).load(taken, report["uplink_asked"])
+            self.load(self.rack(server), taken, report["uplink_asked"])
 
     def learn_word(self, message: ev.PeerMessage) -> None:
         word, recent = words.unpack(message.payload), self.now - 4 * TELL_EVERY
@@ -286,143 +217,137 @@
                     self.book(server)
             if word.whole or self.heard.get(message.peer, LONG_AGO) > recent:
                 self.heard[message.peer] = self.now  # long unheard, more than the last changes is missing
-            for rate in word.rates:
-                if (server := self.servers.get(rate.server)) is None:
-                    continue
+            for rate in [rate for rate in word.rates if rate.server in self.servers]:
+                server = self.servers[rate.server]
                 server.peers[message.peer] = rate.kb
                 self.book(server)
                 if rate.share and (not server.notes or server.notes[-1][0] < self.now - rate.share.age):
                     self.learn_shortage(server, self.now - rate.share.age, rate.share.figure)
-                if rate.load and (not server.link.loads or server.link.loads[-1][0] < self.now - rate.load.age):
-                    server.link.load(self.now - rate.load.age, rate.load.figure)
+                taken = self.now - (rate.load.age if rate.load else 0)
+                if rate.load and (not server.link.loads or server.link.loads[-1][0] < taken):
+                    self.load(server.link, taken, rate.load.figure)
 
     def rack(self, server: Server) -> Pipe:
         return self.racks[server.row.cell % len(self.racks)]
 
-    def rate(self, sess: Sess, rung: int) -> float:
-        return self.facts.ladder.rate_kb[rung] * sess.group.rate_factor
+    def load(self, pipe: Pipe, taken: int, ratio: float) -> None:
+        pipe.loads = [*pipe.loads[-2:], (taken, ratio)]
+
+    def fresh(self, server: Server) -> bool:
+        return bool(server.link.loads) and server.link.loads[-1][0] > self.now - 2 * MISSING
 
-    def own(self, server: Server) -> float:
-        """What our sessions ask of a server; viewers of one live title at one rung share a stream."""
-        total, streams = 0.0, set()
-        for sess in server.sessions.values():
-            stream = (sess.req.title, sess.req.service_group, sess.rung)
-            shared = sess.group.live and stream in streams
-            total += self.rate(sess, sess.rung) * (self.facts.ladder.join if shared else 1.0)
-            streams.add(stream)
-        return total
+    def unknown(self, pipe: Pipe) -> float:
+        """What others ask, by the last reports: each speaks of its moment, so what was known then is off."""
+        late = [(taken, ratio) for taken, ratio in pipe.loads if taken >= pipe.loads[-1][0] - 3 * SECOND]
+        others = [(1 << i) * (ratio * pipe.kb - pipe.known_at(at)) for i, (at, ratio) in enumerate(late)]
+        return sum(others) / ((1 << len(late)) - 1)
 
     def book(self, server: Server) -> None:
-        heard = [kb for peer, kb in server.peers.items() if self.heard.get(peer, 0) > self.now - 4 * TELL_EVERY]
-        server.link.book(self.now, self.own(server) + sum(heard))
-        self.rack(server).book(self.now, sum(s.link.known[-1][1] for s in self.mates(server)))
+        """What we know to be asked of a link and of its rack's uplink has changed."""
+        recent = self.now - 4 * TELL_EVERY
+        heard = sum(kb for peer, kb in server.peers.items() if self.heard.get(peer, 0) > recent)
+        server.link.known = [*server.link.known[-39:], (self.now, server.own() + heard)]
+        rack, in_all = self.rack(server), sum(s.link.known[-1][1] for s in self.mates(server))
+        rack.known = [*rack.known[-99:], (self.now, in_all)]
+
+    def whole(self) -> bool:
+        """Whether most other fronts' rates are known, so that all that is asked is."""
+        return self.view()[0]
 
-    def view(self) -> tuple[int, bool, float | None]:
-        """Whether most other fronts' rates are known, so that all that is asked is, and the fleet's usual load."""
-        if self.outlook[0] != self.now:
+    def view(self) -> tuple[bool, float | None]:
+        """Whether the account is whole, and the fleet's usual load; worked out once a moment."""
+        if self.viewed != self.now:
             heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
-            loads = [s.link.loads[-1][1] for s in self.servers.values() if s.link.fresh(self.now)]
-            self.outlook = (self.now, self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1),
-                            sum(loads) / len(loads) if loads else None)
+            whole = self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1)
+            self.whole_since = self.now if whole and not self.outlook[0] else self.whole_since
+            loads = [s.link.loads[-1][1] for s in self.servers.values() if self.fresh(s)]
+            self.viewed, self.outlook = self.now, (whole, sum(loads) / len(loads) if loads else None)
         return self.outlook
 
-    def whole(self) -> bool:
-        return self.view()[1]
-
     def asked(self, server: Server) -> float:
         """What is asked of a link: a hub's word, or the last reports and what we know to have changed since.
 
         Guards against old word of shortage: long without a report, a server counts as full as those with one,
         or nobody is sent there to bring news. It may harm where the silent ones are the full ones."""
-        if server.told[0] > self.now - TELL_EVERY:
-            return server.told[2] + self.own(server)
+        if self.hinted(server):
+            return server.told[2] + server.own()
         known = server.link.known[-1][1]
         if self.whole():
             return known
-        if server.link.fresh(self.now):
-            return max(self.own(server), server.link.unknown(self.now) + known)
-        if (usual := self.view()[2]) is not None:
-            age = (self.now - max(server.row.started_at or LONG_AGO, server.back)) / (3 * self.facts.rules.cold)
-            return max(self.own(server), server.link.kb * usual * min(1.0, age))
-        ours = sum(map(self.own, self.servers.values())) * self.facts.fronts / len(self.servers)
+        if self.fresh(server):
+            return max(server.own(), self.unknown(server.link) + known)
+        if (usual := self.view()[1]) is not None:
+            age = (self.now - server.started()) / (3 * self.facts.rules.cold)
+            return max(server.own(), server.link.kb * usual * min(1.0, age))
+        ours = sum(s.own() for s in self.servers.values()) * self.facts.fronts / len(self.servers)
         return max(known, 0.0 if server.peers else ours)
 
-    def known(self, server: Server) -> bool:
-        """Whether what is asked of a server is known, or else guessed from others."""
-        return self.whole() or server.told[0] > self.now - TELL_EVERY or server.link.fresh(self.now)
+    def hinted(self, server: Server) -> bool:
+        return server.told[0] > self.now - TELL_EVERY
 
-    def idles(self, servers: list[Server], part: float | None = 1.0) -> dict[int, float]:
+    def idles(self, servers: list[Server], part: float | None = None) -> dict[int, float]:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink.
 
-        Every front sees the same idle at once, so we take but our `part` of the link's."""
+        Every front sees the same idle at once, so we take but our `part` of the link's; an arrival's part
+        is less where the load is guessed from others."""
         found: dict[int, float] = {}
-        for rack in sorted({s.row.cell % len(self.racks) for s in servers}):
-            found |= self.rack_idles(rack, part)
-        for server in servers:
-            if server.told[0] > self.now - TELL_EVERY:
-                room = server.told[1] - self.own(server)
-                found[server.row.server] = room * (KNOWN_PART if part is None else part) if room > 0 else room
+        for number in sorted({s.row.cell % len(self.racks) for s in servers}):
+            rack, mates = self.racks[number], self.by_rack[number]
+            asked = {s.row.server: self.asked(s) for s in mates}
+            rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
+            total = in_all = sum(asked.values())
+            if "uplink_asked" in self.facts.report_fields and rack.loads:
+                total = self.unknown(rack) + rack.known[-1][1]
+            spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
+            positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
+            for at, room in rooms.items():
+                over = min(room, spare * asked[at] / max(in_all, 1.0))
+                found[at] = over if spare < 0 else room
+                if room > 0 and spare >= 0:
+                    guessed = not self.whole() and not self.fresh(self.servers[at])
+                    found[at] = min(room * (part or self.parts[guessed]), spare * room / positive)
+        for server in filter(self.hinted, servers):
+            room = server.told[1] - server.own()
+            found[server.row.server] = room * (part or self.parts[0]) if room > 0 else room
         return {s.row.server: found.get(s.row.server, 0.0) for s in servers}
 
-    def rack_idles(self, number: int, part: float | None) -> dict[int, float]:
-        rack, mates = self.racks[number], self.by_rack[number]
-        parts = {s.row.server: part if part is not None else KNOWN_PART if self.known(s) else GUESSED_PART
-                 for s in mates}
-        asked = {s.row.server: self.asked(s) for s in mates}
-        rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
-        total = in_all = sum(asked.values())
-        if "uplink_asked" in self.facts.report_fields and rack.loads:
-            total = rack.unknown(self.now) + rack.known[-1][1]
-        spare = self.gives_rack(rack, mates) * (1 - HEADROOM) - total
-        if spare < 0:
-            return {at: min(room, spare * asked[at] / max(in_all, 1.0)) for at, room in rooms.items()}
-        positive = sum(kb for kb in rooms.values() if kb > 0)
-        return {at: min(room * parts[at], spare * room / positive) if room > 0 else room for at, room in rooms.items()}
-
     def mates(self, server: Server) -> list[Server]:
         return self.by_rack[server.row.cell % len(self.racks)]
 
     def gives(self, server: Server) -> float:
-        """A link as learned or told; a cold server's is cold too."""
-        if self.whole() and server.link.loads:
-            return server.link.learned()
-        cold, least = self.facts.rules.cold, self.facts.rules.cold_from
-        age = self.now - max(server.row.started_at or LONG_AGO, server.back)
-        return server.link.kb * min(1.0, least + (1 - least) * age / cold)
-
-    def gives_rack(self, rack: Pipe, mates: list[Server]) -> float:
-        """An uplink as told or, once short, as the shortage shows; while nobody is short, a little more."""
+        """A link as told, a cold server's as cold as it is, or as learned: known rate over reported ratio."""
+        link, cold, least = server.link, self.facts.rules.cold, self.facts.rules.cold_from
+        seen = sorted(link.known_at(taken) / ratio for taken, ratio in link.loads
+                      if ratio > 0.25 and taken > self.whole_since) if self.whole() else []
+        if seen:
+            return min(max(seen[len(seen) // 2], link.kb * 0.1), link.kb * 1.6)
+        return link.kb * min(1.0, least + (1 - least) * (self.now - server.started()) / cold)
+
+    def gives_rack(self, rack: Pipe, total: float) -> float:
+        """An uplink as told or, once short, as the shortage showed; while nobody is short, a little more."""
+        since, uplink = rack.short or (self.born, rack.kb)
         if "uplink_asked" in self.facts.report_fields:
             return rack.kb
-        uplink, since, total = rack.kb, self.born, sum(map(self.asked, mates))
-        if rack.loads:
-            since = rack.loads[-1][0]
-            uplink = (rack.known_at(since) if self.whole() else total) / rack.loads[-1][1]
         return min(uplink * (1 + REGAIN * (self.now - since) / SECOND), max(uplink, rack.kb, total * 1.1))
 
     def gain(self, sess: Sess, rung: int) -> float:
         """Utility per rate of the step from the rung below."""
         ladder = self.facts.ladder
-        step = self.rate(sess, rung) - self.rate(sess, rung - 1)
+        step = sess.rate(rung) - sess.rate(rung - 1)
         return sess.group.utility * (ladder.utility[rung] - ladder.utility[rung - 1]) / max(step, 1e-9)
 
-    def size(self, sessions: list[Sess], budget: float, cap: dict[int, int]) -> dict[int, int]:
+    def size(self, sessions: list[Sess], budget: float, caps: list[int]) -> list[int]:
         """The design's loop: all at the lowest rung, then a step for whoever gains most utility per rate."""
-        rungs = {sess.req.req_id: min(sess.group.floor, sess.top) for sess in sessions}
-        budget -= sum(self.rate(sess, rungs[sess.req.req_id]) for sess in sessions)
-        heap = sorted((-self.gain(sess, rungs[sess.req.req_id] + 1), i) for i, sess in enumerate(sessions)
-                      if rungs[sess.req.req_id] < cap[sess.req.req_id])
-        while heap:
-            i = heapq.heappop(heap)[1]
-            sess, rung = sessions[i], rungs[sessions[i].req.req_id] + 1
-            step = self.rate(sess, rung) - self.rate(sess, rung - 1)
-            if step > budget:
-                continue
+        rungs = [min(sess.group.floor, sess.top) for sess in sessions]
+        budget -= sum(sess.rate(rung) for sess, rung in zip(sessions, rungs, strict=True))
+        while True:
+            steps = [(self.gain(sess, rung + 1), -i, sess.rate(rung + 1) - sess.rate(rung))
+                     for i, (sess, rung) in enumerate(zip(sessions, rungs, strict=True)) if rung < caps[i]]
+            _, i, step = max((step for step in steps if step[2] <= budget), default=(0.0, 1, 0.0))
+            if i > 0:
+                return rungs
+            rungs[-i] += 1
             budget -= step
-            rungs[sess.req.req_id] = rung
-            if rung < cap[sess.req.req_id]:
-                heapq.heappush(heap, (-self.gain(sess, rung + 1), i))
-        return rungs
 
     def place(self, sess: Sess) -> Server | None:
         """Size by the holders' pooled idle, take the one with most, cap the rung to fit and size again."""
@@ -430,20 +355,20 @@
         if not open_now:
             return None
         tried = {server for server, _, _ in sess.attempts}
-        fit = [s for s in open_now if s.rested_until() <= self.now]
+        fit = [s for s in open_now if self.rested_until(s) <= self.now]
         fit = ([s for s in fit if s.row.server not in tried] or fit
-               or [min(open_now, key=lambda s: (s.rested_until(), s.row.server))])
-        fit = [s for s in fit if s.told[0] > self.now - TELL_EVERY] or fit
-        idle = self.idles(fit, None)
-        first = self.draw(len(fit))  # fronts that see alike must not all take the same of equals
+               or [min(open_now, key=lambda s: (self.rested_until(s), s.row.server))])
+        fit = list(filter(self.hinted, fit)) or fit
+        idle = self.idles(fit)
+        first = self.chance.draw(len(fit))  # fronts that see alike must not all take the same of equals
         by_idle = sorted(fit[first:] + fit[:first], key=lambda s: -idle[s.row.server])
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
         near = next((s for s in by_idle if s.row.zone == self.facts.zone), best)
         best = near if idle[near.row.server] >= close * idle[best.row.server] > 0 else best
-        pooled, me = sum(max(0.0, kb) for kb in idle.values()), sess.req.req_id
-        sess.rung = self.size([sess], pooled, {me: sess.top})[me]
-        while sess.rung > sess.group.floor and self.rate(sess, sess.rung) > idle[best.row.server]:
-            sess.rung = self.size([sess], pooled, {me: sess.rung - 1})[me]
+        pooled = sum(max(0.0, kb) for kb in idle.values())
+        sess.rung = self.size([sess], pooled, [sess.top])[0]
+        while sess.rung > sess.group.floor and sess.rate(sess.rung) > idle[best.row.server]:
+            sess.rung = self.size([sess], pooled, [sess.rung - 1])[0]
         return best
 
     # The guard: every SETUP passes here, at the moment it is sent
@@ -481,7 +406,7 @@
         perhaps cold (seen down, or we have just begun ourselves): our own sends are spaced by our share.
         """
         rules, fronts = self.facts.rules, self.facts.fronts
-        known = self.now - max(server.row.started_at or LONG_AGO, server.back) < rules.cold
+        known = self.now - server.started() < rules.cold
         if not known and server.lost is None and self.now - self.born >= rules.cold:
             return 0
         per_slot = self.facts.plant.streams[server.row.kind] * rules.cold_from * rules.fall_multiple
@@ -490,8 +415,8 @@
             return server.sent + slot * fronts
         turn, lately = self.now // slot, sum(at > self.now - SECOND for at in self.arrivals) - 1
         rate = max(self.arrival_rate(10 * SECOND), lately)
-        run, since = max(1, min(fronts, int(COLD_USE * SECOND / (slot * rate)))), (turn - self.facts.me) % fronts
-        if since < run and server.sent < (turn - since) * slot:
+        run, since = min(fronts, int(COLD_USE * SECOND / (slot * rate))), (turn - self.facts.me) % fronts
+        if since < max(run, 1) and server.sent < (turn - since) * slot:
             return 0
         return (turn + fronts - since) * slot
 
@@ -507,9 +432,8 @@
     def open(self, req: ev.SessionRequest) -> Sess:
         group = self.facts.groups[req.service_group]
         top = min(req.top, group.top, len(self.facts.ladder.rate_kb) - 1)
-        sess = Sess(req, group, self.now + req.time_left, group.floor, top)
-        self.sessions[req.req_id] = sess
-        return sess
+        sess = Sess(req, group, self.facts.ladder, self.now + req.time_left, group.floor, top)
+        return self.sessions.setdefault(req.req_id, sess)
 
     def session(self, req: ev.SessionRequest) -> Script:
         sess = self.open(req)
@@ -611,31 +535,28 @@
         mine = [s for s in server.sessions.values() if s.began is not None]
         if not mine or server.row.state is ServerState.GONE:
             return []
-        own, asked = self.own(server), max(self.asked(server), 1.0)
+        own, asked = server.own(), max(self.asked(server), 1.0)
         contend = min(self.facts.fronts, max(CROWD, asked / max(own, 1.0)))  # fronts that raise there with us
         room = self.idles([server], 1 / contend)[server.row.server]
         room *= own / max(asked, own) if room < 0 else 1
-        spent = sum(self.rate(s, s.rung) for s in mine)
-        want = self.size(mine, spent + room, {s.req.req_id: s.top for s in mine})
+        spent = sum(s.rate(s.rung) for s in mine)
+        want = zip(mine, self.size(mine, spent + room, [s.top for s in mine]), strict=True)
         changed = []
-        for sess in sorted(mine, key=lambda s: (want[s.req.req_id] > s.rung, self.gain(s, max(s.rung, 1)))):
-            rung, need = want[sess.req.req_id], self.rate(sess, want[sess.req.req_id]) - self.rate(sess, sess.rung)
+        for sess, rung in sorted(want, key=lambda w: (w[1] > w[0].rung, self.gain(w[0], max(w[0].rung, 1)))):
+            need = sess.rate(rung) - sess.rate(sess.rung)
             if (need < 0 and room < 0) or (0 < need <= room and self.earns(sess, rung) > 0):
                 changed.append((sess, rung))
                 room -= need
         return changed
 
-    def left(self, sess: Sess) -> int:
-        played, hint = self.now - (sess.began or self.now), sess.req.length_hint
-        longer = sorted(length for length in self.lengths if length > played)
-        left = longer[len(longer) // 2] - played if longer else max(played, RESIZE_EVERY)
-        return left if hint is None else max(hint - played, 0)
-
     def earns(self, sess: Sess, rung: int) -> float:
         """What a change of rung earns over the time the session is likely to have left, less its cost."""
-        ladder, left = self.facts.ladder, self.left(sess) / SECOND
+        ladder, played, hint = self.facts.ladder, self.now - (sess.began or self.now), sess.req.length_hint
+        longer = sorted(length for length in self.lengths if length > played)
+        left = longer[len(longer) // 2] - played if longer else max(played, RESIZE_EVERY)
+        left = left if hint is None else max(hint - played, 0)
         more = ladder.utility[rung] - ladder.utility[sess.rung]
-        return sess.group.utility * (more * left - PAYS * ladder.switch_cost_s)
+        return sess.group.utility * (more * left / SECOND - PAYS * ladder.switch_cost_s)
 
     def inquire(self, sess: Sess) -> Script:
         """Guards against placing blind, where the account is not whole: asks a hub, else probes two holders.
@@ -646,13 +567,13 @@
         yield from self.ask(words.AskHolders(req.home, req.span, self.facts.zone), until)
         if self.whole() or not self.facts.permissions.probes or (self.asks and not self.deaf):
             return
-        open_now = [s for s in self.servers.values() if not self.barred(sess, s) and s.rested_until() <= self.now]
+        open_now = [s for s in self.servers.values()
+                    if not self.barred(sess, s) and self.rested_until(s) <= self.now]
         near = [s for s in open_now if s.row.zone == self.facts.zone] or open_now
-        first, wanted = self.draw(max(len(near), 1)), 0
+        first = self.chance.draw(max(len(near), 1))
         for server in (near[first:] + near[:first])[:2]:
             yield act.Probe(server.row.server)
-            wanted += 1
-        if wanted:
+        if near:
             yield act.Wait(until)
 
     def ask(self, question: words.Word, until: int) -> Script:
@@ -671,19 +592,21 @@
         while True:
             got = yield act.Listen(None)
             word = words.unpack(got.payload) if isinstance(got, ev.PeerMessage) and self.whole() else None
-            if not isinstance(got, ev.PeerMessage) or not isinstance(word, words.AskOurs | words.AskHolders):
-                continue
-            about = [s for s in self.servers.values() if s.row.state is ServerState.READY]
-            if isinstance(word, words.AskOurs):
-                about = [s for s in about if s.peers.get(got.peer)]
-            idle = self.idles(about)
-            if isinstance(word, words.AskHolders):
-                about = sorted((s for s in about if (s.row.cell - word.home) % self.facts.plant.cells < word.span
-                                and s.rested_until() <= self.now), key=lambda s: -idle[s.row.server])
-                cold = [s for s in about if self.paced_until(s)]
-                warm = [s for s in about if s not in cold]
-                near = [s for s in warm if s.row.zone == word.zone]
-                about = list({s.row.server: s for s in (*warm[:4], *near[:4], *cold[:2])}.values())
+            ready = [s for s in self.servers.values() if s.row.state is ServerState.READY]
+            match got, word:
+                case ev.PeerMessage(), words.AskOurs():
+                    about = [s for s in ready if s.peers.get(got.peer)]
+                    idle = self.idles(about, 1.0)
+                case ev.PeerMessage(), words.AskHolders(home, span, zone):
+                    about = [s for s in ready if self.rested_until(s) <= self.now
+                             and (s.row.cell - home) % self.facts.plant.cells < span]
+                    idle = self.idles(about, 1.0)
+                    about.sort(key=lambda s: -idle[s.row.server])
+                    warm = [s for s in about if not self.paced_until(s)]
+                    near, cold = [s for s in warm if s.row.zone == zone], [s for s in about if s not in warm]
+                    about = list({s.row.server: s for s in (*warm[:4], *near[:4], *cold[:2])}.values())
+                case _:
+                    continue
             rooms = [words.Room(s.row.server, idle[s.row.server], self.asked(s), s.peers.get(got.peer, 0.0))
                      for s in about]
             for message in words.pack(words.Answer(tuple(rooms))):
@@ -696,7 +619,8 @@
             if ready and not self.deaf:
                 first = len(ready) * self.facts.me // self.facts.fronts
                 yield act.Probe(ready[(first + turn) % len(ready)].row.server)
-            per_s = self.arrival_rate(30 * SECOND) * PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
+            worth = PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
+            per_s = self.arrival_rate(30 * SECOND) * worth
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
 
     def tell(self, servers: list[Server], whole: bool) -> Script:
@@ -704,7 +628,7 @@
         rates = []
         for server in servers:
             told = [words.Sample(s[1], self.now - s[0]) if s else None for s in (server.heard, server.felt)]
-            server.said, server.heard, server.felt = self.own(server), None, None
+            server.said, server.heard, server.felt = server.own(), None, None
             rates.append(words.Rate(server.row.server, server.said, *told))
         for message in words.pack(words.Telling(tuple(rates), whole)):
             for hub in self.hubs:
@@ -715,7 +639,7 @@
         for turn in itertools.count():
             whole = turn % ALL_EVERY == 0
             yield from self.tell([s for s in self.servers.values() if s.heard or s.felt
-                                  or s.said != self.own(s) or (whole and s.sessions)], whole)
+                                  or s.said != s.own() or (whole and s.sessions)], whole)
             yield act.Wait(self.now + TELL_EVERY)
 
     def watch(self) -> Script:
@@ -724,4 +648,4 @@
             self.watching = True
             while self.watching:
                 yield act.Wait(self.now + SECOND)
-            yield act.Wait(self.now + SECOND + self.draw(SECOND))
+            yield act.Wait(self.now + SECOND + self.chance.draw(SECOND))
