--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -47,8 +47,6 @@
 
 
 class Front:
-    """The decisions of one front."""
-
     def __init__(self, facts: SiteFacts, now: int) -> None:
         self.facts, self.now, self.born, self.chance = facts, now, now, Chance(facts.seed)
         self.servers: dict[int, Server] = {}
@@ -59,15 +57,14 @@
         self.arrivals: list[int] = []               # when the last requests came
         self.taken: list[int] = []                  # requests within the budget's span
         self.resent: list[int] = []                 # further SETUPs within it
-        self.watching = False
         self.heard: dict[int, int] = {}             # when each other front last spoke
         self.by_rack: list[list[Server]] = [[] for _ in self.racks]
         tells = range(min(HUBS, facts.fronts)) if facts.permissions.messages else ()
         self.hubs = [hub for hub in tells if hub != facts.me]
         self.asks = bool(self.hubs) and facts.me >= HUBS
-        self.hub, self.answered, self.deaf = facts.me % HUBS, now, False
+        self.hub, self.answered, self.deaf, self.watching = facts.me % HUBS, now, False, False
+        self.outlook: tuple[bool, float | None] = (False, None)  # as last viewed
         self.viewed, self.whole_since = LONG_AGO, now
-        self.outlook: tuple[bool, float | None] = (False, None)
         self.parts = [max(part, 1 / facts.fronts) for part in (KNOWN_PART, GUESSED_PART)]
 
     def clock(self, now: int) -> None:
@@ -79,8 +76,7 @@
         It covers overloaded and cut-off ones too. It may harm where set-ups fail by chance everywhere: then
         all rest, and the holder whose rest ends first is taken."""
         bad = sum(not well for _, well in server.ends)
-        ends = server.ends[-1] if server.ends else (0, True)
-        return ends[0] + REST * (1 << min(bad - 1, 3)) if not ends[1] else 0
+        return server.ends[-1][0] + REST * (1 << min(bad - 1, 3)) if bad and not server.ends[-1][1] else 0
 
     def observe(self, event: ev.Event) -> None:
         match event:
@@ -103,9 +99,8 @@
                 self.learn_report(server, event.report)
             case ev.PeerMessage():
                 self.learn_word(event)
-            case ev.ViewerLeft():
-                if sess := self.sessions.get(event.req_id):
-                    sess.over = True
+            case ev.ViewerLeft() if event.req_id in self.sessions:
+                self.sessions[event.req_id].over = True
 
     def learn_list(self, news: ev.ServerNews) -> None:
         self.watching = news.scope is not ev.NewsScope.FAILED
@@ -120,10 +115,8 @@
                 held.ends, held.notes, held.link.loads, held.lost = [], [], [], None
             held.row = row
             held.link.kb = row.weight * self.facts.plant.kb_per_weight
-        self.by_rack = [[] for _ in self.racks]
-        for server in self.servers.values():
-            if server.row.state is not ServerState.GONE:
-                self.by_rack[server.row.cell % len(self.racks)].append(server)
+        running = [s for s in self.servers.values() if s.row.state is not ServerState.GONE]
+        self.by_rack = [[s for s in running if self.rack(s) is rack] for rack in self.racks]
 
     def judge(self, server: Server, well: bool) -> None:
         server.ends = [*server.ends[-5:], (self.now, well)]
@@ -171,8 +164,7 @@
         """Guards against titles above their rung and reports that are late, missing or stop at full.
 
         The milder of the last two notes counts, so that a brief pause, which fills one, diverts nobody.
-        Most of a rack's servers short at once are short of uplink unless most of their links are full.
-        """
+        Most of a rack's servers short at once are short of uplink unless most of their links are full."""
         server.notes = [*server.notes[-1:], (taken, share)]
         mild = max(share for _, share in server.notes)
         if share >= 0.98:  # what is delivered in full is not short: reports that it was are void
@@ -187,8 +179,7 @@
             return  # the link is reported to have room, and the uplink is reported as well
         full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
-            reported = last[1] if last[0] > taken - MISSING else 0.0
-            self.load(server.link, taken, max(1 / max(mild, 0.1), reported))
+            self.load(server.link, taken, 1 / max(mild, 0.1))
         elif "uplink_asked" not in self.facts.report_fields:
             rack = self.rack(server)
             asked = rack.known_at(taken) if self.whole() else sum(map(self.asked, self.mates(server)))
@@ -206,7 +197,7 @@
 
     def learn_word(self, message: ev.PeerMessage) -> None:
         word, recent = words.unpack(message.payload), self.now - 4 * TELL_EVERY
-        if isinstance(word, words.Answer):
+        if isinstance(word, words.Answer) and self.asks:
             self.answered, self.deaf = self.now, False
             for room in word.rooms:
                 if (server := self.servers.get(room.server)) is not None:
@@ -237,10 +228,9 @@
         return bool(server.link.loads) and server.link.loads[-1][0] > self.now - 2 * MISSING
 
     def unknown(self, pipe: Pipe) -> float:
-        """What others ask, by the last reports: each speaks of its moment, so what was known then is off."""
-        late = [(taken, ratio) for taken, ratio in pipe.loads if taken >= pipe.loads[-1][0] - 3 * SECOND]
-        others = [(1 << i) * (ratio * pipe.kb - pipe.known_at(at)) for i, (at, ratio) in enumerate(late)]
-        return sum(others) / ((1 << len(late)) - 1)
+        """What others ask, by the last report: it speaks of its moment, so what was known then is off."""
+        taken, ratio = pipe.loads[-1]
+        return ratio * pipe.kb - pipe.known_at(taken)
 
     def book(self, server: Server) -> None:
         """What we know to be asked of a link and of its rack's uplink has changed."""
@@ -251,11 +241,10 @@
         rack.known = [*rack.known[-99:], (self.now, in_all)]
 
     def whole(self) -> bool:
-        """Whether most other fronts' rates are known, so that all that is asked is."""
         return self.view()[0]
 
     def view(self) -> tuple[bool, float | None]:
-        """Whether the account is whole, and the fleet's usual load; worked out once a moment."""
+        """Whether most fronts' rates are known, so that all that is asked is, and the fleet's usual load."""
         if self.viewed != self.now:
             heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
             whole = self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1)
@@ -301,11 +290,9 @@
             spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
-                over = min(room, spare * asked[at] / max(in_all, 1.0))
-                found[at] = over if spare < 0 else room
-                if room > 0 and spare >= 0:
-                    guessed = not self.whole() and not self.fresh(self.servers[at])
-                    found[at] = min(room * (part or self.parts[guessed]), spare * room / positive)
+                blind = not self.whole() and not self.fresh(self.servers[at])
+                ours = min(room * (part or self.parts[blind]), spare * room / positive) if room > 0 else room
+                found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
             room = server.told[1] - server.own()
             found[server.row.server] = room * (part or self.parts[0]) if room > 0 else room
@@ -354,9 +341,8 @@
         open_now = [s for s in self.servers.values() if not self.barred(sess, s)]
         if not open_now:
             return None
-        tried = {server for server, _, _ in sess.attempts}
         fit = [s for s in open_now if self.rested_until(s) <= self.now]
-        fit = ([s for s in fit if s.row.server not in tried] or fit
+        fit = ([s for s in fit if all(s.row.server != at for at, _, _ in sess.attempts)] or fit
                or [min(open_now, key=lambda s: (self.rested_until(s), s.row.server))])
         fit = list(filter(self.hinted, fit)) or fit
         idle = self.idles(fit)
@@ -374,9 +360,9 @@
     # The guard: every SETUP passes here, at the moment it is sent
 
     def barred(self, sess: Sess, server: Server, paced: bool = True) -> bool:
-        row, plant = server.row, self.facts.plant
+        row = server.row
         return (row.state is not ServerState.READY
-                or (row.cell - sess.req.home) % plant.cells >= sess.req.span
+                or (row.cell - sess.req.home) % self.facts.plant.cells >= sess.req.span
                 or self.spent(sess)
                 or not self.may_repeat(sess, server)
                 or 0 < sess.group.seats <= self.seats.get(sess.seat(), 0)
@@ -403,8 +389,7 @@
         """When this front may next send to a server that is cold, or may be.
 
         Known to be cold: time is cut into slots that each hold one set-up, and the fronts take turns. Only
-        perhaps cold (seen down, or we have just begun ourselves): our own sends are spaced by our share.
-        """
+        perhaps cold (seen down, or we have just begun ourselves): our own sends are spaced by our share."""
         rules, fronts = self.facts.rules, self.facts.fronts
         known = self.now - server.started() < rules.cold
         if not known and server.lost is None and self.now - self.born >= rules.cold:
@@ -421,13 +406,11 @@
         return (turn + fronts - since) * slot
 
     def arrival_rate(self, span: int) -> float:
-        """Our requests a second over the last while, this one included."""
         return max(sum(at > self.now - span for at in self.arrivals), 1) * SECOND / span
 
     def may_refuse(self, sess: Sess) -> bool:
-        ran, group = any(end not in NEVER_RAN for _, _, end in sess.attempts), sess.group
-        known = group.effect is Effect.KEYED and group.scope is Scope.ALL
-        return not ran or known or group.effect is Effect.SAFE
+        return (all(end in NEVER_RAN for _, _, end in sess.attempts) or sess.group.effect is Effect.SAFE
+                or (sess.group.effect, sess.group.scope) == (Effect.KEYED, Scope.ALL))
 
     def open(self, req: ev.SessionRequest) -> Sess:
         group = self.facts.groups[req.service_group]
@@ -481,8 +464,7 @@
     def patience(self, sess: Sess) -> int:
         """A set-up timeout that leaves time for another holder before the start target, if it can."""
         left = sess.deadline - self.now
-        last = len(sess.attempts) + 1 >= self.facts.permissions.max_attempts
-        if last or sess.group.effect is Effect.UNSAFE:
+        if sess.group.effect is Effect.UNSAFE or len(sess.attempts) > self.facts.permissions.max_attempts - 2:
             return left
         target = sess.deadline - sess.req.time_left + sess.group.start_target
         return min(left, max((target - self.now) * 45 // 100, sess.group.start_target // 5))
@@ -524,30 +506,25 @@
             if self.sessions:
                 yield from self.ask(words.AskOurs(), self.now + ASK_WAIT)
             for server in [s for s in self.servers.values() if s.sessions]:
-                for sess, rung in self.resized(server):
-                    sess.rung = rung
-                    yield act.SetRung(sess.req.req_id, rung)
-                self.book(server)
+                yield from self.resize(server)
             yield act.Wait(next_time)
 
-    def resized(self, server: Server) -> list[tuple[Sess, int]]:
+    def resize(self, server: Server) -> Script:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
         mine = [s for s in server.sessions.values() if s.began is not None]
-        if not mine or server.row.state is ServerState.GONE:
-            return []
         own, asked = server.own(), max(self.asked(server), 1.0)
         contend = min(self.facts.fronts, max(CROWD, asked / max(own, 1.0)))  # fronts that raise there with us
         room = self.idles([server], 1 / contend)[server.row.server]
         room *= own / max(asked, own) if room < 0 else 1
         spent = sum(s.rate(s.rung) for s in mine)
         want = zip(mine, self.size(mine, spent + room, [s.top for s in mine]), strict=True)
-        changed = []
         for sess, rung in sorted(want, key=lambda w: (w[1] > w[0].rung, self.gain(w[0], max(w[0].rung, 1)))):
             need = sess.rate(rung) - sess.rate(sess.rung)
             if (need < 0 and room < 0) or (0 < need <= room and self.earns(sess, rung) > 0):
-                changed.append((sess, rung))
+                sess.rung = rung
                 room -= need
-        return changed
+                yield act.SetRung(sess.req.req_id, rung)
+        self.book(server)
 
     def earns(self, sess: Sess, rung: int) -> float:
         """What a change of rung earns over the time the session is likely to have left, less its cost."""
@@ -562,8 +539,7 @@
         """Guards against placing blind, where the account is not whole: asks a hub, else probes two holders.
 
         It covers hubs that are gone, and messages that are lost. It may harm where answers are slow."""
-        req = sess.req
-        until = min(self.now + ASK_WAIT, sess.deadline)
+        req, until = sess.req, min(self.now + ASK_WAIT, sess.deadline)
         yield from self.ask(words.AskHolders(req.home, req.span, self.facts.zone), until)
         if self.whole() or not self.facts.permissions.probes or (self.asks and not self.deaf):
             return
@@ -588,7 +564,7 @@
             self.hub, self.deaf = (self.hub + 1) % HUBS, True
 
     def answering(self) -> Script:
-        """A hub's answers: some of the best holders, in all and in the asker's zone, cold ones apart."""
+        """A hub's answers: the best holders, the asker's zone first, and the best cold ones."""
         while True:
             got = yield act.Listen(None)
             word = words.unpack(got.payload) if isinstance(got, ev.PeerMessage) and self.whole() else None
@@ -601,14 +577,13 @@
                     about = [s for s in ready if self.rested_until(s) <= self.now
                              and (s.row.cell - home) % self.facts.plant.cells < span]
                     idle = self.idles(about, 1.0)
-                    about.sort(key=lambda s: -idle[s.row.server])
-                    warm = [s for s in about if not self.paced_until(s)]
-                    near, cold = [s for s in warm if s.row.zone == zone], [s for s in about if s not in warm]
-                    about = list({s.row.server: s for s in (*warm[:4], *near[:4], *cold[:2])}.values())
+                    about.sort(key=lambda s: -idle[s.row.server] * (1.0 if s.row.zone == zone else NEAR))
+                    cold = [s for s in about if self.paced_until(s)]
+                    about = [s for s in about if s not in cold][:8] + cold[:2]
                 case _:
                     continue
-            rooms = [words.Room(s.row.server, idle[s.row.server], self.asked(s), s.peers.get(got.peer, 0.0))
-                     for s in about]
+            rooms = (words.Room(s.row.server, idle[s.row.server], self.asked(s), s.peers.get(got.peer, 0.0))
+                     for s in about)
             for message in words.pack(words.Answer(tuple(rooms))):
                 yield act.Tell(got.peer, message)
 
@@ -624,7 +599,6 @@
             yield act.Wait(self.now + max(SECOND // 10, int(SECOND / per_s)))
 
     def tell(self, servers: list[Server], whole: bool) -> Script:
-        """Tell the hubs our rates, and what came to us alone."""
         rates = []
         for server in servers:
             told = [words.Sample(s[1], self.now - s[0]) if s else None for s in (server.heard, server.felt)]
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -66,7 +66,8 @@
         total, streams = 0.0, set()
         for sess in self.sessions.values():
             stream = (*sess.seat(), sess.rung)
-            total += sess.rate(sess.rung) * (sess.ladder.join if sess.group.live and stream in streams else 1.0)
+            shared = sess.group.live and stream in streams
+            total += sess.rate(sess.rung) * (sess.ladder.join if shared else 1.0)
             streams.add(stream)
         return total
 
