--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -351,6 +351,9 @@
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
         near = next((s for s in by_idle if s.row.zone == self.facts.zone), best)
         best = near if idle[near.row.server] >= close * idle[best.row.server] > 0 else best
+        playing = [s for s in self.sessions.values() if s.began is not None]
+        if idle[best.row.server] < 0 and sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
+            return None  # nobody could be cut to make room
         pooled = sum(max(0.0, kb) for kb in idle.values())
         sess.rung = self.size([sess], pooled, [sess.top])[0]
         while sess.rung > sess.group.floor and sess.rate(sess.rung) > idle[best.row.server]:
@@ -433,7 +436,7 @@
             if server is None:
                 later = [s for s in self.servers.values() if not self.barred(sess, s, paced=False)]
                 chance = min(map(self.paced_until, later), default=sess.deadline)
-                if chance >= sess.deadline:
+                if not self.now < chance < sess.deadline:
                     break
                 got: Resumed = yield act.Wait(chance)
             else:
