Cut a part under half a step by chance; uplinks unheard of count as full as those heard of

Change: a cut of which our part is under half a step is made by chance, so that fronts together cut twice the excess at most. Uplinks without a report are guessed from the others.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -177,7 +177,7 @@
         last = server.link.loads[-1] if server.link.loads else (0, 0.0)
         if last[0] > taken - MISSING and last[1] < 0.9 and "uplink_asked" in self.facts.report_fields:
             return  # the link is reported to have room, and the uplink is reported as well
-        full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m))
+        full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m.link))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
             self.load(server.link, taken, 1 / max(mild, 0.1))
         elif "uplink_asked" not in self.facts.report_fields:
@@ -224,8 +224,8 @@
     def load(self, pipe: Pipe, taken: int, ratio: float) -> None:
         pipe.loads = [*pipe.loads[-2:], (taken, ratio)]
 
-    def fresh(self, server: Server) -> bool:
-        return bool(server.link.loads) and server.link.loads[-1][0] > self.now - 2 * MISSING
+    def fresh(self, pipe: Pipe) -> bool:
+        return bool(pipe.loads) and pipe.loads[-1][0] > self.now - 2 * MISSING
 
     def unknown(self, pipe: Pipe) -> float:
         """What others ask, by the last report: it speaks of its moment, so what was known then is off."""
@@ -249,7 +249,7 @@
             heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
             whole = self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1)
             self.whole_since = self.now if whole and not self.outlook[0] else self.whole_since
-            loads = [s.link.loads[-1][1] for s in self.servers.values() if self.fresh(s)]
+            loads = [s.link.loads[-1][1] for s in self.servers.values() if self.fresh(s.link)]
             self.viewed, self.outlook = self.now, (whole, sum(loads) / len(loads) if loads else None)
         return self.outlook
 
@@ -263,7 +263,7 @@
         known = server.link.known[-1][1]
         if self.whole():
             return known
-        if self.fresh(server):
+        if self.fresh(server.link):
             return max(server.own(), self.unknown(server.link) + known)
         if (usual := self.view()[1]) is not None:
             age = (self.now - server.started()) / (3 * self.facts.rules.cold)
@@ -285,12 +285,14 @@
             asked = {s.row.server: self.asked(s) for s in mates}
             rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
             total = in_all = sum(asked.values())
-            if "uplink_asked" in self.facts.report_fields and rack.loads:
+            if "uplink_asked" in self.facts.report_fields and self.fresh(rack):
                 total = self.unknown(rack) + rack.known[-1][1]
+            elif heard := [r.loads[-1][1] for r in self.racks if self.fresh(r)]:
+                total = rack.kb * sum(heard) / len(heard)
             spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
-                blind = not self.whole() and not self.fresh(self.servers[at])
+                blind = not self.whole() and not self.fresh(self.servers[at].link)
                 ours = min(room * (part or self.parts[blind]), spare * room / positive) if room > 0 else room
                 found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
@@ -523,7 +525,8 @@
         want = zip(mine, self.size(mine, spent + room, [s.top for s in mine]), strict=True)
         for sess, rung in sorted(want, key=lambda w: (w[1] > w[0].rung, self.gain(w[0], max(w[0].rung, 1)))):
             need = sess.rate(rung) - sess.rate(sess.rung)
-            if (need < 0 and room < 0) or (0 < need <= room and self.earns(sess, rung) > 0):
+            cut = need < 0 and room < 0 and self.chance.draw(1000) * need > room * 2000  # under half a step by chance
+            if cut or (0 < need <= room and self.earns(sess, rung) > 0):
                 sess.rung = rung
                 room -= need
                 yield act.SetRung(sess.req.req_id, rung)
