--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -9,8 +9,9 @@
 1. the guard: the six rules, at the one place that every SETUP passes (`Front.barred`);
 2. health: a server that fails is rested, then tried by one session at a time (`rested_until`);
 3. further SETUPs: set-up timeouts that leave room for another holder (`Front.patience`);
-4. fronts' word: rates and reports told to a few hubs, which answer who asks (`Front.telling`, `answering`);
-5. an inquiry before a placement, of a hub or of two holders, where the account is not whole (`inquire`).
+4. fronts' word: rates and reports told to a few hubs, which answer who asks (`telling`, `answering`);
+5. an inquiry before a placement, of a hub or of two holders, where the account is not whole (`inquire`);
+6. a busy-reply where no holder has room and most of our sessions are at the lowest rung (`place`).
 """
 
 import itertools
@@ -174,9 +175,6 @@
         played = [m for m in self.mates(server) if m.sessions or any(m.peers.values())]
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
-        last = server.link.loads[-1] if server.link.loads else (0, 0.0)
-        if last[0] > taken - MISSING and last[1] < 0.9 and "uplink_asked" in self.facts.report_fields:
-            return  # the link is reported to have room, and the uplink is reported as well
         full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m.link))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
             self.load(server.link, taken, 1 / max(mild, 0.1))
@@ -256,8 +254,8 @@
     def asked(self, server: Server) -> float:
         """What is asked of a link: a hub's word, or the last reports and what we know to have changed since.
 
-        Guards against old word of shortage: long without a report, a server counts as full as those with one,
-        or nobody is sent there to bring news. It may harm where the silent ones are the full ones."""
+        Guards against old word: long unheard of, a server counts as full as those with a report, one started
+        since as emptier, or nobody is sent to bring news. It may harm where the silent are the full ones."""
         if self.hinted(server):
             return server.told[2] + server.own()
         known = server.link.known[-1][1]
@@ -268,8 +266,7 @@
         if (usual := self.view()[1]) is not None:
             age = (self.now - server.started()) / (3 * self.facts.rules.cold)
             return max(server.own(), server.link.kb * usual * min(1.0, age))
-        ours = sum(s.own() for s in self.servers.values()) * self.facts.fronts / len(self.servers)
-        return max(known, 0.0 if server.peers else ours)
+        return max(known, sum(s.own() for s in self.servers.values()) * self.facts.fronts / len(self.servers))
 
     def hinted(self, server: Server) -> bool:
         return server.told[0] > self.now - TELL_EVERY
@@ -287,8 +284,6 @@
             total = in_all = sum(asked.values())
             if "uplink_asked" in self.facts.report_fields and self.fresh(rack):
                 total = self.unknown(rack) + rack.known[-1][1]
-            elif heard := [r.loads[-1][1] for r in self.racks if self.fresh(r)]:
-                total = rack.kb * sum(heard) / len(heard)
             spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
@@ -355,7 +350,7 @@
         best = near if idle[near.row.server] >= close * idle[best.row.server] > 0 else best
         playing = [s for s in self.sessions.values() if s.began is not None]
         if idle[best.row.server] < 0 and sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
-            return None  # nobody could be cut to make room
+            return None  # few could be cut to make room: one more costs the others more than it earns
         pooled = sum(max(0.0, kb) for kb in idle.values())
         sess.rung = self.size([sess], pooled, [sess.top])[0]
         while sess.rung > sess.group.floor and sess.rate(sess.rung) > idle[best.row.server]:
@@ -365,9 +360,8 @@
     # The guard: every SETUP passes here, at the moment it is sent
 
     def barred(self, sess: Sess, server: Server, paced: bool = True) -> bool:
-        row = server.row
-        return (row.state is not ServerState.READY
-                or (row.cell - sess.req.home) % self.facts.plant.cells >= sess.req.span
+        return (server.row.state is not ServerState.READY
+                or (server.row.cell - sess.req.home) % self.facts.plant.cells >= sess.req.span
                 or self.spent(sess)
                 or not self.may_repeat(sess, server)
                 or 0 < sess.group.seats <= self.seats.get(sess.seat(), 0)
@@ -442,12 +436,11 @@
                     break
                 got: Resumed = yield act.Wait(chance)
             else:
-                timeout = self.patience(sess)
                 self.commit(sess, server)
                 yield from self.tell([server], False)
                 if sess.top >= sess.group.floor:
                     yield act.SetRung(req_id, sess.rung)
-                got = yield act.Setup(req_id, server.row.server, timeout)
+                got = yield act.Setup(req_id, server.row.server, self.patience(sess))
             if isinstance(got, ev.Started):
                 sess.began = self.now
                 yield act.Play()
@@ -469,7 +462,7 @@
     def patience(self, sess: Sess) -> int:
         """A set-up timeout that leaves time for another holder before the start target, if it can."""
         left = sess.deadline - self.now
-        if sess.group.effect is Effect.UNSAFE or len(sess.attempts) > self.facts.permissions.max_attempts - 2:
+        if sess.group.effect is Effect.UNSAFE or len(sess.attempts) >= self.facts.permissions.max_attempts:
             return left
         target = sess.deadline - sess.req.time_left + sess.group.start_target
         return min(left, max((target - self.now) * 45 // 100, sess.group.start_target // 5))
@@ -499,8 +492,8 @@
             self.sessions.pop(sess.req.req_id, None)
 
     def upkeep(self) -> Iterable[Script]:
-        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch),
-                  (self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF, self.probing),
+        probes = self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF
+        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch), (probes, self.probing),
                   (self.hubs, self.telling), (self.hubs and not self.asks, self.answering)]
         return [script() for want, script in wanted if want]
 
@@ -525,7 +518,7 @@
         want = zip(mine, self.size(mine, spent + room, [s.top for s in mine]), strict=True)
         for sess, rung in sorted(want, key=lambda w: (w[1] > w[0].rung, self.gain(w[0], max(w[0].rung, 1)))):
             need = sess.rate(rung) - sess.rate(sess.rung)
-            cut = need < 0 and room < 0 and self.chance.draw(1000) * need > room * 2000  # under half a step by chance
+            cut = need < 0 and room < 0 and self.chance.draw(1000) * need > room * 2000  # little: by chance
             if cut or (0 < need <= room and self.earns(sess, rung) > 0):
                 sess.rung = rung
                 room -= need
@@ -555,8 +548,7 @@
         first = self.chance.draw(max(len(near), 1))
         for server in (near[first:] + near[:first])[:2]:
             yield act.Probe(server.row.server)
-        if near:
-            yield act.Wait(until)
+        yield act.Wait(until)
 
     def ask(self, question: words.Word, until: int) -> Script:
         """Ask a hub and wait a little; one that does not answer is given up for the next, without a wait."""
