--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -518,8 +518,8 @@
         want = zip(mine, self.size(mine, spent + room, [s.top for s in mine]), strict=True)
         for sess, rung in sorted(want, key=lambda w: (w[1] > w[0].rung, self.gain(w[0], max(w[0].rung, 1)))):
             need = sess.rate(rung) - sess.rate(sess.rung)
-            cut = need < 0 and room < 0 and self.chance.draw(1000) * need > room * 2000  # little: by chance
-            if cut or (0 < need <= room and self.earns(sess, rung) > 0):
+            sure = contend <= CROWD or self.chance.draw(1000) * need > room * 2000  # many: by chance
+            if (need < 0 and room < 0 and sure) or (0 < need <= room and self.earns(sess, rung) > 0):
                 sess.rung = rung
                 room -= need
                 yield act.SetRung(sess.req.req_id, rung)
