Change no rung of a playing session while its server's load is only guessed

While no hub answers a front guessed its own servers' load from the fleet's and raised and cut on it. Change: a resize needs the whole account, a hub's word or a report of that server.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -509,7 +509,8 @@
 
     def resize(self, server: Server) -> Script:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
-        mine = [s for s in server.sessions.values() if s.began is not None]
+        known = self.whole() or self.hinted(server) or self.fresh(server.link)  # nothing changes on a guess
+        mine = [s for s in server.sessions.values() if s.began is not None] if known else []
         own, asked = server.own(), max(self.asked(server), 1.0)
         contend = min(self.facts.fronts, max(CROWD, asked / max(own, 1.0)))  # fronts that raise there with us
         room = self.idles([server], 1 / contend)[server.row.server]
