--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -264,7 +264,7 @@
         if self.fresh(server.link):
             return max(server.own(), self.unknown(server.link) + known)
         if (usual := self.view()[1]) is not None:
-            age = (self.now - server.started()) / (3 * self.facts.rules.cold)
+            age = (self.now - server.started()) / self.facts.rules.cold
             return max(server.own(), server.link.kb * usual * min(1.0, age))
         return max(known, sum(s.own() for s in self.servers.values()) * self.facts.fronts / len(self.servers))
 
