--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -64,7 +64,7 @@
         self.hubs = [hub for hub in tells if hub != facts.me]
         self.asks = bool(self.hubs) and facts.me >= HUBS
         self.hub, self.answered, self.deaf, self.watching = facts.me % HUBS, now, False, False
-        self.outlook: tuple[bool, float | None] = (False, None)  # as last viewed
+        self.outlook = (False, 0.0)
         self.viewed, self.whole_since = LONG_AGO, now
         self.parts = [max(part, 1 / facts.fronts) for part in (KNOWN_PART, GUESSED_PART)]
 
@@ -241,14 +241,17 @@
     def whole(self) -> bool:
         return self.view()[0]
 
-    def view(self) -> tuple[bool, float | None]:
+    def view(self) -> tuple[bool, float]:
         """Whether most fronts' rates are known, so that all that is asked is, and the fleet's usual load."""
         if self.viewed != self.now:
             heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
             whole = self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1)
             self.whole_since = self.now if whole and not self.outlook[0] else self.whole_since
             loads = [s.link.loads[-1][1] for s in self.servers.values() if self.fresh(s.link)]
-            self.viewed, self.outlook = self.now, (whole, sum(loads) / len(loads) if loads else None)
+            if not loads:  # nothing is heard at all: the other fronts are taken to ask as much as we do
+                ours = sum(s.own() for s in self.servers.values()) * self.facts.fronts
+                loads = [ours / max(sum(s.link.kb for s in self.servers.values()), 1.0)]
+            self.viewed, self.outlook = self.now, (whole, sum(loads) / len(loads))
         return self.outlook
 
     def asked(self, server: Server) -> float:
@@ -263,10 +266,8 @@
             return known
         if self.fresh(server.link):
             return max(server.own(), self.unknown(server.link) + known)
-        if (usual := self.view()[1]) is not None:
-            age = (self.now - server.started()) / self.facts.rules.cold
-            return max(server.own(), server.link.kb * usual * min(1.0, age))
-        return max(known, sum(s.own() for s in self.servers.values()) * self.facts.fronts / len(self.servers))
+        age = (self.now - server.started()) / self.facts.rules.cold
+        return max(server.own(), server.link.kb * self.view()[1] * min(1.0, age))
 
     def hinted(self, server: Server) -> bool:
         return server.told[0] > self.now - TELL_EVERY
