An arrival takes a third of the idle where only reports are heard

A report is a second old and others act on it too. Change: a half where all that is asked is known, a third where a report was heard, a quarter on a guess.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -39,8 +39,8 @@
 ALL_EVERY = 8             # so many tellings, all is told and not only what changed
 HUBS = 3                  # fronts that are told of all sessions: the first by number
 ASK_WAIT = SECOND // 12   # how long an answer of a hub or a probe is waited for
-KNOWN_PART = 0.5          # of a holder's idle, that an arrival takes
-GUESSED_PART = 0.25       # the same, where its load is not known but guessed
+# Of a holder's idle an arrival takes: where all that is asked is known, where a report was heard, and on a guess
+PARTS = (0.5, 0.34, 0.25)
 COLD_USE = 0.4            # of a cold server's pace, that the fronts expect to use together
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
 REST = SECOND             # a failing server's first rest; doubled with each further failure
@@ -66,7 +66,7 @@
         self.hub, self.answered, self.deaf, self.watching = facts.me % HUBS, now, False, False
         self.outlook = (False, 0.0)
         self.viewed, self.whole_since = LONG_AGO, now
-        self.parts = [max(part, 1 / facts.fronts) for part in (KNOWN_PART, GUESSED_PART)]
+        self.parts = [max(part, 1 / facts.fronts) for part in PARTS]
 
     def clock(self, now: int) -> None:
         self.now = now
@@ -288,7 +288,7 @@
             spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
-                blind = not self.whole() and not self.fresh(self.servers[at].link)
+                blind = 0 if self.whole() else 1 if self.fresh(self.servers[at].link) else 2
                 ours = min(room * (part or self.parts[blind]), spare * room / positive) if room > 0 else room
                 found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
