--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -39,7 +39,7 @@
 ALL_EVERY = 8             # so many tellings, all is told and not only what changed
 HUBS = 3                  # fronts that are told of all sessions: the first by number
 ASK_WAIT = SECOND // 12   # how long an answer of a hub or a probe is waited for
-# Of a holder's idle an arrival takes: where all that is asked is known, where a report was heard, and on a guess
+# Of a holder's idle an arrival takes: where all that is asked is known, where a report came, and on a guess
 PARTS = (0.5, 0.34, 0.25)
 COLD_USE = 0.4            # of a cold server's pace, that the fronts expect to use together
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
