--- /dev/null
+++ b/ponddoor/cli.py
@@ -0,0 +1,361 @@
+"""The command line.
+
+Exit codes: 0 done; 1 a rule broken, or what was asked did not come about; 2 input that can't be used, with all
+its problems on standard error."""
+
+import asyncio
+import logging
+import signal
+import sys
+import tempfile
+from collections.abc import Callable, Coroutine
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import structlog
+
+from ponddoor.settings.sexpr import SettingsError
+
+
+def log_to(style: str, level: str) -> None:
+    """Lines on standard error, as JSON or for people."""
+    render: Any = (
+        structlog.processors.JSONRenderer()
+        if style == "json"
+        else structlog.dev.ConsoleRenderer(colors=False)
+    )
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            render,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.option(
+    "--log", "style", type=click.Choice(["people", "json"]), default="people", help="Form of log lines."
+)
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
+@click.version_option(package_name="ponddoor")
+def main(style: str, log_level: str) -> None:
+    """ponddoor places viewing sessions on media servers and shapes them.
+
+    Exit codes: 0 done; 1 a rule broken or not achieved; 2 unusable input."""
+    log_to(style, log_level)
+
+
+def usable(make: Callable[[], Any]) -> Any:
+    """What a file says, or its problems on standard error and exit 2."""
+    try:
+        return make()
+    except SettingsError as problem:
+        for one in problem.problems:
+            click.echo(str(one), err=True)
+        sys.exit(2)
+
+
+def run_until_told(
+    work: Callable[[], Coroutine[Any, Any, None]], close: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    async def both() -> None:
+        told = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, told.set)
+        await work()
+        await told.wait()
+        await close()
+
+    asyncio.run(both())
+
+
+SITE = click.argument("site", type=click.Path(dir_okay=False, path_type=Path))
+SITE_OPTION = click.option(
+    "--site", required=True, type=click.Path(dir_okay=False, path_type=Path), help="The site file."
+)
+RECORD = click.option("--record", type=click.Path(path_type=Path), help="Write what passes to this file.")
+
+
+@main.command()
+@SITE
+@click.option("--json", "as_json", is_flag=True, help="Problems as JSON.")
+def check(site: Path, as_json: bool) -> None:
+    """Check a site file whole; exit 2 with every problem as FILE:LINE:COLUMN."""
+    from ponddoor.settings.site import load
+
+    if as_json:
+        try:
+            held = load(site)
+        except SettingsError as problem:
+            rows = [
+                {
+                    "file": p.place.file,
+                    "line": p.place.line,
+                    "column": p.place.column,
+                    "found": p.found,
+                    "expected": p.expected,
+                }
+                for p in problem.problems
+            ]
+            click.echo(msgspec.json.encode({"problems": rows}))
+            sys.exit(2)
+        click.echo(msgspec.json.encode({"problems": [], "site": held.name}))
+        return
+    held = usable(lambda: load(site))
+    click.echo(
+        f"{held.name}: {len(held.fronts)} fronts, {len(held.facts.groups)} service groups, "
+        f"{len(held.titles.listed)} titles listed"
+    )
+
+
+@main.command()
+@SITE_OPTION
+@click.option("--me", required=True, type=int, help="Which front of the site this is.")
+@click.option("--kept", type=click.Path(path_type=Path), help="Where the last server list is kept.")
+@click.option("--seed", type=int, help="Of this front's chance; drawn anew at each start if left out.")
+@click.option(
+    "--decisions", type=click.Choice(["ponddoor", "random"]), default="ponddoor", help="random: the baseline."
+)
+@click.option("--log-requests", is_flag=True, help="A line for each answer.")
+@click.option("--profile", type=click.Path(path_type=Path), hidden=True)
+def front(
+    site: Path,
+    me: int,
+    kept: Path | None,
+    seed: int | None,
+    decisions: str,
+    log_requests: bool,
+    profile: Path | None,
+) -> None:
+    """Run one front. SIGTERM drains, a second one ends it; SIGHUP reads the limits anew."""
+    from ponddoor.decide import Front
+    from ponddoor.front.process import FrontProcess
+    from ponddoor.rehearse.baseline import RandomHolder
+    from ponddoor.settings.site import load
+
+    held = usable(lambda: load(site))
+    if not 0 <= me < len(held.fronts):
+        click.echo(f"{site}: no front {me}: it has 0 to {len(held.fronts) - 1}", err=True)
+        sys.exit(2)
+    deciding: Any = Front if decisions == "ponddoor" else RandomHolder
+    held_kept = kept or site.with_name(f"{site.stem}-{me}.list")
+
+    async def serve() -> None:
+        process = FrontProcess(held, me, held_kept, seed, deciding, log_requests)
+        try:
+            await process.start()
+        except OSError as problem:
+            click.echo(f"front {me}: {problem}", err=True)
+            sys.exit(1)
+        await process.run(site)
+
+    if profile is None:
+        asyncio.run(serve())
+        return
+    import cProfile
+
+    with cProfile.Profile() as watch:
+        asyncio.run(serve())
+    watch.dump_stats(profile)
+
+
+@main.group()
+def standin() -> None:
+    """Small stand-ins for what surrounds a front."""
+
+
+@standin.command()
+@SITE_OPTION
+@RECORD
+@click.option("--number", type=int, required=True, help="Its id in the list.")
+@click.option("--zone", required=True)
+@click.option("--kind", required=True)
+@click.option("--cell", type=int, required=True)
+@click.option("--weight", type=float, default=2.0, show_default=True)
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", type=int, default=0, help="0: any free one.")
+@click.option("--control", type=int, default=0, help="Port that takes faults.")
+@click.option("--seed", type=int, default=1)
+@click.option("--warm", is_flag=True, help="It has run for long.")
+def media(
+    site: Path,
+    record: Path | None,
+    number: int,
+    zone: str,
+    kind: str,
+    cell: int,
+    weight: float,
+    host: str,
+    port: int,
+    control: int,
+    seed: int,
+    warm: bool,
+) -> None:
+    """A media server whose link and rack's uplink are shared among its streams."""
+    from ponddoor.audit.records import Recorder
+    from ponddoor.front.roster import Entry
+    from ponddoor.settings.site import load
+    from ponddoor.standins.media import MediaServer
+
+    held = usable(lambda: load(site))
+    if zone not in held.zones or kind not in held.kinds or not 0 <= cell < held.facts.plant.cells:
+        click.echo(
+            f"{site}: zones {', '.join(held.zones)}; kinds {', '.join(held.kinds)}; "
+            f"cells 0 to {held.facts.plant.cells - 1}",
+            err=True,
+        )
+        sys.exit(2)
+    entry = Entry(number, f"{host}:{port}", zone, kind, cell, "ready", weight)
+    server = MediaServer(held, entry, Recorder(record, f"media {number}"), seed, warm)
+
+    async def work() -> None:
+        got, got_control = await server.start(control)
+        click.echo(f"media {number} at {host}:{got}, control {got_control}")
+
+    run_until_told(work, server.close)
+
+
+@standin.command(name="list")
+@SITE_OPTION
+@RECORD
+@click.option("--control", type=int, default=0, help="Port that takes orders.")
+@click.option("--seed", type=int, default=1)
+def list_(site: Path, record: Path | None, control: int, seed: int) -> None:
+    """The server list, at the site file's address."""
+    from ponddoor.audit.records import Recorder
+    from ponddoor.settings.site import load
+    from ponddoor.standins.listing import ServerList
+
+    held = usable(lambda: load(site))
+    server = ServerList(held, Recorder(record, "list"), seed)
+
+    async def work() -> None:
+        got, got_control = await server.start(control_port=control)
+        click.echo(f"list at port {got}, control {got_control}")
+
+    run_until_told(work, server.close)
+
+
+@standin.command()
+@SITE_OPTION
+@RECORD
+@click.option(
+    "--day", required=True, type=click.Path(path_type=Path), help="The viewers, as rehearse wrote them."
+)
+@click.option("--begin", type=float, required=True, help="Moment of the monotonic clock, in seconds.")
+@click.option("--out", type=click.Path(path_type=Path), required=True)
+@click.option(
+    "--front", "fronts", multiple=True, required=True, help="HOST:PORT, one for each front in order."
+)
+def players(
+    site: Path, record: Path | None, day: Path, begin: float, out: Path, fronts: tuple[str, ...]
+) -> None:
+    """All viewers of a day, as rehearse starts them."""
+    from ponddoor.audit.records import Recorder
+    from ponddoor.rehearse.day import load_day
+    from ponddoor.standins.players import Players
+
+    told = msgspec.json.decode(day.read_bytes(), type=dict[str, Any])
+    held = usable(lambda: load_day(Path(told["file"]), told["seed"]))
+    addresses = [(host, int(port)) for host, _, port in (text.rpartition(":") for text in fronts)]
+    playing = Players(held, Recorder(record, "players"), addresses)
+    got = asyncio.run(playing.run(begin))
+    beside = out.with_suffix(".new")
+    beside.write_bytes(msgspec.json.encode(got))
+    beside.replace(out)
+
+
+@main.command()
+@click.argument("day", type=click.Path(dir_okay=False, path_type=Path))
+@click.option("--seed", type=int, multiple=True, help="Play with this seed; may be given several times.")
+@click.option(
+    "--baseline/--no-baseline", default=True, help="Play the same day by a random holder at the lowest rung."
+)
+@click.option(
+    "--keep", type=click.Path(file_okay=False, path_type=Path), help="Keep records and logs in this folder."
+)
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
+def rehearse(day: Path, seed: tuple[int, ...], baseline: bool, keep: Path | None, as_json: bool) -> None:
+    """Play a day on loopback to its table; exit 1 if a rule is broken."""
+    from ponddoor.rehearse.day import load_day
+    from ponddoor.rehearse.report import as_dict, table
+    from ponddoor.rehearse.run import Rehearsal, RehearsalError
+
+    results = []
+    with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
+        for number in seed or (None,):
+            held = usable(partial(load_day, day, number))
+            for decisions in ("ponddoor", "random") if baseline else ("ponddoor",):
+                folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
+                folder.mkdir(parents=True, exist_ok=True)
+                (folder / "day.json").write_bytes(
+                    msgspec.json.encode({"file": str(day.resolve()), "seed": held.seed})
+                )
+                label = f"{held.name}, seed {held.seed}, {decisions}"
+                with click.progressbar(length=1000, label=label, file=sys.stderr, show_eta=False) as bar:
+
+                    def move(part: float, bar: Any = bar) -> None:
+                        bar.update(round(part * 1000) - bar.pos)
+
+                    try:
+                        results.append(asyncio.run(Rehearsal(held, folder, decisions, move).play()))
+                    except RehearsalError as problem:
+                        click.echo(f"\n{problem}", err=True)
+                        sys.exit(1)
+    click.echo(msgspec.json.encode([as_dict(result) for result in results]) if as_json else table(results))
+    if any(result.breaches for result in results if result.decisions == "ponddoor"):
+        sys.exit(1)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@SITE_OPTION
+@click.option(
+    "--slack-ms",
+    type=float,
+    default=150.0,
+    show_default=True,
+    help="How far two records of a moment may lie apart.",
+)
+@click.option("--json", "as_json", is_flag=True)
+def audit(folder: Path, site: Path, slack_ms: float, as_json: bool) -> None:
+    """Check the six rules from the records in a folder; exit 1 if one is broken."""
+    from ponddoor.audit.records import read
+    from ponddoor.audit.rules import RULES
+    from ponddoor.audit.rules import audit as judge
+    from ponddoor.settings.site import load
+
+    held = usable(lambda: load(site))
+    rows, left_out = read(folder)
+    breaches = judge(rows, held.facts, round(slack_ms * 1000))
+    if as_json:
+        click.echo(msgspec.json.encode({"rows": len(rows), "left_out": left_out, "breaches": breaches}))
+    else:
+        for rule in RULES:
+            mine = [breach for breach in breaches if breach.rule == rule]
+            click.echo(f"{rule}: {f'{len(mine)} broken' if mine else 'kept'}")
+        for breach in breaches:
+            click.echo(str(breach))
+        click.echo(f"{len(rows)} records read, {len(left_out)} cut off")
+    sys.exit(1 if breaches else 0)
+
+
+@main.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print the shell's completion script: eval it in the shell's start file."""
+    from click.shell_completion import get_completion_class
+
+    made = get_completion_class(shell)
+    if made is not None:
+        click.echo(made(main, {}, "ponddoor", "_PONDDOOR_COMPLETE").source())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ponddoor/front/acting.py
@@ -0,0 +1,57 @@
+"""Which mechanisms act, looked at from outside once a second: a line when one starts, one when it stops."""
+
+import contextlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import structlog
+
+from ponddoor.decide import Front
+from ponddoor.interface.events import ServerState
+
+log = structlog.get_logger("mechanisms")
+
+
+@contextlib.contextmanager
+def looking(front: Front, now: int) -> Iterator[None]:
+    """Guards against a look that changes what is decided: what reading moves is put back behind it."""
+    kept = front.now, front.viewed, front.outlook, front.whole_since
+    front.clock(now)
+    try:
+        yield
+    finally:
+        front.now, front.viewed, front.outlook, front.whole_since = kept
+
+
+@dataclass(slots=True)
+class Acting:
+    """What acted when last looked: words such as `rest 17`."""
+
+    now_acting: set[str] = field(default_factory=set)
+
+    def look(self, front: Front, now: int) -> None:
+        with looking(front, now):
+            acting = self._acting(front, now)
+        for word in sorted(acting - self.now_acting):
+            self._say("acts", word)
+        for word in sorted(self.now_acting - acting):
+            self._say("stops", word)
+        self.now_acting = acting
+
+    def _acting(self, front: Front, now: int) -> set[str]:
+        acting = {"hubs-given-up"} if front.asks and front.deaf else set()
+        for number, server in front.servers.items():
+            if server.row.state is ServerState.GONE:
+                continue
+            if front.rested_until(server) > now:
+                acting.add(f"rest {number}")
+            if now - server.started() < front.facts.rules.cold or server.lost is not None:
+                acting.add(f"pace {number}")
+        return acting
+
+    def _say(self, event: str, word: str) -> None:
+        name, _, server = word.partition(" ")
+        if server:
+            log.info(f"mechanism-{event}", mechanism=name, server=int(server))
+        else:
+            log.info(f"mechanism-{event}", mechanism=name)
--- /dev/null
+++ b/ponddoor/front/effects.py
@@ -0,0 +1,138 @@
+"""What the engine wants done by the shells around it. Times are microseconds."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A viewer's request for a session, checked against the site."""
+
+    title: str
+    service_group: int
+    tenant: int
+    home: int
+    span: int
+    top: int
+    wait: int
+    length: int | None = None
+    viewer: int = 0
+    again: bool = False
+    moved: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer: `kind` is playing, busy, torn-down or left; `why` names a limit of the front."""
+
+    kind: str
+    server: int = -1
+    rung: int = 0
+    come_back: int = 0
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class SendSetup:
+    """Ask a server to start a session; the answer goes to `Engine.setup_answered`."""
+
+    sess: str
+    attempt: int
+    server: int
+    ask: Ask
+    rung: int
+    timeout: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendTeardown:
+    """End one attempt at a server, whether it still waits or plays; nothing comes back."""
+
+    sess: str
+    attempt: int
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendRung:
+    """Change the rung of a session that plays."""
+
+    sess: str
+    attempt: int
+    server: int
+    rung: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendProbe:
+    """Ask a server for its load; the answer goes to `Engine.probed`."""
+
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close idle connections to a server."""
+
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendWord:
+    """Send bytes to one other front, or to all."""
+
+    peer: int | None
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WatchList:
+    """Subscribe to the server list, or end that."""
+
+    active: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    """Ask once for the whole list."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer whoever waits for a session."""
+
+    sess: str
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Push:
+    """Tell whoever follows a session: `what` is rung, ended or moved."""
+
+    sess: str
+    what: str
+    value: str | int = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A line for the log."""
+
+    level: str
+    event: str
+    sess: str = ""
+    detail: str = ""
+
+
+Effect = (
+    SendSetup
+    | SendTeardown
+    | SendRung
+    | SendProbe
+    | CloseIdle
+    | SendWord
+    | WatchList
+    | FetchList
+    | Reply
+    | Push
+    | Say
+)
--- /dev/null
+++ b/ponddoor/front/engine.py
@@ -0,0 +1,401 @@
+"""One front without its sockets: feeds the decisions what happens and turns their actions into effects.
+
+Clock, ids and answers come in; effects (ponddoor.front.effects) go out. The engine decides nothing of a
+session: it keeps the timers, which attempt is out, which answer was given, and the repeats of requests.
+
+Every way in takes `now` in microseconds and returns the effects in order."""
+
+import heapq
+import itertools
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import xxhash
+
+from ponddoor.front import effects as fx
+from ponddoor.front.effects import Answer, Ask, Effect
+from ponddoor.front.limits import Gate
+from ponddoor.interface import actions as act
+from ponddoor.interface import events as ev
+from ponddoor.interface.facts import SiteFacts
+from ponddoor.runtime.driver import Decisions, Driver
+
+ENDS = {"over": ev.Result.SERVED, "viewer-gone": ev.Result.CANCELLED, "lost": ev.Result.RESET}
+
+
+class Phase(Enum):
+    """How far a session is."""
+
+    WAITING = "waiting"
+    PLAYING = "playing"
+    ENDED = "ended"
+
+
+@dataclass(slots=True)
+class Held:
+    """A session as the engine knows it. `out` is the attempt that no outcome has come for."""
+
+    sess: str
+    req_id: int
+    ask: Ask
+    asked_at: int
+    repeat: tuple[int, str] | None
+    phase: Phase = Phase.WAITING
+    answer: Answer | None = None
+    attempt: int = -1
+    server: int = -1
+    out: bool = False
+    sent_at: int = 0
+    rung: int = 0
+    end: str = ""
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the engine has seen, for metrics."""
+
+    answers: dict[str, int] = field(default_factory=dict)
+    setups: dict[str, int] = field(default_factory=dict)
+    stray: dict[str, int] = field(default_factory=dict)
+    faults: int = 0
+    decision_ns: int = 0
+    events: int = 0
+
+    def add(self, table: dict[str, int], word: str) -> None:
+        table[word] = table.get(word, 0) + 1
+
+
+class RepeatError(Exception):
+    """A repeat key came with another request than before."""
+
+
+class Engine:
+    """One front's sessions, timers and repeats around one instance of the decisions."""
+
+    def __init__(self, decisions: Decisions, facts: SiteFacts, gate: Gate) -> None:
+        self.facts, self.gate, self.counts = facts, gate, Counts()
+        self._driver = Driver(decisions)
+        self._held: dict[str, Held] = {}
+        self._by_req: dict[int, Held] = {}
+        self._at_server: dict[int, dict[str, Held]] = {}
+        self._repeats: dict[tuple[int, str], Held] = {}
+        self._ended: dict[str, Held] = {}
+        self._timers: list[
+            tuple[int, int, str, int, int]
+        ] = []  # (at, order, kind, cookie or req id, attempt)
+        self._order = itertools.count()
+        self._req_ids = itertools.count(1)
+        self.in_hand = 0
+
+    # What the shells may look at
+
+    @property
+    def held(self) -> int:
+        """Sessions waiting or playing."""
+        return len(self._held)
+
+    @property
+    def next_due(self) -> int | None:
+        """When `due` must be called next."""
+        return self._timers[0][0] if self._timers else None
+
+    def find(self, sess: str) -> Held | None:
+        return self._held.get(sess) or self._ended.get(sess)
+
+    def playing_at(self, server: int) -> list[Held]:
+        return list(self._at_server.get(server, {}).values())
+
+    def sessions(self) -> Iterable[Held]:
+        return self._held.values()
+
+    # What happens
+
+    def request(
+        self, now: int, sess: str, ask: Ask, repeat_key: str | None
+    ) -> tuple[Held | None, list[Effect]]:
+        """A viewer asks. Returns the session, new or repeated, or None and a Reply that names the limit.
+
+        Raises RepeatError where the key was used for another request."""
+        repeat = (ask.tenant, repeat_key) if repeat_key is not None else None
+        if repeat is not None and (held := self._repeats.get(repeat)) is not None:
+            if held.ask != ask:
+                raise RepeatError("the key was used with another request")
+            return held, []
+        refusal = self.gate.refusal(now, self.in_hand, self.held, len(self._repeats) if repeat else 0)
+        if refusal:
+            self.counts.add(self.counts.answers, f"limit {refusal}")
+            come_back = self.facts.permissions.max_come_back // 2
+            return None, [fx.Reply(sess, Answer("busy", come_back=come_back, why=refusal))]
+        held = Held(sess, next(self._req_ids), ask, now, repeat)
+        self._held[sess] = self._by_req[held.req_id] = held
+        if repeat is not None:
+            self._repeats[repeat] = held
+        self.in_hand += 1
+        request = ev.SessionRequest(
+            held.req_id, ask.service_group, ask.tenant, ask.viewer, number_of(ask.title), ask.wait,
+            ask.length, ask.home, ask.span, ask.top, ask.moved, ask.again,
+        )  # fmt: skip
+        return held, self._feed(now, request, held)
+
+    def left(self, now: int, sess: str) -> list[Effect]:
+        """The viewer is done: a waiting request is given up, a session that plays ends."""
+        held = self._held.get(sess)
+        if held is None:
+            return []
+        if held.phase is Phase.PLAYING:
+            return [self._teardown(held), *self._end_playing(now, held, "over")]
+        out: list[Effect] = [self._teardown(held)] if held.out else []
+        was_out, held.out = held.out, False
+        out += self._answer(now, held, Answer("left"))
+        out += self._feed(now, ev.ViewerLeft(held.req_id), held)
+        if was_out:
+            out += self._feed(now, self._ended_event(now, held, ev.Result.CANCELLED, True), held)
+        return out
+
+    def setup_answered(
+        self,
+        now: int,
+        sess: str,
+        attempt: int,
+        server: int,
+        result: ev.Result | None,
+        report: dict[str, float],
+        asked: dict[str, float],
+    ) -> list[Effect]:
+        """The outcome of a SETUP; `result` is None where the stream started."""
+        held = self._held.get(sess)
+        if held is None or not held.out or held.attempt != attempt:
+            # Guards against answers after the timeout or the cancel, and against a second one: a stream that
+            # started all the same must not be left running, unless it is the one that plays.
+            plays = held is not None and held.phase is Phase.PLAYING and held.attempt == attempt
+            self.counts.add(self.counts.stray, "started" if result is None else result.value)
+            return [] if plays or result is not None else [fx.SendTeardown(sess, attempt, server)]
+        held.out = False
+        self.counts.add(self.counts.setups, "started" if result is None else result.value)
+        if result is not None:
+            out: list[Effect] = [self._teardown(held)] if result is ev.Result.RESET else []
+            return out + self._feed(now, self._ended_event(now, held, result, False, report), held)
+        held.phase = Phase.PLAYING
+        self._at_server.setdefault(held.server, {})[sess] = held
+        out = self._answer(now, held, Answer("playing", held.server, held.rung))
+        lag = now - held.sent_at
+        out += self._feed(now, ev.Started(held.req_id, held.attempt, held.server, lag), held)
+        for name, kind in (("link", ev.NoteKind.LINK_ASKED), ("uplink", ev.NoteKind.UPLINK_ASKED)):
+            if name in asked and held.phase is Phase.PLAYING:
+                out += self._feed(now, ev.Note(held.req_id, kind, asked[name], held.server), held)
+        return out
+
+    def stream_ended(self, now: int, sess: str, attempt: int, why: str) -> list[Effect]:
+        """A server says that a stream has ended: over, viewer-gone or lost."""
+        held = self._held.get(sess)
+        if held is None or held.phase is not Phase.PLAYING or held.attempt != attempt:
+            return []
+        return self._end_playing(now, held, why if why in ENDS else "lost")
+
+    def server_lost(
+        self, now: int, server: int, still: frozenset[tuple[str, int]] = frozenset()
+    ) -> list[Effect]:
+        """A server is gone, or has forgotten all streams but `still`: sessions there are over."""
+        out: list[Effect] = []
+        for held in self.playing_at(server):
+            if (held.sess, held.attempt) not in still:
+                out += self._end_playing(now, held, "lost")
+        return out
+
+    def note(self, now: int, server: int, kind: ev.NoteKind, value: float) -> list[Effect]:
+        """A server's note, taken as one on a session of ours there; without one it tells nothing."""
+        for held in self._at_server.get(server, {}).values():
+            return self._feed(now, ev.Note(held.req_id, kind, value, server), held)
+        return []
+
+    def probed(
+        self, now: int, server: int, lag: int, result: ev.Result, report: dict[str, float]
+    ) -> list[Effect]:
+        return self._feed(now, ev.Probed(server, lag, result, report), None)
+
+    def news(self, now: int, scope: ev.NewsScope, rows: tuple[ev.ServerRow, ...]) -> list[Effect]:
+        return self._feed(now, ev.ServerNews(scope, rows), None)
+
+    def word(self, now: int, peer: int, payload: bytes) -> list[Effect]:
+        return self._feed(now, ev.PeerMessage(peer, payload), None)
+
+    def due(self, now: int) -> list[Effect]:
+        """Carry out every timer up to `now`, in order."""
+        out: list[Effect] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, _, kind, number, attempt = heapq.heappop(self._timers)
+            if kind == "cookie":
+                out += self._feed(now, ev.TimerDue(number), None)
+            elif kind == "setup":
+                out += self._setup_late(now, self._by_req.get(number), attempt)
+            else:
+                self._forget(number)
+        return out
+
+    def stop(self, now: int) -> list[Effect]:
+        """The front ends: every session is torn down, every waiting request answered."""
+        out: list[Effect] = []
+        for held in list(self._held.values()):
+            if held.phase is Phase.PLAYING:
+                out += [self._teardown(held), *self._end_playing(now, held, "lost")]
+            else:
+                out += [self._teardown(held)] if held.out else []
+                out += self._answer(now, held, Answer("torn-down", why="front-stopped"))
+        return out
+
+    # Inside
+
+    def _feed(self, now: int, event: ev.Event, held: Held | None) -> list[Effect]:
+        begun = time.perf_counter_ns()
+        try:
+            actions = self._driver.handle(now, event)
+        except Exception as problem:
+            # Guards against a fault in the decisions: that session alone is answered torn down, none is lost.
+            self.counts.faults += 1
+            out: list[Effect] = [
+                fx.Say(
+                    "error",
+                    "decisions failed",
+                    held.sess if held else "",
+                    f"{type(problem).__name__}: {problem}",
+                )
+            ]
+            if held is not None and held.phase is Phase.WAITING:
+                out += [self._teardown(held)] if held.out else []
+                out += self._answer(now, held, Answer("torn-down", why="fault"))
+            return out
+        finally:
+            self.counts.decision_ns += time.perf_counter_ns() - begun
+            self.counts.events += 1
+        out = []
+        for action in actions:
+            out += self._carry_out(now, action)
+        return out
+
+    def _carry_out(self, now: int, action: act.Action) -> list[Effect]:
+        match action:
+            case act.SetTimer(at, cookie):
+                self._set_timer(at, "cookie", cookie)
+                return []
+            case act.Tell(peer, payload):
+                return [fx.SendWord(peer, payload)]
+            case act.Probe(server):
+                return [fx.SendProbe(server)]
+            case act.CloseIdle(server):
+                return [fx.CloseIdle(server)]
+            case act.Watch(active):
+                return [fx.WatchList(active)]
+            case act.Fetch():
+                return [fx.FetchList()]
+            case act.Log(text):
+                return [fx.Say("info", text)]
+            case act.Setup() | act.SetRung() | act.BusyReply() | act.TearDown() | act.Cancel() | act.Move():
+                held = self._by_req.get(action.req_id)
+                return [] if held is None else self._for_session(now, held, action)
+            case _:
+                raise TypeError(f"{action} is for the runtime, not for the engine")
+
+    def _for_session(
+        self,
+        now: int,
+        held: Held,
+        action: act.Setup | act.SetRung | act.BusyReply | act.TearDown | act.Cancel | act.Move,
+    ) -> list[Effect]:
+        match action:
+            case act.Setup(_, server, timeout):
+                held.attempt, held.server, held.out, held.sent_at = held.attempt + 1, server, True, now
+                left = held.asked_at + held.ask.wait - now
+                timeout = min(timeout, left) if timeout > 0 else left
+                self._set_timer(now + timeout, "setup", held.req_id, held.attempt)
+                return [fx.SendSetup(held.sess, held.attempt, server, held.ask, held.rung, timeout)]
+            case act.SetRung(_, rung):
+                held.rung = rung
+                if held.phase is not Phase.PLAYING:
+                    return []
+                change = fx.SendRung(held.sess, held.attempt, held.server, rung)
+                return [change, fx.Push(held.sess, "rung", rung)]
+            case act.BusyReply(_, come_back):
+                return self._answer(now, held, Answer("busy", come_back=come_back))
+            case act.TearDown():
+                return self._answer(now, held, Answer("torn-down"))
+            case act.Cancel(_, attempt):
+                if not held.out or held.attempt != attempt:
+                    return []
+                held.out = False
+                ended = self._ended_event(now, held, ev.Result.CANCELLED, False)
+                return [self._teardown(held), *self._feed(now, ended, held)]
+            case act.Move():
+                if held.phase is not Phase.PLAYING:
+                    return []
+                return [
+                    self._teardown(held),
+                    fx.Push(held.sess, "moved"),
+                    *self._end_playing(now, held, "viewer-gone"),
+                ]
+
+    def _setup_late(self, now: int, held: Held | None, attempt: int) -> list[Effect]:
+        if held is None or not held.out or held.attempt != attempt:
+            return []
+        held.out = False
+        self.counts.add(self.counts.setups, ev.Result.TIMEOUT.value)
+        ended = self._ended_event(now, held, ev.Result.TIMEOUT, False)
+        return [self._teardown(held), *self._feed(now, ended, held)]
+
+    def _ended_event(
+        self, now: int, held: Held, result: ev.Result, final: bool, report: dict[str, float] | None = None
+    ) -> ev.Ended:
+        return ev.Ended(
+            held.req_id, held.attempt, held.server, result, final, now - held.sent_at, report or {}
+        )
+
+    def _teardown(self, held: Held) -> Effect:
+        return fx.SendTeardown(held.sess, held.attempt, held.server)
+
+    def _end_playing(self, now: int, held: Held, why: str) -> list[Effect]:
+        self._close(now, held, why)
+        ended = self._ended_event(now, held, ENDS[why], True)
+        return [fx.Push(held.sess, "ended", why), *self._feed(now, ended, held)]
+
+    def _answer(self, now: int, held: Held, answer: Answer) -> list[Effect]:
+        """The one place where a waiting request is answered; what comes after the first is void."""
+        if held.answer is not None:
+            return []
+        held.answer = answer
+        self.in_hand -= 1
+        self.counts.add(self.counts.answers, answer.kind)
+        if answer.kind != "playing":
+            self._close(now, held, answer.kind)
+        if answer.kind == "left" and held.repeat is not None:
+            self._repeats.pop(held.repeat, None)  # nobody was answered: the same key may begin anew
+            held.repeat = None
+        return [fx.Reply(held.sess, answer)]
+
+    def _close(self, now: int, held: Held, why: str) -> None:
+        """Nobody plays any more. It is remembered a while, so that repeats and reads find it."""
+        held.phase, held.end = Phase.ENDED, why
+        self._held.pop(held.sess, None)
+        at = self._at_server.get(held.server)
+        if at is not None and at.pop(held.sess, None) is not None and not at:
+            del self._at_server[held.server]
+        if held.repeat is not None or len(self._ended) < self.gate.limits.repeats:
+            self._ended[held.sess] = held
+            self._set_timer(now + self.gate.limits.repeat_time, "forget", held.req_id)
+        else:
+            self._by_req.pop(held.req_id, None)
+
+    def _forget(self, req_id: int) -> None:
+        held = self._by_req.pop(req_id, None)
+        if held is not None:
+            self._ended.pop(held.sess, None)
+            if held.repeat is not None:
+                self._repeats.pop(held.repeat, None)
+
+    def _set_timer(self, at: int, kind: str, number: int, attempt: int = 0) -> None:
+        heapq.heappush(self._timers, (at, next(self._order), kind, number, attempt))
+
+
+def number_of(title: str) -> int:
+    """The number by which the decisions know a title."""
+    return xxhash.xxh64_intdigest(title.encode())
--- /dev/null
+++ b/ponddoor/front/metrics.py
@@ -0,0 +1,52 @@
+"""A front's metrics in the Prometheus text format, at an address of its own. Labels: kinds and servers."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from ponddoor.web.server import HttpError, Reply, Request
+
+_ANSWER = (0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.0, 1.5, 2.5, 5.0)
+_LAG = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
+Sample = tuple[str, str, str, str, dict[str, float]]  # (counter or gauge, name, help, label, values by label)
+
+
+class _Samples(Collector):
+    def __init__(self, samples: Callable[[], Iterable[Sample]]) -> None:
+        self._samples = samples
+
+    def collect(self) -> Iterator[Metric]:
+        for kind, name, text, label, values in self._samples():
+            made = CounterMetricFamily if kind == "counter" else GaugeMetricFamily
+            family = made(f"ponddoor_{name}", text, labels=[label] if label else [])
+            for value, amount in values.items():
+                family.add_metric([value] if label else [], amount)
+            yield family
+
+
+class Metrics:
+    """Histograms that are fed as things happen, and samples that are read when somebody asks."""
+
+    def __init__(self, samples: Callable[[], Iterable[Sample]]) -> None:
+        self.registry = CollectorRegistry()
+        self.registry.register(_Samples(samples))
+        self._answers = Histogram(
+            "ponddoor_answer_seconds", "Time from a request to its answer, by kind of answer.",
+            ["kind"], buckets=_ANSWER, registry=self.registry)  # fmt: skip
+        self._lag = Histogram(
+            "ponddoor_loop_lag_seconds", "How late the event loop ran, sampled 20 times a second.",
+            buckets=_LAG, registry=self.registry)  # fmt: skip
+
+    def answered(self, kind: str, seconds: float) -> None:
+        self._answers.labels(kind).observe(seconds)
+
+    def lagged(self, seconds: float) -> None:
+        self._lag.observe(seconds)
+
+    async def handle(self, request: Request) -> Reply:
+        if request.method != "GET" or request.path != ("metrics",):
+            raise HttpError(404, "no-such-resource", "GET /metrics is all there is")
+        kind = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
+        return Reply(200, generate_latest(self.registry), kind)
--- /dev/null
+++ b/ponddoor/front/process.py
@@ -0,0 +1,340 @@
+"""One front as one process: the engine, its shells, the clock, and the signals."""
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from pathlib import Path
+
+import structlog
+
+from ponddoor.decide import Front
+from ponddoor.front import effects as fx
+from ponddoor.front.acting import Acting, looking
+from ponddoor.front.effects import Effect
+from ponddoor.front.engine import Engine
+from ponddoor.front.limits import SAMPLE, Gate, LagMeter
+from ponddoor.front.listing import ListKeeper
+from ponddoor.front.metrics import Metrics, Sample
+from ponddoor.front.roster import Roster
+from ponddoor.front.sealed import Seal
+from ponddoor.front.servers import Servers
+from ponddoor.front.viewers import Viewers
+from ponddoor.front.words import WordSocket, wall
+from ponddoor.interface.events import ServerState
+from ponddoor.interface.facts import SiteFacts
+from ponddoor.runtime.driver import Decisions
+from ponddoor.settings.sexpr import SettingsError
+from ponddoor.settings.site import Limits, Site, load
+from ponddoor.web.server import Bounds, Server
+
+SECOND = 1_000_000
+log = structlog.get_logger("front")
+Deciding = Callable[[SiteFacts, int], Decisions]
+
+
+def clock() -> int:
+    """The front's own clock: monotonic, whole microseconds."""
+    return time.monotonic_ns() // 1000
+
+
+def bounds_of(limits: Limits) -> Bounds:
+    return Bounds(
+        limits.connections, limits.per_address, limits.header_bytes, limits.body_bytes,
+        limits.header_time / SECOND, limits.idle_time / SECOND, limits.write_time / SECOND,
+    )  # fmt: skip
+
+
+class FrontProcess:
+    """Assembles a front. `start`, then `run` until it is told to drain, or `stop`."""
+
+    def __init__(self, site: Site, me: int, kept: Path | None = None, seed: int | None = None,
+                 deciding: Deciding = Front, log_requests: bool = False) -> None:  # fmt: skip
+        self.site, self.me, self._log_requests = site, me, log_requests
+        facts, now = site.facts_of(me, seed), clock()
+        self.decisions = deciding(facts, now)
+        self.gate = Gate(site.limits, LagMeter(now + SAMPLE))
+        self.engine = Engine(self.decisions, facts, self.gate)
+        self.metrics = Metrics(self._samples)
+        offset = now - wall()
+        roster = Roster(site.zones, site.kinds, facts.plant.cells, offset)
+        self.servers = Servers(site, me, secrets.randbits(48), self.engine, self.apply)
+        self.listing = ListKeeper(site, me, roster, self.engine, self.apply, self.servers.learn, kept)
+        seal = Seal(site.words.key, me, len(site.fronts), site.words.age)
+        self.words = WordSocket(site, me, seal, self._heard)
+        self.viewers = Viewers(site, self.engine, self.apply, self._address, self._answered)
+        self.web = Server(self.viewers.handle, bounds_of(site.limits))
+        self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
+        self.acting = Acting()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at: int | None = None
+        self._applying = False
+        self._queue: list[Effect] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = asyncio.Event()
+        self.port = 0
+
+    # The one way into the engine
+
+    def apply(self, call: Callable[[int], list[Effect]]) -> None:
+        """Call the engine at the clock, carry out what it wants in order, and set the timer anew."""
+        self._queue += call(clock())
+        if self._applying:
+            return
+        self._applying = True
+        try:
+            while self._queue:
+                self._carry_out(self._queue.pop(0))
+        finally:
+            self._applying = False
+        self._set_timer()
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case fx.SendSetup() | fx.SendTeardown() | fx.SendRung() | fx.SendProbe() | fx.CloseIdle():
+                self.servers.carry_out(effect)
+            case fx.SendWord(peer, payload):
+                self.words.send(peer, payload)
+            case fx.WatchList(active):
+                self.listing.watch(active)
+            case fx.FetchList():
+                self.listing.fetch()
+            case fx.Say(level, event, sess, detail):
+                getattr(log, level)(event, session=sess, detail=detail)
+            case fx.Reply(sess, answer):
+                if self._log_requests:
+                    log.info("answer", session=sess, kind=answer.kind, server=answer.server, rung=answer.rung)
+                self.viewers.carry_out(effect)
+            case fx.Push():
+                self.viewers.carry_out(effect)
+
+    def _set_timer(self) -> None:
+        due = self.engine.next_due
+        if due == self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at, self._timer = due, None
+        if due is not None:
+            self._timer = asyncio.get_running_loop().call_later(max(due - clock(), 0) / SECOND, self._due)
+
+    def _due(self) -> None:
+        self._timer_at, self._timer = None, None
+        self.apply(self.engine.due)
+
+    def _heard(self, peer: int, payload: bytes) -> None:
+        self.apply(lambda now: self.engine.word(now, peer, payload))
+
+    def _address(self, server: int) -> str:
+        entry = self.listing.roster.entries.get(server)
+        return entry.address if entry is not None else ""
+
+    def _answered(self, kind: str, seconds: float) -> None:
+        self.metrics.answered(kind, seconds)
+
+    # Life
+
+    async def start(self) -> None:
+        """Take the addresses and begin. Raises OSError where an address can't be had."""
+        place = self.site.fronts[self.me]
+        if len(self.site.fronts) > 1 and self.site.facts.permissions.messages:
+            await self.words.start()
+        self.gate.lag.due = clock() + SAMPLE
+        self.listing.begin()
+        self.port = await self.web.start(*place.viewers)
+        await self.metrics_web.start(*place.metrics)
+        self._tasks = [asyncio.create_task(self._sample_lag()), asyncio.create_task(self._look())]
+        log.info("front-started", me=self.me, fronts=len(self.site.fronts), port=self.port)
+
+    async def _sample_lag(self) -> None:
+        while True:
+            await asyncio.sleep(max(self.gate.lag.due - clock(), 0) / SECOND)
+            late = self.gate.lag.tick(clock())
+            self.metrics.lagged(late / SECOND)
+            if late > self.site.limits.loop_lag:
+                log.warning("loop-late", ms=late // 1000)
+
+    async def _look(self) -> None:
+        reached: set[str] = set()
+        while True:
+            await asyncio.sleep(1)
+            if isinstance(self.decisions, Front):
+                self.acting.look(self.decisions, clock())
+            now_reached = {word for word in self.engine.counts.answers if word.startswith("limit ")}
+            for word in sorted(now_reached - reached):
+                log.warning("limit-reached", limit=word.removeprefix("limit "))
+            reached = now_reached
+
+    def reload(self, path: Path) -> bool:
+        """Take over what can change in service: the limits. A file with problems changes nothing."""
+        try:
+            fresh = load(path)
+        except SettingsError as problem:
+            log.error("reload-refused", problems=[str(one) for one in problem.problems])
+            return False
+        kept = replace(self.site, limits=fresh.limits, node=fresh.node)
+        parts = ("facts", "zones", "kinds", "titles", "servers", "listing", "fronts", "words")
+        other = [name for name in parts if getattr(fresh, name) != getattr(self.site, name)]
+        if other:
+            log.warning("reload-needs-restart", parts=other)
+        self.site = self.viewers.site = kept
+        self.gate.limits = fresh.limits
+        self.web.bounds = bounds_of(fresh.limits)
+        log.info("reloaded")
+        return True
+
+    def drain(self) -> None:
+        """No new requests; the second call ends it."""
+        if self.gate.draining:
+            self._stopping.set()
+        self.gate.draining = True
+        log.info("draining", in_hand=self.engine.in_hand, held=self.engine.held)
+
+    async def run(self, path: Path | None = None) -> None:
+        """Serve until SIGTERM has drained the front, or a second one ends it."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.drain)
+        if path is not None:
+            loop.add_signal_handler(signal.SIGHUP, self.reload, path)
+        limit: int | None = None
+        while not self._stopping.is_set():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._stopping.wait(), 0.05)
+            if self.gate.draining:
+                limit = limit or clock() + self.site.limits.drain_time
+                if self.engine.in_hand == 0 and (self.engine.held == 0 or clock() >= limit):
+                    break
+        await self.stop()
+
+    async def stop(self) -> None:
+        """End: what waits is answered, what plays is torn down, then every socket closes."""
+        self.gate.draining = self.web.closing = True
+        self.apply(self.engine.stop)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.sleep(0)
+        await self.servers.close(1.0)
+        await self.listing.close()
+        self.words.close()
+        await self.web.close()
+        await self.metrics_web.close()
+        if self._timer is not None:
+            self._timer.cancel()
+        log.info("front-stopped", me=self.me)
+
+    def kill(self) -> None:
+        """End as a killed process does: sockets close, nobody is told (tests)."""
+        for task in [*self._tasks, *self.servers.tasks]:
+            task.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    # What metrics show
+
+    def _samples(self) -> Iterator[Sample]:
+        counts, seal = self.engine.counts, self.words.seal
+        yield (
+            "counter",
+            "answers",
+            "Final answers, by kind; a limit that refused is named.",
+            "kind",
+            _floats(counts.answers),
+        )
+        yield "counter", "setups", "SETUPs, by result.", "result", _floats(counts.setups)
+        yield (
+            "counter",
+            "stray_answers",
+            "Answers to SETUPs that were over, by result.",
+            "result",
+            _floats(counts.stray),
+        )
+        yield "counter", "decision_faults", "Exceptions in the decisions.", "", {"": counts.faults}
+        yield (
+            "counter",
+            "decision_seconds",
+            "Time spent in the decisions.",
+            "",
+            {"": counts.decision_ns / 1e9},
+        )
+        yield "gauge", "requests_in_hand", "Requests not yet answered.", "", {"": self.engine.in_hand}
+        yield "gauge", "sessions_held", "Sessions waiting or playing.", "", {"": self.engine.held}
+        yield "gauge", "connections", "Viewers' connections.", "", {"": self.web.open_connections}
+        yield (
+            "counter",
+            "connections_turned_away",
+            "Connections over a limit.",
+            "",
+            {"": self.web.turned_away},
+        )
+        yield (
+            "counter",
+            "malformed_requests",
+            "Requests that are no HTTP, too large or too slow.",
+            "",
+            {"": self.web.malformed},
+        )
+        yield "counter", "words_told", "Words sent to other fronts.", "", {"": self.words.told}
+        yield (
+            "counter",
+            "words_lost",
+            "Words that could not be sent or were from elsewhere, by reason.",
+            "why",
+            _floats(self.words.lost),
+        )
+        yield (
+            "counter",
+            "words_refused",
+            "Datagrams that were not to be trusted, by reason.",
+            "why",
+            _floats(seal.refused),
+        )
+        yield (
+            "gauge",
+            "list_version",
+            "Version of the server list in hand.",
+            "",
+            {"": self.listing.roster.version},
+        )
+        yield (
+            "gauge",
+            "list_reachable",
+            "Whether the server list is in reach.",
+            "",
+            {"": self.listing.reachable},
+        )
+        yield (
+            "counter",
+            "list_ignored",
+            "News of the list that was old or said twice.",
+            "",
+            {"": self.listing.roster.ignored},
+        )
+        yield (
+            "counter",
+            "teardowns_dropped",
+            "Teardowns that no server took.",
+            "",
+            {"": self.servers.dropped_teardowns},
+        )
+        if isinstance(self.decisions, Front):
+            front, now = self.decisions, clock()
+            with looking(front, now):
+                rows = [s for s in front.servers.values() if s.row.state is not ServerState.GONE]
+                idle = {str(number): kb for number, kb in front.idles(rows, 1.0).items()}
+                rests = {str(s.row.server): float(front.rested_until(s) > now) for s in rows}
+            yield (
+                "gauge",
+                "idle_kb",
+                "Idle of each server as the account has it, kB a second.",
+                "server",
+                idle,
+            )
+            yield "gauge", "resting", "Whether a server rests after failures.", "server", rests
+
+
+def _floats(table: dict[str, int]) -> dict[str, float]:
+    return {word: float(count) for word, count in table.items()}
--- /dev/null
+++ b/ponddoor/front/roster.py
@@ -0,0 +1,116 @@
+"""The server list as a front holds it, free of I/O: versions in order, gaps, what is kept on disk."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from ponddoor.interface import events as ev
+
+STATES = {"gone": ev.ServerState.GONE, "draining": ev.ServerState.DRAINING, "ready": ev.ServerState.READY}
+
+
+class Entry(msgspec.Struct, frozen=True, forbid_unknown_fields=False):
+    """One server as the list writes it. `started_us` is the wall clock's, 0 for long ago."""
+
+    server: int
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    state: str
+    weight: float
+    started_us: int = 0
+
+
+class ListMessage(msgspec.Struct, frozen=True, forbid_unknown_fields=False):
+    """News of the list: all of it where `since` is None, else what changed since that version."""
+
+    list_id: str
+    version: int
+    servers: list[Entry]
+    since: int | None = None
+    beat: bool = False
+
+
+class GapError(Exception):
+    """A message does not follow the version in hand: all of the list must be asked for."""
+
+
+@dataclass(slots=True)
+class Roster:
+    """The list in hand. `wall_offset` is added to wall-clock times to get the front's own clock."""
+
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    cells: int
+    wall_offset: int
+    list_id: str = ""
+    version: int = 0
+    entries: dict[int, Entry] = field(default_factory=dict)
+    ignored: int = 0
+    unusable: int = 0
+
+    def take(self, message: ListMessage) -> tuple[ev.NewsScope, tuple[ev.ServerRow, ...]] | None:
+        """Apply news; None where it is old or said twice. Raises GapError where something is missing."""
+        if message.beat:
+            if (message.list_id, message.version) != (self.list_id, self.version):
+                raise GapError(f"the list is at {message.version}, we at {self.version}")
+            return None
+        same = message.list_id == self.list_id
+        if same and message.version <= self.version:
+            self.ignored += 1
+            return None
+        if message.since is not None and (not same or message.since != self.version):
+            raise GapError(f"changes since {message.since}, the version in hand is {self.version}")
+        rows = {entry.server: row for entry in message.servers if (row := self._row(entry)) is not None}
+        usable = {entry.server: entry for entry in message.servers if entry.server in rows}
+        self.list_id, self.version = message.list_id, message.version
+        if message.since is None:
+            self.entries = usable
+            return ev.NewsScope.FULL, tuple(rows.values())
+        self.entries |= usable
+        return ev.NewsScope.CHANGES, tuple(rows.values())
+
+    def _row(self, entry: Entry) -> ev.ServerRow | None:
+        host, _, port = entry.address.rpartition(":")
+        known = entry.zone in self.zones and entry.kind in self.kinds and entry.state in STATES
+        placed = 0 <= entry.cell < self.cells and 0 <= entry.server < 2**32 and entry.weight > 0
+        if not (known and placed and host and port.isdigit()):
+            # Guards against a list of another site or a newer form: what can't be used is left out, counted.
+            self.unusable += 1
+            return None
+        started = entry.started_us + self.wall_offset if entry.started_us else 0
+        return ev.ServerRow(
+            entry.server, self.zones.index(entry.zone), self.kinds.index(entry.kind), entry.cell,
+            STATES[entry.state], entry.weight, started,
+        )  # fmt: skip
+
+    def rows(self) -> tuple[ev.ServerRow, ...]:
+        return tuple(row for entry in self.entries.values() if (row := self._row(entry)) is not None)
+
+    def to_bytes(self) -> bytes:
+        """What is kept on disk: a checksum, and the list as one whole message."""
+        message = ListMessage(self.list_id, self.version, list(self.entries.values()))
+        body = msgspec.json.encode(message)
+        return xxhash.xxh64_hexdigest(body).encode() + b"\n" + body
+
+    def restore(self, data: bytes) -> bool:
+        """Take back what was kept; False where it is damaged, and then nothing changes."""
+        checksum, _, body = data.partition(b"\n")
+        if xxhash.xxh64_hexdigest(body).encode() != checksum:
+            return False
+        try:
+            self.take(msgspec.json.decode(body, type=ListMessage))
+        except (msgspec.MsgspecError, GapError):
+            return False
+        return True
+
+
+def decode(line: bytes) -> ListMessage:
+    """A line of the list's stream. Raises msgspec.MsgspecError."""
+    return msgspec.json.decode(line, type=ListMessage)
+
+
+def encode(message: ListMessage) -> bytes:
+    return msgspec.json.encode(message)
--- /dev/null
+++ b/ponddoor/front/viewers.py
@@ -0,0 +1,218 @@
+"""The shell towards viewers: HTTP/1.1 and JSON. docs/protocol.md has every field, status and error."""
+
+import asyncio
+import math
+import secrets
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import msgspec
+
+from ponddoor.front import effects as fx
+from ponddoor.front.effects import Answer, Ask, Effect
+from ponddoor.front.engine import Engine, Held, Phase, RepeatError, number_of
+from ponddoor.settings.site import Site
+from ponddoor.web.server import HttpError, Reply, Request, decoded
+
+SECOND = 1_000_000
+EVENTS_AHEAD = 100  # events that a follower may be behind; then its stream ends and says so
+_BEAT = 1.0
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class SessionAsk(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of a request for a session. Times in milliseconds."""
+
+    title: Name
+    group: Name
+    tenant: Annotated[str, msgspec.Meta(max_length=200)] = ""
+    viewer: Annotated[str, msgspec.Meta(max_length=200)] = ""
+    top: Annotated[int, msgspec.Meta(ge=0, le=255)] = 255
+    length_ms: Annotated[float, msgspec.Meta(ge=0, le=86_400_000)] | None = None
+    wait_ms: Annotated[float, msgspec.Meta(gt=0, le=3_600_000)] | None = None
+    again: bool = False
+    moved: bool = False
+
+
+@dataclass(slots=True)
+class Viewers:
+    """The HTTP side of one front."""
+
+    site: Site
+    engine: Engine
+    apply: Callable[[Callable[[int], list[Effect]]], None]
+    address_of: Callable[[int], str]
+    observe: Callable[[str, float], None]
+    waiting: dict[str, list[asyncio.Future[Answer]]] = field(default_factory=dict)
+    followers: dict[str, list[asyncio.Queue[dict[str, Any] | None]]] = field(default_factory=dict)
+    following: int = 0
+    dropped_followers: int = 0
+
+    async def handle(self, request: Request) -> Reply:
+        match request.method, request.path:
+            case "POST", ("sessions",):
+                return await self._ask(request)
+            case "GET", ("sessions", sess):
+                return Reply(200, self._state(self._found(sess)))
+            case "GET", ("sessions", sess, "events"):
+                return self._follow(self._found(sess))
+            case "DELETE", ("sessions", sess):
+                self._found(sess)
+                self.apply(lambda now: self.engine.left(now, sess))
+                return Reply(204)
+            case _, ("sessions",) | ("sessions", _) | ("sessions", _, "events"):
+                raise HttpError(405, "method", f"{request.method} is not for this resource")
+            case _:
+                raise HttpError(404, "no-such-resource", "/" + "/".join(request.path)[:100])
+
+    def carry_out(self, effect: Effect) -> None:
+        match effect:
+            case fx.Reply(sess, answer):
+                for future in self.waiting.pop(sess, []):
+                    if not future.done():
+                        future.set_result(answer)
+            case fx.Push(sess, what, value):
+                line = {"event": what, "value": value}
+                for queue in self.followers.get(sess, []):
+                    if queue.qsize() < EVENTS_AHEAD:
+                        queue.put_nowait(line)
+                    elif queue.qsize() == EVENTS_AHEAD:
+                        self.dropped_followers += 1
+                        queue.put_nowait({"event": "too-far-behind", "value": EVENTS_AHEAD})
+                        queue.put_nowait(None)
+                    if what == "ended" and queue.qsize() < EVENTS_AHEAD:
+                        queue.put_nowait(None)
+
+    def _found(self, sess: str) -> Held:
+        held = self.engine.find(sess)
+        if held is None:
+            raise HttpError(404, "no-such-session", sess[:100])
+        return held
+
+    def _checked(self, body: SessionAsk) -> Ask:
+        names, facts = self.site.group_names(), self.site.facts
+        if body.group not in names:
+            raise HttpError(422, "no-such-service-group", f"{body.group}: one of {', '.join(names)}")
+        tenants = [tenant.name for tenant in facts.tenants]
+        if tenants and body.tenant not in tenants:
+            raise HttpError(422, "no-such-tenant", f"{body.tenant!r}: one of {', '.join(tenants)}")
+        place = self.site.titles.find(body.title)
+        if place is None:
+            raise HttpError(404, "no-such-title", body.title)
+        number = names.index(body.group)
+        group = facts.groups[number]
+        top = min(body.top, group.top, len(facts.ladder.rate_kb) - 1)
+        if top < group.floor:
+            raise HttpError(
+                422, "top-below-floor", f"rung {top}: {body.group} plays at {group.floor} or above"
+            )
+        wait = group.setup_timeout if body.wait_ms is None else round(body.wait_ms * 1000)
+        return Ask(
+            body.title, number, tenants.index(body.tenant) if tenants else 0, place.home, place.span, top,
+            min(wait, group.setup_timeout), None if body.length_ms is None else round(body.length_ms * 1000),
+            number_of(body.viewer) if body.viewer else 0, body.again, body.moved,
+        )  # fmt: skip
+
+    async def _ask(self, request: Request) -> Reply:
+        began = asyncio.get_running_loop().time()
+        ask = self._checked(decoded(request.body, SessionAsk))
+        key = request.headers.get("idempotency-key")
+        if key is not None and not 1 <= len(key) <= 200:
+            raise HttpError(400, "malformed-key", "an idempotency key has 1 to 200 characters")
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        sess = secrets.token_hex(12)
+        held: Held | None = None
+        refused: list[Answer] = []
+
+        def take(now: int) -> list[Effect]:
+            nonlocal held
+            held, out = self.engine.request(now, sess, ask, key)
+            if held is None:
+                refused.extend(effect.answer for effect in out if isinstance(effect, fx.Reply))
+                return []
+            if held.answer is None:
+                self.waiting.setdefault(held.sess, []).append(future)
+            return out
+
+        try:
+            self.apply(take)
+        except RepeatError as problem:
+            raise HttpError(422, "key-used-otherwise", str(problem)) from None
+        if held is None:
+            return self._reply("", refused[0])
+        held_now: Held = held
+        if held_now.answer is None:
+            gone = asyncio.create_task(request.gone.wait())
+            try:
+                await asyncio.wait((gone, future), return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                gone.cancel()
+            if not future.done():
+                self._leave(held_now, future)
+                return Reply(499, drop=True)
+        answer = held_now.answer
+        assert answer is not None
+        if held_now.sess == sess:
+            self.observe(answer.kind, asyncio.get_running_loop().time() - began)
+        return self._reply(held_now.sess, answer)
+
+    def _leave(self, held: Held, future: asyncio.Future[Answer]) -> None:
+        """A waiting client is gone; with the last one who waits for this session, so is the viewer."""
+        waiting = self.waiting.get(held.sess, [])
+        if future in waiting:
+            waiting.remove(future)
+        if not waiting:
+            self.waiting.pop(held.sess, None)
+            self.apply(lambda now: self.engine.left(now, held.sess))
+
+    def _reply(self, sess: str, answer: Answer) -> Reply:
+        if answer.kind == "playing":
+            body = {"session": sess, "state": "playing", "server": self.address_of(answer.server),
+                    "rung": answer.rung}  # fmt: skip
+            return Reply(201, body, (("Location", f"/sessions/{sess}"),))
+        if answer.kind == "busy":
+            seconds = max(1, math.ceil(answer.come_back / SECOND))
+            body = {"session": sess, "state": "busy-replied", "error": answer.why or "busy",
+                    "come_back_ms": answer.come_back / 1000}  # fmt: skip
+            return Reply(503, body, (("Retry-After", str(seconds)),))
+        return Reply(502, {"session": sess, "state": "torn-down", "error": answer.why or answer.kind})
+
+    def _state(self, held: Held) -> dict[str, Any]:
+        state: dict[str, Any] = {"session": held.sess, "state": held.phase.value, "title": held.ask.title,
+                                 "group": self.site.group_names()[held.ask.service_group]}  # fmt: skip
+        if held.phase is Phase.PLAYING:
+            state |= {"server": self.address_of(held.server), "rung": held.rung}
+        if held.phase is Phase.ENDED:
+            state["end"] = held.end
+        return state
+
+    def _follow(self, held: Held) -> Reply:
+        if self.following >= self.site.limits.followers:
+            raise HttpError(
+                503, "too-many-followers", f"{self.following} streams of events", (("Retry-After", "1"),)
+            )
+        queue: asyncio.Queue[dict[str, Any] | None] = asyncio.Queue()
+        queue.put_nowait({"event": "state", "value": self._state(held)})
+        if held.phase is Phase.ENDED:
+            queue.put_nowait(None)
+        return Reply(200, lines=self._events(held.sess, queue))
+
+    async def _events(self, sess: str, queue: "asyncio.Queue[dict[str, Any] | None]") -> AsyncIterator[bytes]:
+        self.followers.setdefault(sess, []).append(queue)
+        self.following += 1
+        try:
+            while True:
+                try:
+                    line = await asyncio.wait_for(queue.get(), _BEAT)
+                except TimeoutError:
+                    line = {"event": "beat"}
+                if line is None:
+                    return
+                yield msgspec.json.encode(line) + b"\n"
+        finally:
+            self.following -= 1
+            self.followers[sess].remove(queue)
+            if not self.followers[sess]:
+                del self.followers[sess]
--- /dev/null
+++ b/ponddoor/front/words.py
@@ -0,0 +1,80 @@
+"""The shell of the fronts' words: one UDP socket, sealed datagrams to and from the configured fronts."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from ponddoor.front.sealed import Seal, WordTooLongError
+from ponddoor.settings.site import Site
+
+log = structlog.get_logger("words")
+
+
+def wall() -> int:
+    """The wall clock in microseconds."""
+    return time.time_ns() // 1000
+
+
+@dataclass(slots=True)
+class WordSocket(asyncio.DatagramProtocol):
+    """Sends and receives words. A datagram must come from its sender's configured address."""
+
+    site: Site
+    me: int
+    seal: Seal
+    heard: Callable[[int, bytes], None]
+    lost: dict[str, int] = field(default_factory=dict)
+    told: int = 0
+    _transport: asyncio.DatagramTransport | None = None
+    _said: set[int] = field(default_factory=set)
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=self.site.fronts[self.me].words
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.DatagramTransport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        got = self.seal.open(wall(), data)
+        if got is None:
+            for peer, fronts in self.seal.miscounted.items():
+                if peer not in self._said:
+                    self._said.add(peer)
+                    log.error("fronts-miscounted", peer=peer, theirs=fronts, ours=self.seal.fronts)
+            return
+        peer, payload = got
+        if addr[:2] != self.site.fronts[peer].words:
+            self._count("address")
+            return
+        self.heard(peer, payload)
+
+    def error_received(self, exc: Exception) -> None:
+        self._count("unreachable")
+
+    def send(self, peer: int | None, payload: bytes) -> None:
+        """Tell one front, or all others. A word that can't be sent is lost, and counted."""
+        peers = [peer] if peer is not None else [n for n in range(len(self.site.fronts)) if n != self.me]
+        for number in peers:
+            if not 0 <= number < len(self.site.fronts) or number == self.me or self._transport is None:
+                self._count("nobody")
+                continue
+            try:
+                self._transport.sendto(self.seal.seal(wall(), payload), self.site.fronts[number].words)
+                self.told += 1
+            except WordTooLongError:
+                self._count("too-long")
+            except OSError:
+                self._count("unreachable")
+
+    def _count(self, why: str) -> None:
+        self.lost[why] = self.lost.get(why, 0) + 1
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
--- a/ponddoor/interface/words.py
+++ b/ponddoor/interface/words.py
@@ -1,4 +1,4 @@
-"""What fronts say to one another, and the bytes of it. A message holds 256 bytes; longer words are split.
+"""What fronts say to one another, and the bytes of it. A message holds 225 bytes; longer words are split.
 
 What is empty or of no known kind says nothing; what is cut short is read as far as it goes.
 """
@@ -8,7 +8,7 @@
 
 _CHANGES, _ALL, _OURS, _HOLDERS, _ANSWER = range(5)
 _RATE, _QUESTION, _ROOM = struct.Struct(">IHBBBB"), struct.Struct(">III"), struct.Struct(">IhHH")
-_KB, _AGE, _NONE, _A_MESSAGE = 4.0, 20_000, 255, 25  # steps of rates and ages, no sample, rows a message
+_KB, _AGE, _NONE, _A_MESSAGE = 4.0, 20_000, 255, 22  # steps of rates and ages, no sample, rows a message
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/ponddoor/rehearse/day.py
@@ -0,0 +1,213 @@
+"""A day: a small text file of arrivals and troubles with times. The same file and seed draw the same day.
+
+docs/operating.md has every field. Times in the drawn day are microseconds from its begin."""
+
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import numpy as np
+
+from ponddoor.settings.check import Form, top_form
+from ponddoor.settings.sexpr import Problem, SettingsError, read
+from ponddoor.settings.site import Site, load
+
+SECOND = 1_000_000
+# name: whether it strikes servers, the fields it takes with their least, most and default
+TROUBLES: dict[str, dict[str, tuple[float, float, float]]] = {
+    "crash": {"part": (0, 1, 0.2)},
+    "vanish": {"part": (0, 1, 0.15)},
+    "slow": {"part": (0, 1, 0.2), "size": (1, 100, 3)},
+    "hang": {"part": (0, 1, 0.15)},
+    "fast_errors": {"part": (0, 1, 0.15), "size": (0, 1, 0.6)},
+    "neighbour": {"part": (0, 1, 0.4), "size": (0, 0.95, 0.5)},
+    "report_late": {"part": (0, 1, 1), "size": (0, 60, 3)},
+    "answer_lost": {"part": (0, 1, 0.5), "size": (0, 1, 0.3)},
+    "hot_key": {"size": (0, 1, 0.15)},
+    "zone_loss": {"fronts": (0, 1, 0), "silent": (0, 1, 0)},
+    "deploy": {"part": (0, 1, 0.6), "size": (0, 1, 0.15), "drain": (0, 60, 3)},
+    "discovery_down": {},
+    "balancer_roll": {"part": (0, 1, 1), "down": (0, 60, 0.8)},
+    "origin_slow": {"size": (1, 100, 3)},
+    "peer_down": {"part": (0, 1, 1)},
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One trouble: when it begins and how long it lasts, in microseconds, and its figures."""
+
+    kind: str
+    at: int
+    length: int
+    figures: dict[str, float]
+    how: str
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """A day as its file has it."""
+
+    name: str
+    site: Site
+    length: int
+    seed: int
+    servers: int
+    fronts: int
+    rate: float
+    swing: float
+    zipf: float
+    stay: tuple[int, int]
+    small: float
+    returns: float
+    come_back: tuple[int, int]
+    mix: tuple[float, ...]
+    troubles: tuple[Trouble, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Viewer:
+    """One viewer: when it comes, where, and what it wants. `stay` in microseconds."""
+
+    number: int
+    at: int
+    zone: int
+    group: int
+    tenant: int
+    title: str
+    top: int
+    stay: int
+
+
+def load_day(path: Path, seed: int | None = None) -> Day:
+    """The day a file describes. Raises SettingsError with all that is wrong, also with the site it names."""
+    problems: list[Problem] = []
+    top = top_form(read(path), "day", str(path), problems)
+    site_path = path.parent / top.text("site")
+    site = load(site_path)
+    load_part = top.number("load", 0.0, 0, 10)
+    servers = top.whole("servers", 15, 1, 1000)
+    stay = _span(top, "stay", (20 * SECOND, 60 * SECOND))
+    rate = top.number("rate", 0.0, 0, 100_000) or _rate(site, servers, load_part or 0.7, stay)
+    mixed = top.one("mix", needed=False)
+    mix = (
+        [mixed.number(group.name, 0.0) for group in site.facts.groups]
+        if mixed
+        else [1.0] * len(site.facts.groups)
+    )
+    if mixed:
+        mixed.done()
+    if sum(mix) <= 0:
+        top.problem(top.place, "a mix of nothing", "a share above 0 of one service group")
+        mix = [1.0] * len(mix)
+    day = Day(
+        name=top.words[0].text if top.words else path.stem,
+        site=site,
+        length=top.time("length", 60 * SECOND, SECOND),
+        seed=top.whole("seed", 1),
+        servers=servers,
+        fronts=top.whole("fronts", len(site.fronts), 1, len(site.fronts)),
+        rate=rate,
+        swing=top.number("swing", 0.3, 0, 1),
+        zipf=top.number("zipf", 0.8, 0, 3),
+        stay=stay,
+        small=top.number("small-screens", 0.25, 0, 1),
+        returns=top.number("returns", 0.9, 0, 1),
+        come_back=_span(top, "come-back", (SECOND // 2, 3 * SECOND)),
+        mix=tuple(share / sum(mix) for share in mix),
+        troubles=tuple(trouble for form in top.many("at") for trouble in _trouble(form)),
+    )
+    top.done(words=1)
+    if day.servers < site.facts.plant.cells:
+        found = f"{day.servers} servers for {site.facts.plant.cells} cells of {site.name}"
+        top.problem(top.place, found, "a server for each cell at least, or titles lie nowhere")
+    if problems:
+        raise SettingsError(sorted(problems, key=lambda p: (p.place.line, p.place.column)))
+    if seed is None:
+        return day
+    return replace(day, seed=seed)
+
+
+def _span(top: Form, name: str, default: tuple[int, int]) -> tuple[int, int]:
+    held = top.one(name, needed=False)
+    if held is None:
+        return default
+    low, high = held.time("from", default[0]), held.time("to", default[1])
+    if low > high:
+        held.problem(held.place, f"from {low}us to {high}us", "the shorter one first")
+    held.done()
+    return low, high
+
+
+def _rate(site: Site, servers: int, load: float, stay: tuple[int, int]) -> float:
+    """New sessions a second that fill so much of all links at the middle rung."""
+    facts = site.facts
+    middle = facts.ladder.rate_kb[len(facts.ladder.rate_kb) // 2]
+    links = sum(weight_of(site, n) for n in range(servers)) * facts.plant.kb_per_weight
+    return load * links / (middle * (stay[0] + stay[1]) / 2 / SECOND)
+
+
+def weight_of(site: Site, number: int) -> float:
+    """A stand-in's weight: its kind's places over the smallest kind's, times two."""
+    streams = site.facts.plant.streams
+    return 2.0 * streams[number % len(streams)] / min(streams)
+
+
+def _trouble(form: Form) -> list[Trouble]:
+    """(at TIME (KIND (for TIME) (FIGURE value)...)...)"""
+    when = form.measure(form.name(), {"s": SECOND, "ms": 1000, "min": 60 * SECOND}, 0, 3600 * SECOND)
+    made = []
+    for kind, figures in TROUBLES.items():
+        for held in form.many(kind):
+            got = {
+                name: held.number(name, default, low, high) for name, (low, high, default) in figures.items()
+            }
+            how = held.choice("how", ["silent", "reset"], "silent") if kind == "answer_lost" else ""
+            made.append(Trouble(kind, round(when or 0), held.time("for", 10 * SECOND), got, how))
+            held.done()
+    if not made:
+        form.problem(form.place, "no trouble", f"one of: {', '.join(TROUBLES)}")
+    form.done(words=1)
+    return made
+
+
+def draw(day: Day) -> list[Viewer]:
+    """All viewers of a day, drawn ahead from its seed, in order of their coming."""
+    rng = np.random.default_rng([day.seed, 5])
+    site, facts = day.site, day.site.facts
+    titles = sorted(site.titles.listed) or [f"title-{n}" for n in range(40)]
+    if site.titles.unlisted is not None:
+        titles += [f"title-{n}" for n in range(max(0, 40 - len(titles)))]
+    popular = np.array([1 / (rank + 1) ** day.zipf for rank in range(len(titles))])
+    order = rng.permutation(len(titles))
+    shares = [tenant.share for tenant in facts.tenants] or [1.0]
+    hot = [t for t in day.troubles if t.kind == "hot_key"]
+    viewers: list[Viewer] = []
+    at = 0.0
+    while True:
+        wave = 1 + day.swing * np.sin(2 * np.pi * at / max(day.length / 2, 1))
+        at += float(rng.exponential(SECOND / (day.rate * wave)))
+        if at >= day.length:
+            return viewers
+        group = int(rng.choice(len(day.mix), p=day.mix))
+        crowd = [t for t in hot if t.at <= at < t.at + t.length]
+        pick = int(order[int(rng.choice(len(titles), p=popular / popular.sum()))])
+        if crowd and rng.random() < sum(t.figures["size"] for t in crowd):
+            pick = int(order[-1])
+        most = facts.groups[group].top
+        top = (
+            most
+            if rng.random() >= day.small
+            else max(facts.groups[group].floor, int(rng.integers(0, most + 1)))
+        )
+        viewers.append(
+            Viewer(
+                len(viewers),
+                round(at),
+                int(rng.integers(0, len(site.zones) or 1)),
+                group,
+                int(rng.choice(len(shares), p=np.array(shares) / sum(shares))),
+                titles[pick],
+                top,
+                int(rng.uniform(*day.stay)),
+            )
+        )
--- /dev/null
+++ b/ponddoor/rehearse/report.py
@@ -0,0 +1,66 @@
+"""The table at the end of a rehearsal."""
+
+from typing import Any
+
+from ponddoor.audit.rules import RULES
+from ponddoor.rehearse.run import Result
+
+
+def as_dict(result: Result) -> dict[str, Any]:
+    """A result for scripts."""
+    starts = result.players["starts_ms"]
+    return {
+        "day": result.day,
+        "seed": result.seed,
+        "decisions": result.decisions,
+        "viewers": result.players["viewers"],
+        "service": result.whole,
+        "worst_10_s": result.worst_window,
+        "worst_group": result.worst_group,
+        "groups": result.players["groups"],
+        "tries": result.players["counts"],
+        "setups": result.setups,
+        "start_ms_p50": _at(starts, 0.5),
+        "start_ms_p99": _at(starts, 0.99),
+        "fell": result.fell,
+        "breaches": [str(breach) for breach in result.breaches],
+        "records_cut": len(result.left_out),
+    }
+
+
+def table(results: list[Result]) -> str:
+    """One column a run; a row a figure. Service is utility earned over utility wanted."""
+    runs = [as_dict(result) for result in results]
+    rows: list[tuple[str, list[str]]] = [
+        ("", [f"{run['day']} {run['seed']} {run['decisions']}" for run in runs])
+    ]
+    for name, key in (("service", "service"), ("worst 10 s", "worst_10_s"), ("worst group", "worst_group")):
+        rows.append((name, [f"{run[key]:.3f}" for run in runs]))
+    for group in runs[0]["groups"]:
+        rows.append((f"  {group}", [f"{run['groups'].get(group, 0):.3f}" for run in runs]))
+    rows.append(("viewers", [str(run["viewers"]) for run in runs]))
+    for word in sorted({word for run in runs for word in run["tries"]}):
+        rows.append((f"  {word}", [str(run["tries"].get(word, 0)) for run in runs]))
+    for word in sorted({word for run in runs for word in run["setups"]}):
+        rows.append((f"SETUPs {word}", [str(run["setups"].get(word, 0)) for run in runs]))
+    rows.append(("start, median ms", [f"{run['start_ms_p50']:.0f}" for run in runs]))
+    rows.append(("start, 99th ms", [f"{run['start_ms_p99']:.0f}" for run in runs]))
+    for rule in RULES:
+        rows.append((rule, [_kept(result, rule) for result in results]))
+    first = max(len(name) for name, _ in rows)
+    widths = [max(len(cells[at]) for _, cells in rows) for at in range(len(runs))]
+    lines = [
+        f"{name:{first}}  " + "  ".join(f"{c:>{w}}" for c, w in zip(cells, widths, strict=True))
+        for name, cells in rows
+    ]
+    breaches = [str(breach) for result in results for breach in result.breaches][:20]
+    return "\n".join([*lines, *breaches])
+
+
+def _kept(result: Result, rule: str) -> str:
+    broken = sum(breach.rule == rule for breach in result.breaches)
+    return f"{broken} BROKEN" if broken else "kept"
+
+
+def _at(ordered: list[float], part: float) -> float:
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
--- /dev/null
+++ b/ponddoor/rehearse/run.py
@@ -0,0 +1,447 @@
+"""Plays a day: fronts, media servers, list and players as processes of their own on free loopback ports."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+
+from ponddoor.audit.records import Recorder, read
+from ponddoor.audit.rules import Breach, audit
+from ponddoor.rehearse.day import SECOND, Day, Trouble, weight_of
+from ponddoor.rehearse.wires import Wires
+from ponddoor.settings.sexpr import Listing, Node, form, word, write
+from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
+
+READY_WITHIN = 60.0
+FAULTS = ("vanish", "slow", "hang", "fast_errors", "neighbour", "report_late", "answer_lost")
+
+
+class RehearsalError(Exception):
+    """A rehearsal that could not be played: a process did not start or ended before its time."""
+
+
+@dataclass(slots=True)
+class Box:
+    """A media server's place: its number, cell and addresses, and the process that runs there."""
+
+    number: int
+    cell: int
+    port: int
+    control: int
+    process: asyncio.subprocess.Process | None = None
+
+
+@dataclass(slots=True)
+class Result:
+    """What a rehearsal brought."""
+
+    day: str
+    seed: int
+    decisions: str
+    players: dict[str, Any]
+    breaches: list[Breach]
+    left_out: list[str]
+    setups: dict[str, int]
+    fell: int
+    folder: Path
+
+    @property
+    def whole(self) -> float:
+        return float(self.players["whole"])
+
+    @property
+    def worst_window(self) -> float:
+        return float(min(self.players["windows"]))
+
+    @property
+    def worst_group(self) -> float:
+        return float(min(self.players["groups"].values()))
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports on loopback that nothing holds now, outside the range the kernel hands out by itself."""
+    found: list[int] = []
+    candidates = list(range(12_000, 31_000))
+    random.SystemRandom().shuffle(candidates)
+    for port in candidates:
+        with (
+            contextlib.suppress(OSError),
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise RehearsalError("not enough free ports")
+
+
+@dataclass(slots=True)
+class Rehearsal:
+    """One day in one folder. `progress` is told the part that has passed."""
+
+    day: Day
+    folder: Path
+    decisions: str = "ponddoor"
+    progress: Callable[[float], None] | None = None
+    boxes: list[Box] = field(default_factory=list)
+    fronts: dict[int, asyncio.subprocess.Process] = field(default_factory=dict)
+    others: list[asyncio.subprocess.Process] = field(default_factory=list)
+    front_ports: list[tuple[int, int, int]] = field(default_factory=list)
+    list_ports: tuple[int, int] = (0, 0)
+    stopping: bool = False
+    next_number: int = 1000
+    rng: np.random.Generator = field(default_factory=np.random.default_rng)
+    rec: Recorder = field(default_factory=lambda: Recorder(None, "rehearse"))
+    wires: Wires = field(default_factory=lambda: Wires([]))
+
+    async def play(self) -> Result:
+        """Play the day to its end. Raises RehearsalError where a process fails that should not."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.rng = np.random.default_rng([self.day.seed, 31])
+        self.rec = Recorder(self.folder / "rehearse.rec", "rehearse")
+        try:
+            await self._set_up()
+            players = await self._play_day()
+        finally:
+            await self._stop()
+        rows, left_out = read(self.folder)
+        breaches = audit(rows, self.day.site.facts)
+        setups: dict[str, int] = {}
+        for row in rows:
+            if row["what"] == "outcome":
+                setups[row["result"]] = setups.get(row["result"], 0) + 1
+        fell = sum(row["what"] == "fell" for row in rows)
+        return Result(
+            self.day.name,
+            self.day.seed,
+            self.decisions,
+            players,
+            breaches,
+            left_out,
+            setups,
+            fell,
+            self.folder,
+        )
+
+    async def _set_up(self) -> None:
+        day = self.day
+        ports = free_ports(2 + 2 * day.servers + 3 * day.fronts)
+        self.list_ports = (ports.pop(), ports.pop())
+        self.front_ports = [(ports.pop(), ports.pop(), ports.pop()) for _ in range(day.fronts)]
+        self.wires = Wires([("127.0.0.1", words) for _, words, _ in self.front_ports])
+        await self.wires.start()
+        for me in range(day.fronts):
+            (self.folder / f"site-{me}.pond").write_text(write([self._site(me)]))
+        cells = day.site.facts.plant.cells
+        self.boxes = [Box(self._number(), n % cells, ports.pop(), ports.pop()) for n in range(day.servers)]
+        listing = await self._spawn("list", "standin", "list", "--control", str(self.list_ports[1]))
+        self.others.append(listing)
+        await self._until(self._list_up, "the list")
+        await asyncio.gather(*(self._start_box(box, warm=True) for box in self.boxes))
+        await self._until(self._all_listed, "the media servers")
+        for me in range(day.fronts):
+            await self._start_front(me)
+        await asyncio.gather(
+            *(
+                self._until(lambda me=me: self._front_up(me), f"front {me}")  # type: ignore[misc]
+                for me in range(day.fronts)
+            )
+        )
+
+    def _number(self) -> int:
+        self.next_number += 1
+        return self.next_number
+
+    def _site(self, me: int) -> Listing:
+        """The day's site at this run's addresses, as front `me` is to see it."""
+
+        def fronts() -> Listing:
+            made: list[Node] = []
+            for other, (viewers, words, metrics) in enumerate(self.front_ports):
+                told = ("127.0.0.1", words) if other == me else self.wires.known_as(me, other)
+                zone = self.day.site.zones[self.day.site.fronts[other].zone]
+                made.append(
+                    form(
+                        "front",
+                        word(str(other)),
+                        form("zone", word(zone)),
+                        form("viewers", f"127.0.0.1:{viewers}"),
+                        form("words", f"{told[0]}:{told[1]}"),
+                        form("metrics", f"127.0.0.1:{metrics}"),
+                    )
+                )
+            return form("fronts", *made)
+
+        items: list[Node] = []
+        top = self.day.site.node[0]
+        assert isinstance(top, Listing)
+        for item in top.items:
+            match item.head if isinstance(item, Listing) else "":
+                case "fronts":
+                    items.append(fronts())
+                case "words":
+                    items.append(form("words", form("key", self.day.site.words.key.hex())))
+                case "list" if isinstance(item, Listing):
+                    kept = [i for i in item.items if not (isinstance(i, Listing) and i.head == "address")]
+                    items.append(
+                        Listing((*kept, form("address", f"127.0.0.1:{self.list_ports[0]}")), item.place)
+                    )
+                case _:
+                    items.append(item)
+        return Listing(tuple(items), top.place)
+
+    async def _spawn(self, name: str, *arguments: str, site: int = 0) -> asyncio.subprocess.Process:
+        log = (self.folder / f"{name}.log").open("ab")
+        with log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ponddoor.cli",
+                *arguments,
+                "--site",
+                str(self.folder / f"site-{site}.pond"),
+                *(["--record", str(self.folder / f"{name}.rec")] if arguments[0] == "standin" else []),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def _start_box(self, box: Box, warm: bool) -> None:
+        site = self.day.site
+        kind = site.kinds[box.cell % len(site.kinds)]
+        box.process = await self._spawn(
+            f"media-{box.number}",
+            "standin",
+            "media",
+            "--number",
+            str(box.number),
+            "--cell",
+            str(box.cell),
+            "--zone",
+            site.zones[box.cell % len(site.zones)],
+            "--kind",
+            kind,
+            "--weight",
+            str(weight_of(site, box.cell)),
+            "--port",
+            str(box.port),
+            "--control",
+            str(box.control),
+            "--seed",
+            str(self.day.seed),
+            *(["--warm"] if warm else []),
+        )
+
+    async def _start_front(self, me: int) -> None:
+        self.fronts[me] = await self._spawn(
+            f"front-{me}",
+            "front",
+            "--me",
+            str(me),
+            "--kept",
+            str(self.folder / f"front-{me}.list"),
+            "--decisions",
+            self.decisions,
+            "--seed",
+            str(self.day.seed * 1000 + me),
+            site=me,
+        )
+
+    async def _until(self, done: Callable[[], Any], what: str) -> None:
+        limit = time.monotonic() + READY_WITHIN
+        while not await done():
+            if time.monotonic() > limit:
+                raise RehearsalError(
+                    f"{what} did not come up in {READY_WITHIN:g} s: see the logs in {self.folder}"
+                )
+            await asyncio.sleep(0.1)
+
+    async def _get(self, port: int, path: str) -> bytes | None:
+        pool = Pool("127.0.0.1", port, 2, 1.0)
+        try:
+            return (await pool.request("GET", path, timeout=2.0)).body
+        except (NotSentError, BrokenError, LateError):
+            return None
+        finally:
+            pool.close()
+
+    async def _list_up(self) -> bool:
+        return await self._get(self.list_ports[0], "/servers") is not None
+
+    async def _all_listed(self) -> bool:
+        got = await self._get(self.list_ports[0], "/servers")
+        return got is not None and len(msgspec.json.decode(got)["servers"]) >= self.day.servers
+
+    async def _front_up(self, me: int) -> bool:
+        got = await self._get(self.front_ports[me][2], "/metrics")
+        return got is not None and b"ponddoor_list_reachable 1.0" in got
+
+    async def _play_day(self) -> dict[str, Any]:
+        length = self.day.length / SECOND
+        begin = time.monotonic() + 2.5
+        out = self.folder / "players.json"
+        players = await self._spawn(
+            "players",
+            "standin",
+            "players",
+            "--day",
+            str(self.folder / "day.json"),
+            "--begin",
+            repr(begin),
+            "--out",
+            str(out),
+            *(part for viewers, _, _ in self.front_ports for part in ("--front", f"127.0.0.1:{viewers}")),
+        )
+        self.others.append(players)
+        troubles = [asyncio.create_task(self._trouble(begin, trouble)) for trouble in self.day.troubles]
+        longest = max(group.setup_timeout for group in self.day.site.facts.groups) / SECOND
+        limit = begin + length + longest + 20
+        while players.returncode is None and time.monotonic() < limit:
+            if self.progress is not None:
+                self.progress(min(1.0, max(0.0, (time.monotonic() - begin) / length)))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(players.wait(), 0.2)
+        for task in troubles:
+            if task.done() and not task.cancelled() and (problem := task.exception()):
+                raise RehearsalError(f"a trouble could not be caused: {problem!r}")
+            task.cancel()
+        if not out.exists():
+            raise RehearsalError(f"the players did not finish: see {self.folder / 'players.log'}")
+        got: dict[str, Any] = msgspec.json.decode(out.read_bytes())
+        return got
+
+    # Troubles
+
+    async def _trouble(self, begin: float, trouble: Trouble) -> None:
+        await asyncio.sleep(max(0.0, begin + trouble.at / SECOND - time.monotonic()))
+        self.rec.note("trouble", kind=trouble.kind, length=trouble.length, figures=trouble.figures)
+        lasts, figures = trouble.length / SECOND, trouble.figures
+        match trouble.kind:
+            case "crash":
+                await self._crash(self._some(figures["part"]), lasts)
+            case kind if kind in FAULTS:
+                await self._fault(
+                    self._some(figures["part"]), kind, lasts, figures.get("size", 1.0), trouble.how
+                )
+            case "origin_slow":
+                racks = self.day.site.facts.plant.racks
+                short = {int(r) for r in self.rng.choice(racks, max(1, round(0.3 * racks)), replace=False)}
+                boxes = [box for box in self.boxes if box.cell % racks in short]
+                await self._fault(boxes, "origin_slow", lasts, figures["size"], "")
+            case "zone_loss":
+                await self._zone_loss(lasts, figures["fronts"] > 0.5, figures["silent"] > 0.5)
+            case "deploy":
+                await self._deploy(lasts, figures["part"], figures["size"], figures["drain"])
+            case "discovery_down":
+                await self._order(kind="discovery_down", on=True)
+                await asyncio.sleep(lasts)
+                await self._order(kind="discovery_down", on=False)
+            case "balancer_roll":
+                count = max(1, round(figures["part"] * len(self.fronts)))
+                for me in list(self.fronts)[:count]:
+                    await self._kill_front(me, figures["down"])
+                    await asyncio.sleep(max(0.0, lasts / count - figures["down"]))
+            case "peer_down":
+                count = max(1, round(figures["part"] * len(self.fronts)))
+                self.wires.cut |= set(list(self.fronts)[:count])
+                await asyncio.sleep(lasts)
+                self.wires.cut -= set(list(self.fronts)[:count])
+            case _:  # hot_key is in the arrivals
+                return
+
+    def _some(self, part: float) -> list[Box]:
+        count = max(1, round(part * len(self.boxes)))
+        return [self.boxes[int(n)] for n in self.rng.choice(len(self.boxes), count, replace=False)]
+
+    def _kill(self, what: str, process: asyncio.subprocess.Process | None) -> None:
+        self.rec.note("killed", process=what)
+        if process is not None and process.returncode is None:
+            process.kill()
+
+    async def _crash(self, boxes: list[Box], lasts: float) -> None:
+        for box in boxes:
+            self._kill(f"media {box.number}", box.process)
+        await asyncio.sleep(lasts)
+        if not self.stopping:
+            await asyncio.gather(*(self._start_box(box, warm=False) for box in boxes))
+
+    async def _fault(self, boxes: list[Box], kind: str, lasts: float, size: float, how: str) -> None:
+        async def tell(on: bool) -> None:
+            body = {"kind": kind, "on": on, "size": size, "how": how}
+            await asyncio.gather(*(self._control(box.control, body) for box in boxes))
+
+        await tell(True)
+        await asyncio.sleep(lasts)
+        await tell(False)
+
+    async def _control(self, port: int, body: dict[str, Any]) -> None:
+        pool = Pool("127.0.0.1", port, 2, 1.0)
+        with contextlib.suppress(NotSentError, BrokenError, LateError):  # it may be down by another trouble
+            await pool.request("POST", "/fault", body, 2.0)
+        pool.close()
+
+    async def _order(self, **body: Any) -> None:
+        await self._control(self.list_ports[1], body)
+
+    async def _zone_loss(self, lasts: float, with_fronts: bool, silent: bool) -> None:
+        zones = self.day.site.zones
+        zone = int(self.rng.integers(0, len(zones)))
+        boxes = [box for box in self.boxes if box.cell % len(zones) == zone]
+        mine = [me for me in self.fronts if self.day.site.fronts[me].zone == zone] if with_fronts else []
+        await asyncio.gather(
+            self._fault(boxes, "vanish", lasts, 1.0, "") if silent else self._crash(boxes, lasts),
+            *(self._kill_front(me, lasts) for me in mine),
+        )
+
+    async def _kill_front(self, me: int, down: float) -> None:
+        self._kill(f"front {me}", self.fronts[me])
+        await self.fronts[me].wait()
+        await asyncio.sleep(down)
+        if not self.stopping:
+            await self._start_front(me)
+
+    async def _deploy(self, lasts: float, part: float, size: float, drain: float) -> None:
+        todo = self._some(part)
+        batch = max(1, round(size * len(self.boxes)))
+        batches = [todo[at : at + batch] for at in range(0, len(todo), batch)]
+        for boxes in batches:
+            begun = time.monotonic()
+            for box in boxes:
+                await self._order(kind="drain", server=box.number)
+                await self._control(box.control, {"kind": "drain"})
+            await asyncio.sleep(drain)
+            for box in boxes:
+                self._kill(f"media {box.number}", box.process)
+                await self._order(kind="remove", server=box.number)
+                box.number = self._number()
+                box.port, box.control = free_ports(2)
+                await self._start_box(box, warm=False)
+            await asyncio.sleep(max(0.0, lasts / len(batches) - (time.monotonic() - begun)))
+
+    async def _stop(self) -> None:
+        self.stopping = True
+        everybody = [*self.fronts.values(), *self.others, *(box.process for box in self.boxes if box.process)]
+        for process in everybody:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.gather(*(process.wait() for process in everybody)), 5)
+        for process in everybody:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
+        self.wires.close()
--- /dev/null
+++ b/ponddoor/standins/players.py
@@ -0,0 +1,218 @@
+"""Players: they ask, play, leave, and come back after a break, and count their own utility.
+
+One process plays all viewers of a day. Utility is counted as docs/operating.md says: by the second wanted, at
+the worth of the top rung that the viewer can use; earned at the rung in force, less what is short; a session
+that began after its start target earns nothing."""
+
+import asyncio
+import contextlib
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import numpy as np
+
+from ponddoor.audit.records import Recorder
+from ponddoor.rehearse.day import SECOND, Day, Viewer, draw
+from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
+
+WINDOW = 10.0  # seconds of a window of the count
+LEAVE_AT = 0.75  # a share under which viewers begin to leave
+SILENCE = 3.0  # seconds without a word from the server, after which a viewer takes it for lost
+TRIES = 8
+
+
+@dataclass(slots=True)
+class Tally:
+    """Utility offered and earned, by window and by service group, and what happened."""
+
+    offered: dict[tuple[int, int], float] = field(default_factory=dict)
+    earned: dict[tuple[int, int], float] = field(default_factory=dict)
+    counts: dict[str, int] = field(default_factory=dict)
+    starts: list[float] = field(default_factory=list)
+
+    def add(
+        self,
+        table: dict[tuple[int, int], float],
+        begin: float,
+        at: float,
+        seconds: float,
+        group: int,
+        worth: float,
+    ) -> None:
+        window = int(max(at - begin, 0) / WINDOW)
+        table[(window, group)] = table.get((window, group), 0.0) + worth * seconds
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+
+class Players:
+    """All viewers of one day."""
+
+    def __init__(self, day: Day, recorder: Recorder, addresses: list[tuple[str, int]]) -> None:
+        self.day, self.rec, self.tally = day, recorder, Tally()
+        self.fronts = [Pool(host, port, 20_000, 1.0, 5.0) for host, port in addresses]
+        zones = [place.zone for place in day.site.fronts[: len(addresses)]]
+        self.near = {
+            zone: [n for n, z in enumerate(zones) if z == zone] or list(range(len(zones)))
+            for zone in range(max(1, len(day.site.zones)))
+        }
+        self.begin = 0.0
+
+    async def run(self, begin: float) -> dict[str, Any]:
+        """Play the day from a moment of the monotonic clock; returns the count."""
+        self.begin = begin
+        viewers = draw(self.day)
+        await asyncio.gather(*(self.watch(viewer) for viewer in viewers))
+        return self.summary(len(viewers))
+
+    def summary(self, viewers: int) -> dict[str, Any]:
+        names, last = self.day.site.group_names(), int(self.day.length / SECOND / WINDOW)
+        offered, earned = self.tally.offered, self.tally.earned
+
+        def ratio(keep: Any) -> float:
+            wanted = sum(v for k, v in offered.items() if keep(k))
+            return sum(v for k, v in earned.items() if keep(k)) / wanted if wanted else 1.0
+
+        windows = [ratio(lambda k, w=w: k[0] == w) for w in range(max(1, last))]
+        groups = {name: ratio(lambda k, g=g: k[1] == g) for g, name in enumerate(names)}
+        return {
+            "viewers": viewers,
+            "whole": ratio(lambda k: True),
+            "windows": windows,
+            "groups": groups,
+            "counts": self.tally.counts,
+            "starts_ms": sorted(round(s * 1000, 1) for s in self.tally.starts),
+        }
+
+    async def watch(self, viewer: Viewer) -> None:
+        """One viewer from its coming to its going, over all its tries."""
+        day, rng = self.day, np.random.default_rng([self.day.seed, 9, viewer.number])
+        group, ladder = day.site.facts.groups[viewer.group], day.site.facts.ladder
+        start = self.begin + viewer.at / SECOND
+        await asyncio.sleep(max(0.0, start - time.monotonic()))
+        end = start + viewer.stay / SECOND
+        day_end = self.begin + day.length / SECOND
+        end = min(end, day_end)
+        wanted = group.utility * ladder.utility[viewer.top]
+        second = start
+        while second < end:
+            self.tally.add(
+                self.tally.offered, self.begin, second, min(1.0, end - second), viewer.group, wanted
+            )
+            second += 1.0
+        moved = False
+        for number in range(TRIES):
+            if time.monotonic() >= end - 0.2:
+                return
+            why, come_back = await self.attempt(viewer, number, end, rng, moved)
+            moved = why == "moved"
+            self.tally.count(why)
+            if why == "over" or (not moved and rng.random() > day.returns):
+                return
+            pause = rng.uniform(*day.come_back) / SECOND
+            await asyncio.sleep(0.3 if moved else max(pause, come_back))
+
+    async def attempt(
+        self, viewer: Viewer, number: int, end: float, rng: np.random.Generator, moved: bool
+    ) -> tuple[str, float]:
+        """One try; returns how it ended and the advice when to come back, in seconds."""
+        site = self.day.site
+        group, fronts = site.facts.groups[viewer.group], self.near[viewer.zone]
+        front = int(fronts[int(rng.beta(2, 3) * len(fronts))])
+        name, wait = f"v{viewer.number}.{number}", group.setup_timeout / SECOND
+        body = {
+            "title": viewer.title,
+            "group": group.name,
+            "top": viewer.top,
+            "viewer": f"v{viewer.number}",
+            "length_ms": (end - time.monotonic()) * 1000 * float(rng.uniform(0.7, 1.4)),
+            "again": number > 0,
+            "moved": moved,
+        }
+        if site.facts.tenants:
+            body["tenant"] = site.facts.tenants[viewer.tenant].name
+        asked = time.monotonic()
+        self.rec.note("ask", ask=name, front=front, wait_us=group.setup_timeout, group=viewer.group)
+        pool = self.fronts[front]
+        try:
+            answer = await pool.request("POST", "/sessions", body, wait + 2.0, (("Idempotency-Key", name),))
+            got: dict[str, Any] = answer.json()
+        except NotSentError:
+            self.rec.note("not-taken", ask=name, front=front)
+            return "not-taken", 0.0
+        except (BrokenError, LateError) as problem:
+            self.rec.note("no-answer", ask=name, front=front, why=type(problem).__name__)
+            return "no-answer", 0.0
+        sess, state = str(got.get("session", "")), str(got.get("state", "malformed"))
+        self.rec.note(
+            "answer",
+            ask=name,
+            front=front,
+            status=answer.status,
+            state=state,
+            sess=sess,
+            unasked=pool.unasked,
+        )
+        if state != "playing":
+            return state, float(got.get("come_back_ms", 0.0)) / 1000
+        lag = time.monotonic() - asked
+        self.tally.starts.append(lag)
+        why = await self.play(viewer, str(got["server"]), sess, end, lag <= group.start_target / SECOND, rng)
+        self.rec.note("end", ask=name, front=front, sess=sess, why=why)
+        with contextlib.suppress(NotSentError, BrokenError, LateError):
+            await pool.request("DELETE", f"/sessions/{sess}", timeout=1.0)
+        return why, 0.0
+
+    async def play(
+        self, viewer: Viewer, server: str, sess: str, end: float, timely: bool, rng: np.random.Generator
+    ) -> str:
+        """Watch until the end, a break, or until too little comes."""
+        facts = self.day.site.facts
+        group, ladder = facts.groups[viewer.group], facts.ladder
+        host, _, port = server.rpartition(":")
+        pool = Pool(host, int(port or 0), 2, 1.0)
+        rung, share, at, short_since = -1, 1.0, time.monotonic(), 0.0
+        stream = pool.lines(f"/play/{sess}", SILENCE)
+
+        def earn() -> None:
+            nonlocal at
+            now = min(time.monotonic(), end)
+            worth = ladder.utility[rung] * group.utility if timely and rung >= 0 else 0.0
+            worth *= max(0.0, 1 - ladder.short_cost * (1 - share)) if share < 0.98 else 1.0
+            self.tally.add(self.tally.earned, self.begin, at, max(0.0, now - at), viewer.group, worth)
+            at = max(at, now)
+
+        try:
+            async with asyncio.timeout(max(0.0, end - time.monotonic())):
+                async for line in stream:
+                    got = msgspec.json.decode(line, type=dict[str, Any])
+                    earn()
+                    if got.get("over"):
+                        return "broken"
+                    if rung not in (-1, got["rung"]):
+                        self.tally.count("switches")
+                        self.tally.add(
+                            self.tally.earned,
+                            self.begin,
+                            at,
+                            -ladder.switch_cost_s,
+                            viewer.group,
+                            group.utility if timely else 0.0,
+                        )
+                    rung, share = got["rung"], got["share"]
+                    now = time.monotonic()
+                    short_since = (short_since or now) if share < LEAVE_AT else 0.0
+                    if short_since and now - short_since > 2 and rng.random() < 0.15:
+                        return "left-short"
+        except TimeoutError:
+            earn()
+            return "over"
+        except (NotSentError, BrokenError, LateError, msgspec.MsgspecError):
+            share = 0.0
+            return "broken"
+        finally:
+            await stream.aclose()
+        return "broken"
