--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -1,7 +1,7 @@
 """The command line.
 
-Exit codes: 0 done; 1 a rule broken, or what was asked did not come about; 2 input that can't be used, with all
-its problems on standard error."""
+Exit codes: 0 done; 1 a rule broken, or what was asked did not come about; 2 input that can't be used, with
+all its problems on standard error."""
 
 import asyncio
 import logging
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -222,6 +222,7 @@
         self.words.close()
         await self.web.close()
         await self.metrics_web.close()
+        await asyncio.sleep(0)  # closed sockets leave the loop in its next round
         if self._timer is not None:
             self._timer.cancel()
         log.info("front-stopped", me=self.me)
--- a/ponddoor/rehearse/wires.py
+++ b/ponddoor/rehearse/wires.py
@@ -1,6 +1,7 @@
 """Relays between the fronts' word sockets, so that a rehearsal can cut them: one UDP socket a direction."""
 
 import asyncio
+import functools
 from dataclasses import dataclass, field
 
 Address = tuple[str, int]
@@ -27,8 +28,8 @@
         numbers = range(len(self.fronts))
         for mine, other in [(i, j) for i in numbers for j in numbers if i != j]:
             transport, _ = await loop.create_datagram_endpoint(
-                lambda mine=mine, other=other: _End(self, mine, other), local_addr=("127.0.0.1", 0)
-            )  # type: ignore[misc]
+                functools.partial(_End, self, mine, other), local_addr=("127.0.0.1", 0)
+            )
             self._ends[(mine, other)] = transport
 
     def known_as(self, mine: int, other: int) -> Address:
--- /dev/null
+++ b/tests/front/conftest.py
@@ -0,0 +1,312 @@
+"""Helpers of the front's tests: an engine under a scenario, and a small world on loopback in one process."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ponddoor.audit.records import Recorder
+from ponddoor.audit.rules import Breach, audit
+from ponddoor.decide import Front
+from ponddoor.front import effects as fx
+from ponddoor.front.effects import Ask, Effect
+from ponddoor.front.engine import Engine, RepeatError
+from ponddoor.front.limits import Gate, LagMeter
+from ponddoor.front.process import FrontProcess
+from ponddoor.front.roster import Entry
+from ponddoor.interface import events as ev
+from ponddoor.rehearse.run import free_ports
+from ponddoor.settings.site import Site, loads
+from ponddoor.standins.listing import ServerList
+from ponddoor.standins.media import MediaServer
+from ponddoor.web.client import Answer, BrokenError, LateError, NotSentError, Pool
+
+SITE = """
+(site small
+  (zones north)
+  (kinds (kind box (streams {streams})))
+  (groups (group clips (start-target {target}) (setup-timeout {timeout}) (utility 1) {group}))
+  (ladder (rung (rate 100kB/s) (utility 0.4)) (rung (rate 300kB/s) (utility 0.7))
+    (rung (rate 900kB/s) (utility 1)))
+  (plant (cells 3) (racks 1) (link-per-weight 20MB/s) (uplink 400MB/s))
+  (rules (cold {cold}) (cold-from 0.4) (drain-grace 200ms) (fall 1s) {rules})
+  (permissions (max-setups 3) (come-back 400ms) (connect-timeout 250ms) {permissions})
+  (reporting (how inline) (fields link-asked))
+  (list (mode push) (address "127.0.0.1:{list}") (retry 50ms) (silence 1500ms))
+  (fronts {fronts})
+  (words (key "00112233445566778899aabbccddeeff"))
+  (servers (notes-silence 1500ms) (attach-time 20s))
+  (limits (drain-time 0s) {limits}))
+"""
+DEFAULTS = {
+    "streams": 400,
+    "target": "400ms",
+    "timeout": "2s",
+    "group": "",
+    "cold": "2s",
+    "rules": "",
+    "permissions": "",
+    "limits": "",
+}
+WORDS = {
+    "full": ev.Result.FULL,
+    "error": ev.Result.ERROR,
+    "reset": ev.Result.RESET,
+    "connect_failed": ev.Result.CONNECT_FAILED,
+}
+
+
+def site_text(fronts: int = 1, list_port: int = 0, ports: list[int] | None = None, **parts: Any) -> str:
+    held = iter(ports or [0] * 3 * fronts)
+    made = " ".join(
+        f'(front {me} (zone north) (viewers "127.0.0.1:{next(held)}") (words "127.0.0.1:{next(held)}") '
+        f'(metrics "127.0.0.1:{next(held)}"))'
+        for me in range(fronts)
+    )
+    return SITE.format(**{**DEFAULTS, **parts}, list=list_port, fronts=made)
+
+
+class EnginePlayer:
+    """One engine under a scenario: `given PART=VALUE`, `at 20s WHAT ...; expect [no|just N] EFFECT ...`."""
+
+    def __init__(self) -> None:
+        self.parts: dict[str, Any] = {}
+        self.servers: list[int] = []
+        self.engine: Engine | None = None
+        self.now, self.seen = 20_000_000, [""]
+
+    def play(self, text: str) -> None:
+        for number, line in enumerate(text.splitlines(), 1):
+            for step in filter(None, (part.split() for part in line.split("#")[0].split(";"))):
+                try:
+                    getattr(self, step[0])(*step[1:])
+                except AssertionError as problem:
+                    raise AssertionError(f"line {number}: {line}: {problem}") from None
+
+    def given(self, *words: str) -> None:
+        for name, _, value in (text.partition("=") for text in words):
+            if name == "server":
+                self.servers.append(int(value))
+            elif name == "limit":
+                what, _, amount = value.partition(":")
+                self.parts["limits"] = self.parts.get("limits", "") + f" ({what} {amount})"
+            else:
+                self.parts[name] = value.replace("_", " ")
+
+    def begin(self) -> Engine:
+        site = loads(site_text(**self.parts))
+        facts = site.facts_of(0, 1)
+        gate = Gate(site.limits, LagMeter(1 << 60))
+        self.engine = Engine(Front(facts, 0), facts, gate)
+        rows = tuple(
+            ev.ServerRow(n, 0, 0, i % 3, ev.ServerState.READY, 2.0, 0) for i, n in enumerate(self.servers)
+        )
+        self.take(self.engine.news(0, ev.NewsScope.CACHED, rows))
+        return self.engine
+
+    def take(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case fx.SendSetup(sess, attempt, server):
+                    self.seen.append(f"setup {sess} {attempt} {server}")
+                case fx.SendTeardown(sess, attempt, server):
+                    self.seen.append(f"teardown {sess} {attempt} {server}")
+                case fx.Reply(sess, answer):
+                    self.seen.append(f"reply {sess} {answer.kind} {answer.why}".strip())
+                case fx.Push(sess, what, value):
+                    self.seen.append(f"push {sess} {what} {value}")
+                case fx.SendRung(sess, attempt, _, rung):
+                    self.seen.append(f"rung {sess} {attempt} {rung}")
+                case fx.Say(level, event):
+                    self.seen.append(f"say {level} {event}")
+                case _:
+                    self.seen.append(type(effect).__name__.lower())
+
+    def at(self, moment: str, what: str = "", *words: str) -> None:
+        engine = self.engine or self.begin()
+        self.seen = []
+        until = round(float(moment.rstrip("s")) * 1_000_000)
+        while (due := engine.next_due) is not None and due <= until:
+            self.now = max(self.now, due)
+            self.take(engine.due(self.now))
+        self.now = until
+        plain = [word for word in words if "=" not in word]
+        options = dict(word.split("=") for word in words if "=" in word)
+        if what:
+            self.take(self.happen(engine, what, plain, options))
+
+    def happen(self, engine: Engine, what: str, plain: list[str], options: dict[str, str]) -> list[Effect]:
+        name, numbers = plain[0], [int(text) for text in plain[1:] if text.isdigit()]
+        if what == "ask":
+            ask = Ask(options.get("title", "t"), 0, 0, 0, 3, 2, int(options.get("wait", 2_000_000)))
+            try:
+                held, effects = engine.request(self.now, name, ask, options.get("key"))
+            except RepeatError:
+                self.seen.append("otherwise")
+                return []
+            self.seen.append(f"held {held.sess}" if held else "held nobody")
+            return effects
+        if what == "left":
+            return engine.left(self.now, name)
+        if what == "gone":
+            row = ev.ServerRow(int(name), 0, 0, 0, ev.ServerState.DRAINING, 2.0, 0)
+            return engine.news(self.now, ev.NewsScope.CHANGES, (row,))
+        if what == "lost":
+            return engine.server_lost(self.now, int(name))
+        if what == "ended":
+            return engine.stream_ended(self.now, name, numbers[0], plain[2])
+        if what == "drain":
+            engine.gate.draining = True
+            return []
+        if what == "stop":
+            return engine.stop(self.now)
+        if what == "late":
+            engine.gate.lag.due = self.now - int(name)
+            return []
+        result = None if what == "started" else WORDS[what]
+        return engine.setup_answered(self.now, name, numbers[0], numbers[1], result, {}, {})
+
+    def expect(self, *words: str) -> None:
+        wanted = " ".join(words[{"no": 1, "just": 2}.get(words[0], 0) :])
+        seen = [line for line in self.seen if f"{line} ".startswith(f"{wanted} ")]
+        just = len(seen) == int(words[1]) if words[0] == "just" else bool(seen) != (words[0] == "no")
+        assert just, self.seen
+
+
+@pytest.fixture
+def play_engine() -> Callable[[Path], None]:
+    return lambda path: EnginePlayer().play(path.read_text())
+
+
+class World:
+    """List, media servers and fronts in one process, on loopback, with records kept in memory."""
+
+    def __init__(
+        self, fronts: int = 1, servers: int = 3, deciding: Any = Front, kept: Path | None = None, **parts: Any
+    ) -> None:
+        parts = {"target": "1s", **parts}
+        ports = free_ports(3 * fronts + 1)
+        self.list_port, self.front_ports = ports[0], ports[1::3]
+        self.text = site_text(fronts, ports[0], ports[1:], **parts)
+        self.site: Site = loads(self.text)
+        self.recorder, self.deciding, self.kept, self.count = Recorder(None, "world"), deciding, kept, fronts
+        self.listing = ServerList(self.site, self.recorder, late=(0.0, 0.05))
+        self.media = [
+            MediaServer(
+                self.site, Entry(100 + n, "127.0.0.1:0", "north", "box", n % 3, "ready", 2.0), self.recorder
+            )
+            for n in range(servers)
+        ]
+        self.fronts: list[FrontProcess] = []
+        self.names = iter(range(10**9))
+
+    async def start(self) -> None:
+        await self.listing.start()
+        for media in self.media:
+            await media.start()
+        await self.until(lambda: len(self.listing.entries) == len(self.media))
+        for me in range(self.count):
+            self.fronts.append(await self.front(me))
+        await self.until(lambda: all(self.ready(front) for front in self.fronts))
+
+    async def front(self, me: int, site: Site | None = None) -> FrontProcess:
+        made = FrontProcess(site or self.site, me, self.kept, seed=me + 1, deciding=self.deciding)
+        await made.start()
+        return made
+
+    def ready(self, front: FrontProcess) -> bool:
+        links = front.servers.links.values()
+        return sum(link.up for link in links) >= len(self.media)
+
+    async def stop(self) -> None:
+        for front in self.fronts:
+            await front.stop()
+        for media in self.media:
+            await media.close()
+        await self.listing.close()
+
+    async def until(self, done: Callable[[], Any], within: float = 8.0) -> None:
+        """Wait for what is expected to come about; the test fails where it does not."""
+        async with asyncio.timeout(within):
+            while not done():
+                await asyncio.sleep(0.005)
+
+    async def ask(self, me: int = 0, key: str | None = None, timeout: float = 5.0, **body: Any) -> Answer:
+        """One viewer's request, recorded as a player records it."""
+        name = f"v{next(self.names)}"
+        wait = self.site.facts.groups[0].setup_timeout
+        self.recorder.note("ask", ask=name, front=me, wait_us=wait, group=0)
+        pool = Pool("127.0.0.1", self.front_ports[me], 10, 1.0)
+        headers = (("Idempotency-Key", key),) if key else ()
+        try:
+            got = await pool.request(
+                "POST", "/sessions", {"title": "t", "group": "clips", **body}, timeout, headers
+            )
+        except (BrokenError, LateError, NotSentError) as problem:
+            self.recorder.note("no-answer", ask=name, front=me, why=type(problem).__name__)
+            raise
+        finally:
+            pool.close()
+        state = got.json()
+        self.recorder.note(
+            "answer",
+            ask=name,
+            front=me,
+            status=got.status,
+            state=state.get("state", ""),
+            sess=state.get("session", ""),
+            unasked=0,
+        )
+        return got
+
+    async def call(self, method: str, path: str, me: int = 0) -> Answer:
+        pool = Pool("127.0.0.1", self.front_ports[me], 10, 1.0)
+        try:
+            return await pool.request(method, path)
+        finally:
+            pool.close()
+
+    def streams(self) -> list[tuple[str, int]]:
+        return [key for media in self.media for key in media.streams]
+
+    def seen(self, what: str, **fields: Any) -> list[dict[str, Any]]:
+        return [
+            row
+            for row in self.recorder.rows
+            if row["what"] == what and all(row.get(name) == value for name, value in fields.items())
+        ]
+
+    def breaches(self, slack: int = 60_000) -> list[Breach]:
+        return audit(self.recorder.rows, self.site.facts, slack)
+
+
+Test = Callable[[World], Coroutine[Any, Any, None]]
+
+
+@pytest.fixture
+def in_world() -> Callable[..., None]:
+    """Runs a coroutine in a world of its own; `audited` asks that no rule was broken there."""
+
+    def run(test: Test, audited: bool = True, **parts: Any) -> None:
+        async def live() -> None:
+            world = World(**parts)
+            async with living(world):
+                await test(world)
+            if audited:
+                assert world.breaches() == []
+
+        asyncio.run(live())
+
+    return run
+
+
+@contextlib.asynccontextmanager
+async def living(world: World) -> AsyncIterator[None]:
+    await world.start()
+    try:
+        yield
+    finally:
+        await world.stop()
