--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -183,6 +183,7 @@
 @click.option("--control", type=int, default=0, help="Port that takes faults.")
 @click.option("--seed", type=int, default=1)
 @click.option("--warm", is_flag=True, help="It has run for long.")
+@click.option("--work-ms", type=float, help="Every set-up takes so long.")
 def media(
     site: Path,
     record: Path | None,
@@ -196,6 +197,7 @@
     control: int,
     seed: int,
     warm: bool,
+    work_ms: float | None,
 ) -> None:
     """A media server whose link and rack's uplink are shared among its streams."""
     from ponddoor.audit.records import Recorder
@@ -213,6 +215,8 @@
         sys.exit(2)
     entry = Entry(number, f"{host}:{port}", zone, kind, cell, "ready", weight)
     server = MediaServer(held, entry, Recorder(record, f"media {number}"), seed, warm)
+    if work_ms is not None:
+        server.work_ms = (work_ms, work_ms)
 
     async def work() -> None:
         got, got_control = await server.start(control)
@@ -346,6 +350,84 @@
     sys.exit(1 if breaches else 0)
 
 
+@main.group()
+def load() -> None:
+    """Drive a front, and measure it in one run beside a bare relay."""
+
+
+@load.command(name="run")
+@SITE_OPTION
+@click.option("--rate", type=float, required=True, help="Requests a second, open loop.")
+@click.option("--seconds", type=float, default=10.0, show_default=True)
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True)
+def load_run(site: Path, rate: float, seconds: float, seed: int, as_json: bool) -> None:
+    """Send requests to the fronts of a site that run already; sessions end as soon as they play."""
+    from ponddoor.load.generator import Generator
+    from ponddoor.load.measure import shown
+    from ponddoor.settings.site import load as load_site
+
+    held = usable(lambda: load_site(site))
+    titles = sorted(held.titles.listed) or ["title"]
+    made = Generator([place.viewers for place in held.fronts], list(held.group_names()), titles,
+                     [tenant.name for tenant in held.facts.tenants], seed=seed)  # fmt: skip
+    click.echo(shown(asyncio.run(made.open_loop(rate, seconds)).as_dict(), as_json))
+
+
+@load.command()
+@click.option("--port", type=int, required=True)
+@click.argument("servers", nargs=-1, required=True)
+def relay(port: int, servers: tuple[str, ...]) -> None:
+    """The bare relay, before media servers HOST:PORT."""
+    from ponddoor.load.relay import Relay
+    from ponddoor.web.server import Bounds, Server
+
+    made = Relay([(host, int(at)) for host, _, at in (text.rpartition(":") for text in servers)])
+    web = Server(made.handle, Bounds(connections=50_000, per_address=50_000))
+
+    async def work() -> None:
+        await web.start("127.0.0.1", port)
+
+    run_until_told(work, web.close)
+
+
+@load.command()
+@click.option("--seconds", type=float, default=5.0, show_default=True)
+@click.option("--rounds", type=int, default=5, show_default=True)
+@click.option("--servers", type=int, default=8, show_default=True)
+@click.option("--in-hand", type=int, default=32, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def compare(seconds: float, rounds: int, servers: int, in_hand: int, as_json: bool) -> None:
+    """A front beside the bare relay, each on one core, in turn."""
+    from ponddoor.load.measure import beside_relay, shown
+
+    click.echo(shown(asyncio.run(beside_relay(seconds, rounds, servers, in_hand)), as_json))
+
+
+@load.command()
+@click.option("--seconds", type=float, default=10.0, show_default=True)
+@click.option("--servers", type=int, default=8, show_default=True)
+@click.option("--in-hand", type=int, default=32, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def split(seconds: float, servers: int, in_hand: int, as_json: bool) -> None:
+    """Where a front's CPU time goes: HTTP, decisions, the rest."""
+    from ponddoor.load.measure import shown, split_cpu
+
+    click.echo(shown(asyncio.run(split_cpu(seconds, servers, in_hand)), as_json))
+
+
+@load.command(name="held")
+@click.option("--count", type=int, default=10_000, show_default=True)
+@click.option("--seconds", type=float, default=30.0, show_default=True)
+@click.option("--servers", type=int, default=15, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def held_(count: int, seconds: float, servers: int, as_json: bool) -> None:
+    """Many sessions held by one front: memory, lag of its loop, CPU."""
+    from ponddoor.load.measure import held, shown
+
+    click.echo(shown(asyncio.run(held(count, seconds, servers)), as_json))
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/ponddoor/standins/media.py
+++ b/ponddoor/standins/media.py
@@ -79,7 +79,7 @@
     def __init__(
         self, site: Site, entry: Entry, recorder: Recorder, seed: int = 1, warm: bool = True
     ) -> None:
-        self.site, self.entry, self.rec = site, entry, recorder
+        self.site, self.entry, self.rec, self.work_ms = site, entry, recorder, SETUP_MS
         self.rng = np.random.default_rng([seed, entry.server])
         plant = site.facts.plant
         rack = np.random.default_rng([seed, 1_000_003, entry.cell % plant.racks])
@@ -283,11 +283,12 @@
         self.fall_if_rushed()
         gone = asyncio.create_task(self.gone(request, got))
         try:
-            work = float(self.rng.uniform(*SETUP_MS)) / 1000
+            work = float(self.rng.uniform(*self.work_ms)) / 1000
             slow = self.faults.get("slow")
             over = self.pending[key] = asyncio.Event()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(over.wait(), work * (slow.size if slow else 1))
+            if work > 0:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(over.wait(), work * (slow.size if slow else 1))
             while not over.is_set() and (self.fallen or not self.awake.is_set()):
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(over.wait(), 0.05)
