Less time in a front: sizing by a heap, a kept sum of rates, timers armed once

Change: the design's loop takes its steps from a heap (an affordable step once refused stays so, the budget only shrinks), a server's sum of rates is kept until its sessions change, known rates are found by bisection, the fleet's usual load is reckoned only where it is used.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -14,6 +14,7 @@
 6. a busy-reply where no holder has room and most of our sessions are at the lowest rung (`place`).
 """
 
+import heapq
 import itertools
 from collections.abc import Iterable
 from dataclasses import replace
@@ -64,7 +65,7 @@
         self.hubs = [hub for hub in tells if hub != facts.me]
         self.asks = bool(self.hubs) and facts.me >= HUBS
         self.hub, self.answered, self.deaf, self.watching = facts.me % HUBS, now, False, False
-        self.outlook = (False, 0.0)
+        self.outlook, self.reckoned, self.usual_load = False, LONG_AGO, 0.0
         self.viewed, self.whole_since = LONG_AGO, now
         self.parts = [max(part, 1 / facts.fronts) for part in PARTS]
 
@@ -232,6 +233,7 @@
 
     def book(self, server: Server) -> None:
         """What we know to be asked of a link and of its rack's uplink has changed."""
+        server.changed()
         recent = self.now - 4 * TELL_EVERY
         heard = sum(kb for peer, kb in server.peers.items() if self.heard.get(peer, 0) > recent)
         server.link.known = [*server.link.known[-39:], (self.now, server.own() + heard)]
@@ -239,20 +241,23 @@
         rack.known = [*rack.known[-99:], (self.now, in_all)]
 
     def whole(self) -> bool:
-        return self.view()[0]
-
-    def view(self) -> tuple[bool, float]:
-        """Whether most fronts' rates are known, so that all that is asked is, and the fleet's usual load."""
+        """Whether most fronts' rates are known, so that all that is asked is."""
         if self.viewed != self.now:
             heard = sum(when > self.now - 4 * TELL_EVERY for when in self.heard.values())
             whole = self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1)
-            self.whole_since = self.now if whole and not self.outlook[0] else self.whole_since
+            self.whole_since = self.now if whole and not self.outlook else self.whole_since
+            self.viewed, self.outlook = self.now, whole
+        return self.outlook
+
+    def usual(self) -> float:
+        """The fleet's usual load, by the reports; without any, others are taken to ask as much as we do."""
+        if self.reckoned != self.now:
             loads = [s.link.loads[-1][1] for s in self.servers.values() if self.fresh(s.link)]
-            if not loads:  # nothing is heard at all: the other fronts are taken to ask as much as we do
+            if not loads:
                 ours = sum(s.own() for s in self.servers.values()) * self.facts.fronts
                 loads = [ours / max(sum(s.link.kb for s in self.servers.values()), 1.0)]
-            self.viewed, self.outlook = self.now, (whole, sum(loads) / len(loads))
-        return self.outlook
+            self.reckoned, self.usual_load = self.now, sum(loads) / len(loads)
+        return self.usual_load
 
     def asked(self, server: Server) -> float:
         """What is asked of a link: a hub's word, or the last reports and what we know to have changed since.
@@ -267,7 +272,7 @@
         if self.fresh(server.link):
             return max(server.own(), self.unknown(server.link) + known)
         age = (self.now - server.started()) / self.facts.rules.cold
-        return max(server.own(), server.link.kb * self.view()[1] * min(1.0, age))
+        return max(server.own(), server.link.kb * self.usual() * min(1.0, age))
 
     def hinted(self, server: Server) -> bool:
         return server.told[0] > self.now - TELL_EVERY
@@ -278,6 +283,7 @@
         Every front sees the same idle at once, so we take but our `part` of the link's; an arrival's part
         is less where the load is guessed from others."""
         found: dict[int, float] = {}
+        whole = self.whole()
         for number in sorted({s.row.cell % len(self.racks) for s in servers}):
             rack, mates = self.racks[number], self.by_rack[number]
             asked = {s.row.server: self.asked(s) for s in mates}
@@ -288,7 +294,7 @@
             spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
-                blind = 0 if self.whole() else 1 if self.fresh(self.servers[at].link) else 2
+                blind = 0 if whole else 1 if self.fresh(self.servers[at].link) else 2
                 ours = min(room * (part or self.parts[blind]), spare * room / positive) if room > 0 else room
                 found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
@@ -325,14 +331,19 @@
         """The design's loop: all at the lowest rung, then a step for whoever gains most utility per rate."""
         rungs = [min(sess.group.floor, sess.top) for sess in sessions]
         budget -= sum(sess.rate(rung) for sess, rung in zip(sessions, rungs, strict=True))
-        while True:
-            steps = [(self.gain(sess, rung + 1), -i, sess.rate(rung + 1) - sess.rate(rung))
-                     for i, (sess, rung) in enumerate(zip(sessions, rungs, strict=True)) if rung < caps[i]]
-            _, i, step = max((step for step in steps if step[2] <= budget), default=(0.0, 1, 0.0))
-            if i > 0:
-                return rungs
-            rungs[-i] += 1
+        steps = [(-self.gain(sess, rung + 1), i)
+                 for i, (sess, rung) in enumerate(zip(sessions, rungs, strict=True)) if rung < caps[i]]
+        heapq.heapify(steps)
+        while steps:
+            _, i = heapq.heappop(steps)
+            step = sessions[i].rate(rungs[i] + 1) - sessions[i].rate(rungs[i])
+            if step > budget:  # the budget only shrinks: this session has had its last step
+                continue
+            rungs[i] += 1
             budget -= step
+            if rungs[i] < caps[i]:
+                heapq.heappush(steps, (-self.gain(sessions[i], rungs[i] + 1), i))
+        return rungs
 
     def place(self, sess: Sess) -> Server | None:
         """Size by the holders' pooled idle, take the one with most, cap the rung to fit and size again."""
@@ -349,9 +360,10 @@
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
         near = next((s for s in by_idle if s.row.zone == self.facts.zone), best)
         best = near if idle[near.row.server] >= close * idle[best.row.server] > 0 else best
-        playing = [s for s in self.sessions.values() if s.began is not None]
-        if idle[best.row.server] < 0 and sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
-            return None  # few could be cut to make room: one more costs the others more than it earns
+        if idle[best.row.server] < 0:
+            playing = [s for s in self.sessions.values() if s.began is not None]
+            if sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
+                return None  # few could be cut to make room: one more costs the others more than it earns
         pooled = sum(max(0.0, kb) for kb in idle.values())
         sess.rung = self.size([sess], pooled, [sess.top])[0]
         while sess.rung > sess.group.floor and sess.rate(sess.rung) > idle[best.row.server]:
@@ -371,14 +383,18 @@
     def spent(self, sess: Sess) -> bool:
         """Whether no SETUP may follow: too many, or none left in the budget; `serve` has but one out."""
         rules, since = self.facts.rules, self.now - self.facts.rules.resend_span
+        if rules.spare_setups is None or not sess.attempts:
+            return len(sess.attempts) >= self.facts.permissions.max_attempts
         taken, resent = sum(at > since for at in self.taken), sum(at >= since for at in self.resent)
-        over = rules.spare_setups is not None and resent + 1 > rules.spare_setups + rules.resend_ratio * taken
-        return len(sess.attempts) >= self.facts.permissions.max_attempts or (over and bool(sess.attempts))
+        over = resent + 1 > rules.spare_setups + rules.resend_ratio * taken
+        return over or len(sess.attempts) >= self.facts.permissions.max_attempts
 
     def may_repeat(self, sess: Sess, server: Server) -> bool:
         """Unsafe: only after proof that nothing ran. Keyed: only where and while the key is remembered."""
+        if not sess.attempts or sess.group.effect is Effect.SAFE:
+            return True
         ran = [(self.servers[at].row, sent) for at, sent, end in sess.attempts if end not in NEVER_RAN]
-        if not ran or sess.group.effect is Effect.SAFE:
+        if not ran:
             return True
         same = {Scope.ALL: True, Scope.ZONE: all(row.zone == server.row.zone for row, _ in ran),
                 Scope.CELL: all(row.cell == server.row.cell for row, _ in ran)}[sess.group.scope]
--- a/ponddoor/front/acting.py
+++ b/ponddoor/front/acting.py
@@ -15,12 +15,12 @@
 @contextlib.contextmanager
 def looking(front: Front, now: int) -> Iterator[None]:
     """Guards against a look that changes what is decided: what reading moves is put back behind it."""
-    kept = front.now, front.viewed, front.outlook, front.whole_since
+    kept = front.now, front.viewed, front.outlook, front.whole_since, front.reckoned, front.usual_load
     front.clock(now)
     try:
         yield
     finally:
-        front.now, front.viewed, front.outlook, front.whole_since = kept
+        (front.now, front.viewed, front.outlook, front.whole_since, front.reckoned, front.usual_load) = kept
 
 
 @dataclass(slots=True)
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -113,13 +113,12 @@
 
     def _set_timer(self) -> None:
         due = self.engine.next_due
-        if due == self._timer_at:
-            return
+        if due is None or (self._timer_at is not None and self._timer_at <= due):
+            return  # one that comes earlier than it must finds nothing due and is set anew
         if self._timer is not None:
             self._timer.cancel()
-        self._timer_at, self._timer = due, None
-        if due is not None:
-            self._timer = asyncio.get_running_loop().call_later(max(due - clock(), 0) / SECOND, self._due)
+        self._timer_at = due
+        self._timer = asyncio.get_running_loop().call_later(max(due - clock(), 0) / SECOND, self._due)
 
     def _due(self) -> None:
         self._timer_at, self._timer = None, None
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Annotated, Any
 
 import msgspec
@@ -49,6 +50,12 @@
     followers: dict[str, list[asyncio.Queue[dict[str, Any] | None]]] = field(default_factory=dict)
     following: int = 0
     dropped_followers: int = 0
+    names: tuple[str, ...] = ()
+    tenants: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        self.names = self.site.group_names()
+        self.tenants = tuple(tenant.name for tenant in self.site.facts.tenants)
 
     async def handle(self, request: Request) -> Reply:
         match request.method, request.path:
@@ -92,10 +99,10 @@
         return held
 
     def _checked(self, body: SessionAsk) -> Ask:
-        names, facts = self.site.group_names(), self.site.facts
+        names, facts = self.names, self.site.facts
         if body.group not in names:
             raise HttpError(422, "no-such-service-group", f"{body.group}: one of {', '.join(names)}")
-        tenants = [tenant.name for tenant in facts.tenants]
+        tenants = self.tenants
         if tenants and body.tenant not in tenants:
             raise HttpError(422, "no-such-tenant", f"{body.tenant!r}: one of {', '.join(tenants)}")
         place = self.site.titles.find(body.title)
@@ -144,13 +151,10 @@
             return self._reply("", refused[0])
         held_now: Held = held
         if held_now.answer is None:
-            gone = asyncio.create_task(request.gone.wait())
-            try:
-                await asyncio.wait((gone, future), return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                gone.cancel()
-            if not future.done():
+            request.when_gone = partial(self._leave, held_now, future)
+            if request.gone.is_set():
                 self._leave(held_now, future)
+            if (await future).kind == "left" and request.gone.is_set():
                 return Reply(499, drop=True)
         answer = held_now.answer
         assert answer is not None
@@ -161,8 +165,10 @@
     def _leave(self, held: Held, future: asyncio.Future[Answer]) -> None:
         """A waiting client is gone; with the last one who waits for this session, so is the viewer."""
         waiting = self.waiting.get(held.sess, [])
-        if future in waiting:
-            waiting.remove(future)
+        if future.done() or future not in waiting:
+            return
+        waiting.remove(future)
+        future.set_result(Answer("left"))
         if not waiting:
             self.waiting.pop(held.sess, None)
             self.apply(lambda now: self.engine.left(now, held.sess))
@@ -181,7 +187,7 @@
 
     def _state(self, held: Held) -> dict[str, Any]:
         state: dict[str, Any] = {"session": held.sess, "state": held.phase.value, "title": held.ask.title,
-                                 "group": self.site.group_names()[held.ask.service_group]}  # fmt: skip
+                                 "group": self.names[held.ask.service_group]}  # fmt: skip
         if held.phase is Phase.PLAYING:
             state |= {"server": self.address_of(held.server), "rung": held.rung}
         if held.phase is Phase.ENDED:
--- a/ponddoor/load/measure.py
+++ b/ponddoor/load/measure.py
@@ -207,7 +207,9 @@
         for name, (_, port) in tested.items():
             latency[name] = await made.generator(port).open_loop(half, seconds * 2)
         result["rounds"] = rates
-        result["ratio"] = sorted(rates["front"])[rounds // 2] / sorted(rates["relay"])[rounds // 2]
+        pairs = sorted(mine / bare for mine, bare in zip(rates["front"], rates["relay"], strict=True))
+        result["ratio_of_each_round"] = pairs
+        result["ratio"] = pairs[rounds // 2]
         result["cpu_us_per_session"] = {name: sorted(values)[rounds // 2] for name, values in cpu.items()}
         result["half_load_per_s"] = half
         result["at_half_load"] = {name: out.as_dict() for name, out in latency.items()}
@@ -292,7 +294,7 @@
                 if key != "histogram":
                     walk(inner, f"{name}{key}: ")
         elif isinstance(value, list):
-            lines.append(f"{name}{', '.join(f'{v:.1f}' for v in value)}")
+            lines.append(f"{name}{', '.join(f'{v:.4g}' for v in value)}")
         else:
             lines.append(f"{name}{value:.4g}" if isinstance(value, float) else f"{name}{value}")
 
--- a/ponddoor/load/relay.py
+++ b/ponddoor/load/relay.py
@@ -45,4 +45,5 @@
             return Reply(502, {"session": sess, "state": "torn-down"})
         self.where[sess] = pool
         server = f"{pool.host}:{pool.port}"
-        return Reply(201, {"session": sess, "state": "playing", "server": server, "rung": 0})
+        body = {"session": sess, "state": "playing", "server": server, "rung": 0}
+        return Reply(201, body, (("Location", f"/sessions/{sess}"),))
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -1,5 +1,7 @@
 """What a front remembers of sessions, servers, links and racks. Nothing here decides."""
 
+import bisect
+import math
 from dataclasses import dataclass, field
 
 from ponddoor.interface import events as ev
@@ -18,7 +20,7 @@
     short: tuple[int, float] | None = None  # when last seen short, what it gave
 
     def known_at(self, moment: int) -> float:
-        return next((kb for at, kb in reversed(self.known) if at <= moment), self.known[0][1])
+        return self.known[max(bisect.bisect_right(self.known, (moment, math.inf)) - 1, 0)][1]
 
 
 @dataclass(slots=True)
@@ -58,18 +60,27 @@
     felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
     said: float = 0.0                       # our rate there as last told
     told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a hub's word: when, idle and asked, without ours
+    ours: float | None = None               # the sum of our sessions' rates, while it holds
     lost: int | None = None                 # when it was last seen to be down
     back: int = LONG_AGO                    # when it was first seen to be up again
 
     def own(self) -> float:
         """What our sessions ask of it; viewers of one live title at one rung share a stream."""
-        total, streams = 0.0, set()
-        for sess in self.sessions.values():
-            stream = (*sess.seat(), sess.rung)
-            shared = sess.group.live and stream in streams
-            total += sess.rate(sess.rung) * (sess.ladder.join if shared else 1.0)
-            streams.add(stream)
-        return total
+        if self.ours is None:
+            total, streams = 0.0, set()
+            for sess in self.sessions.values():
+                rate = sess.rate(sess.rung)
+                if sess.group.live:
+                    stream = (*sess.seat(), sess.rung)
+                    rate *= sess.ladder.join if stream in streams else 1.0
+                    streams.add(stream)
+                total += rate
+            self.ours = total
+        return self.ours
+
+    def changed(self) -> None:
+        """Its sessions or their rungs are others now: what they ask is summed anew."""
+        self.ours = None
 
     def started(self) -> int:
         """When its process last started, as far as the list or we have seen."""
--- a/ponddoor/web/server.py
+++ b/ponddoor/web/server.py
@@ -1,7 +1,7 @@
 """An HTTP/1.1 server (RFC 9110, RFC 9112) whose every wait, size and count has a bound.
 
 A handler is a coroutine from a Request to a Reply; one that raises HttpError answers with its status. While
-it runs, the connection is watched: when the client goes, `Request.gone` is set."""
+it runs, the connection is watched: when the client goes, `Request.gone` is set and `when_gone` is called."""
 
 import asyncio
 import contextlib
@@ -56,6 +56,7 @@
     body: bytes
     peer: str
     gone: asyncio.Event = field(default_factory=asyncio.Event)
+    when_gone: Callable[[], None] | None = None
 
 
 @dataclass(slots=True)
@@ -264,6 +265,8 @@
             data = await self.reader.read(4096)
             if not data:
                 request.gone.set()
+                if request.when_gone is not None:
+                    request.when_gone()
                 return
             ahead += len(data)
             self.h11.receive_data(data)
