--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -123,6 +123,9 @@
     "--decisions", type=click.Choice(["ponddoor", "random"]), default="ponddoor", help="random: the baseline."
 )
 @click.option("--log-requests", is_flag=True, help="A line for each answer.")
+@click.option(
+    "--trace", type=click.Path(path_type=Path), help="Write every event and what followed, for replay."
+)
 @click.option("--profile", type=click.Path(path_type=Path), hidden=True)
 def front(
     site: Path,
@@ -131,6 +134,7 @@
     seed: int | None,
     decisions: str,
     log_requests: bool,
+    trace: Path | None,
     profile: Path | None,
 ) -> None:
     """Run one front. SIGTERM drains, a second one ends it; SIGHUP reads the limits anew."""
@@ -147,7 +151,7 @@
     held_kept = kept or site.with_name(f"{site.stem}-{me}.list")
 
     async def serve() -> None:
-        process = FrontProcess(held, me, held_kept, seed, deciding, log_requests)
+        process = FrontProcess(held, me, held_kept, seed, deciding, log_requests, trace)
         try:
             await process.start()
         except OSError as problem:
@@ -284,8 +288,11 @@
 @click.option(
     "--keep", type=click.Path(file_okay=False, path_type=Path), help="Keep records and logs in this folder."
 )
+@click.option("--trace", is_flag=True, help="Have the fronts write traces (with --keep).")
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
-def rehearse(day: Path, seed: tuple[int, ...], baseline: bool, keep: Path | None, as_json: bool) -> None:
+def rehearse(
+    day: Path, seed: tuple[int, ...], baseline: bool, keep: Path | None, trace: bool, as_json: bool
+) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
     from ponddoor.rehearse.day import load_day
     from ponddoor.rehearse.report import as_dict, table
@@ -308,7 +315,7 @@
                         bar.update(round(part * 1000) - bar.pos)
 
                     try:
-                        results.append(asyncio.run(Rehearsal(held, folder, decisions, move).play()))
+                        results.append(asyncio.run(Rehearsal(held, folder, decisions, move, trace).play()))
                     except RehearsalError as problem:
                         click.echo(f"\n{problem}", err=True)
                         sys.exit(1)
@@ -350,6 +357,28 @@
     sys.exit(1 if breaches else 0)
 
 
+@main.command()
+@click.argument(
+    "traces", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path)
+)
+def replay(traces: tuple[Path, ...]) -> None:
+    """Play traces again in virtual time; exit 1 if a decision differs by a byte."""
+    from ponddoor.front.trace import TraceError
+    from ponddoor.front.trace import replay as play
+
+    different = 0
+    for path in traces:
+        try:
+            found = play(path)
+        except (TraceError, msgspec.MsgspecError, KeyError) as problem:
+            click.echo(f"{path}: {problem}", err=True)
+            sys.exit(2)
+        different += found.different
+        kinds = ", ".join(f"{count} {kind}" for kind, count in sorted(found.events.items()))
+        click.echo(f"{path.name}: {found.same} the same, {found.different} different {found.first} ({kinds})")
+    sys.exit(1 if different else 0)
+
+
 @main.group()
 def load() -> None:
     """Drive a front, and measure it in one run beside a bare relay."""
--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -88,6 +88,7 @@
         self._order = itertools.count()
         self._req_ids = itertools.count(1)
         self.in_hand = 0
+        self.traced: Callable[[int, ev.Event, list[act.Action]], None] | None = None
 
     # What the shells may look at
 
@@ -269,6 +270,8 @@
         finally:
             self.counts.decision_ns += time.perf_counter_ns() - begun
             self.counts.events += 1
+        if self.traced is not None:
+            self.traced(now, event, actions)
         out = []
         for action in actions:
             out += self._carry_out(now, action)
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -22,6 +22,7 @@
 from ponddoor.front.roster import Roster
 from ponddoor.front.sealed import Seal
 from ponddoor.front.servers import Servers
+from ponddoor.front.trace import Tracer
 from ponddoor.front.viewers import Viewers
 from ponddoor.front.words import WordSocket, wall
 from ponddoor.interface.events import ServerState
@@ -52,12 +53,15 @@
     """Assembles a front. `start`, then `run` until it is told to drain, or `stop`."""
 
     def __init__(self, site: Site, me: int, kept: Path | None = None, seed: int | None = None,
-                 deciding: Deciding = Front, log_requests: bool = False) -> None:  # fmt: skip
+                 deciding: Deciding = Front, log_requests: bool = False,
+                 trace: Path | None = None) -> None:  # fmt: skip
         self.site, self.me, self._log_requests = site, me, log_requests
         facts, now = site.facts_of(me, seed), clock()
         self.decisions = deciding(facts, now)
         self.gate = Gate(site.limits, LagMeter(now + SAMPLE))
         self.engine = Engine(self.decisions, facts, self.gate)
+        self.tracer = Tracer(trace, facts, now) if trace is not None else None
+        self.engine.traced = self.tracer.fed if self.tracer is not None else None
         self.metrics = Metrics(self._samples)
         offset = now - wall()
         roster = Roster(site.zones, site.kinds, facts.plant.cells, offset)
@@ -224,6 +228,8 @@
         await asyncio.sleep(0)  # closed sockets leave the loop in its next round
         if self._timer is not None:
             self._timer.cancel()
+        if self.tracer is not None:
+            self.tracer.close()
         log.info("front-stopped", me=self.me)
 
     def kill(self) -> None:
