--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -229,6 +229,7 @@
         if self._timer is not None:
             self._timer.cancel()
         if self.tracer is not None:
+            self.engine.traced = None
             self.tracer.close()
         log.info("front-stopped", me=self.me)
 
--- a/ponddoor/settings/site.py
+++ b/ponddoor/settings/site.py
@@ -243,9 +243,10 @@
 
 def _plant(top: Form, streams: tuple[int, ...]) -> fx.Plant:
     held = top.section("plant")
+    cells, racks = held.whole("cells", None, 1, 65535), held.whole("racks", None, 1, 65535)
     plant = fx.Plant(
-        cells=held.whole("cells", None, 1, 65535) or 1,
-        racks=held.whole("racks", None, 1, 65535) or 1,
+        cells=cells or 1,
+        racks=racks or 1,
         kb_per_weight=held.rate("link-per-weight"),
         uplink_kb=held.rate("uplink"),
         streams=streams,
@@ -253,7 +254,7 @@
         note_delay=held.time("note-delay", 0),
         note_every=held.time("note-every", 0),
     )
-    if plant.racks > plant.cells:
+    if 0 < cells < racks:
         held.problem(
             held.place, f"{plant.racks} racks for {plant.cells} cells", "as many cells as racks at least"
         )
