--- /dev/null
+++ b/ponddoor/seats/simulation.py
@@ -0,0 +1,392 @@
+"""The core of the seats under a deterministic simulation: from one seed the same schedule every time.
+
+Several fronts with drifting clocks and disks that fail, a network that loses, doubles, delays and reorders,
+viewers that take, renew, repeat, give back, vanish and cheat, crashes at any disk operation, disks lost.
+After every step the seats that are granted and run, by the clock of the front that granted them, are counted:
+they never exceed the limit. After the trouble every seat comes back, and the whole limit can be granted
+again."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from ponddoor.seats.core import (
+    Effect,
+    Expired,
+    Granted,
+    Key,
+    Refused,
+    Seats,
+    Send,
+    Timing,
+    Write,
+)
+from ponddoor.store.faulty import CrashError, FaultyFiles
+from ponddoor.store.files import DiskError
+from ponddoor.store.journal import Journal, StoppedError
+
+TICK = 50_000
+
+
+class ExceededError(Exception):
+    """More seats ran than the limit, or not all came back. Names the seed, which replays it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """The sizes and chances of one schedule, drawn from its seed."""
+
+    seed: int
+    fronts: int = 3
+    viewers: int = 12
+    limit: int = 4
+    seconds: int = 40
+    loss: float = 0.1
+    double: float = 0.1
+    slow: float = 0.05
+    crashes: int = 4
+    disk_losses: float = 0.15
+    drift: float = 0.01
+    timing: Timing = Timing(
+        token=2_000_000, lease=5_000_000, retry=80_000, borrow_wait=400_000, least_life=200_000, idle=800_000
+    )
+
+
+@dataclass(slots=True)
+class Node:
+    """One front: its clock, disk, and what runs there while it is up."""
+
+    number: int
+    rate: float
+    offset: int
+    files: FaultyFiles
+    core: Seats | None = None
+    journal: Journal | None = None
+    epoch: int = 0
+    life: int = 0
+    committing: bool = False
+    first_write: int = 0
+
+
+@dataclass(slots=True)
+class Claim:
+    """What a viewer was told: a seat that runs until a moment of its front's clock."""
+
+    front: int
+    seat: str
+    generation: int
+    expires: int
+
+
+@dataclass(slots=True)
+class Found:
+    """What a run saw."""
+
+    steps: int = 0
+    granted: int = 0
+    refused: dict[str, int] = field(default_factory=dict)
+    messages: int = 0
+    most: int = 0
+    crashes: int = 0
+    wrong_refusals: int = 0
+    grant_ms: list[float] = field(default_factory=list)
+
+
+class Simulation:
+    """One schedule. `make` builds the core, so that one with a guard taken out can be run as well."""
+
+    def __init__(self, plan: Schedule, make: Callable[..., Seats] = Seats) -> None:
+        self.plan, self.make, self.rng, self.now = plan, make, Random(plan.seed), 0
+        self.key: Key = ("t", "e")
+        self.limit = self.allowed = plan.limit
+        self.found = Found()
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.order, self.tickets = itertools.count(), itertools.count(1)
+        self.asked: dict[int, tuple[str, str, int]] = {}
+        self.claims: dict[str, Claim] = {}
+        self.faults = True
+        self.nodes = [
+            Node(n, 1 + plan.drift * self.rng.uniform(-1, 1), self.rng.randrange(10**9), self._disk())
+            for n in range(plan.fronts)
+        ]
+
+    def _disk(self) -> FaultyFiles:
+        return FaultyFiles(Random(self.rng.getrandbits(32)))
+
+    def clock(self, node: Node) -> int:
+        return node.offset + round(self.now * node.rate)
+
+    def at(self, moment: int, what: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (max(moment, self.now), next(self.order), what))
+
+    def after(self, least: int, most: int, what: Callable[[], None]) -> None:
+        self.at(self.now + self.rng.randint(least, most), what)
+
+    def run(self) -> Found:
+        """Play the schedule. Raises ExceededError."""
+        plan, end = self.plan, self.plan.seconds * 1_000_000
+        for node in self.nodes:
+            self._start(node)
+        for viewer in range(plan.viewers):
+            self.after(0, 3_000_000, lambda viewer=viewer: self._viewer(f"v{viewer}", 0))  # type: ignore[misc]
+        for _ in range(plan.crashes):
+            self.after(1_000_000, end * 2 // 3, self._some_crash)
+        self._until(end)
+        self.faults = False
+        for node in self.nodes:
+            if node.core is None:
+                self._start(node)
+        quiet = 3 * plan.timing.lease
+        self._until(end + quiet)
+        self._came_back()
+        return self.found
+
+    def _until(self, end: int) -> None:
+        while self.events and self.events[0][0] <= end:
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+            self.found.steps += 1
+            self._check()
+        self.now = max(self.now, end)
+
+    def _check(self) -> None:
+        running = self._running()
+        self.found.most = max(self.found.most, running)
+        if running > self.allowed:
+            raise ExceededError(f"seed {self.plan.seed}: {running} seats of {self.allowed} at {self.now}")
+
+    def _running(self) -> int:
+        return sum(self.clock(self.nodes[claim.front]) < claim.expires for claim in self.claims.values())
+
+    def _came_back(self) -> None:
+        now = [self.clock(node) for node in self.nodes]
+        self.claims = {seat: claim for seat, claim in self.claims.items() if now[claim.front] < claim.expires}
+        got: list[str] = []
+        first = self.nodes[self.rng.randrange(len(self.nodes))]
+        for number in range(self.limit):
+            self._take(first, f"last{number}", lambda sess, seat: got.append(seat))
+        self._until(self.now + 4 * self.plan.timing.borrow_wait)
+        if len(got) < self.limit:
+            for number in range(self.limit):
+                self._take(first, f"last{number}", lambda sess, seat: got.append(seat))
+            self._until(self.now + self.plan.timing.lease)
+        if len(set(got)) < self.limit:
+            raise ExceededError(f"seed {self.plan.seed}: {len(set(got))} of {self.limit} seats came back")
+
+    # Fronts
+
+    def _start(self, node: Node) -> None:
+        node.life += 1
+        node.files.locked = False
+        journal = Journal(node.files, segment_bytes=2000)
+        try:
+            held = journal.open()
+        except CrashError:
+            self._down(node)
+            return
+        now = self.clock(node)
+        before = [row[1] for row in [*(held.state or []), *held.records] if row[0] == "begun"]
+        node.epoch = max(before + [node.epoch if held.records or held.state else now]) + 1
+        limits, timing = {self.key: self.limit}, self.plan.timing
+        core = self.make(node.number, self.plan.fronts, limits, timing, node.epoch, now)
+        core.recover(now, held.state, held.records)
+        node.core, node.journal, node.committing = core, journal, False
+        node.first_write = journal.next_number - 1
+        self._carry_out(node, core.begin(now))
+        life = node.life
+        self.after(0, TICK, lambda: self._tick(node, life))
+
+    def _tick(self, node: Node, life: int) -> None:
+        if node.core is None or node.life != life:
+            return
+        self._carry_out(node, node.core.tick(self.clock(node)))
+        self.at(self.now + TICK, lambda: self._tick(node, life))
+
+    def _down(self, node: Node) -> None:
+        """The machine stops; what was not durable may be gone, now and then the whole disk."""
+        node.core = node.journal = None
+        node.life += 1
+        self.found.crashes += 1
+        node.files.crash()
+        if self.faults and self.rng.random() < self.plan.disk_losses:
+            node.files = self._disk()
+        life = node.life
+        self.after(
+            50_000, 6_000_000, lambda: self._start(node) if node.life == life and node.core is None else None
+        )
+
+    def _some_crash(self) -> None:
+        node = self.nodes[self.rng.randrange(len(self.nodes))]
+        if node.core is None or not self.faults:
+            return
+        if self.rng.random() < 0.5:
+            node.files.crash_in = self.rng.randint(0, 6)  # in the middle of one of its next disk operations
+        else:
+            self._down(node)
+
+    def _carry_out(self, node: Node, effects: list[Effect]) -> None:
+        life = node.life
+        for effect in effects:
+            if node.life != life:
+                return
+            match effect:
+                case Write(_, record):
+                    assert node.journal is not None
+                    node.journal.append(record)
+                    if not node.committing:
+                        node.committing = True
+                        self.after(200, 20_000, lambda: self._commit(node, life))
+                case Send(peer, message):
+                    self._send(node.number, peer, message)
+                case Granted():
+                    self._granted(node, effect)
+                case Refused(ticket, why):
+                    self.found.refused[why] = self.found.refused.get(why, 0) + 1
+                    if why == "no-seat" and self._running() < self.limit:
+                        self.found.wrong_refusals += 1
+                    self.asked.pop(ticket, None)
+                case Expired():
+                    pass
+
+    def _commit(self, node: Node, life: int) -> None:
+        if node.life != life or node.journal is None or node.core is None:
+            return
+        node.committing = False
+        if self.faults and self.rng.random() < 0.02:
+            node.files.fail[self.rng.choice(["append", "sync"])] = self.rng.choice(["full", "error"])
+        try:
+            durable = node.journal.commit()
+        except CrashError:
+            self._down(node)
+            return
+        except (DiskError, StoppedError):
+            if node.journal.failed:  # the process must not go on as if it had not
+                self._down(node)
+                return
+            node.committing = True
+            self.after(20_000, 60_000, lambda: self._commit(node, life))
+            return
+        self._carry_out(node, node.core.durable(self.clock(node), durable - node.first_write))
+        if node.journal is not None and self.rng.random() < 0.03 and node.life == life:
+            self._snapshot(node)
+
+    def _snapshot(self, node: Node) -> None:
+        assert node.journal is not None and node.core is not None
+        if node.journal.durable != node.journal.next_number - 1:
+            return  # what is not durable yet must not be in a snapshot
+        try:
+            node.journal.snapshot(node.core.state())
+        except CrashError:
+            self._down(node)
+        except DiskError:
+            if node.journal is not None and node.journal.failed:
+                self._down(node)
+
+    def _send(self, sender: int, peer: int, message: Any) -> None:
+        self.found.messages += 1
+        plan, copies = self.plan, 1
+        if self.faults:
+            copies = 0 if self.rng.random() < plan.loss else 1 + (self.rng.random() < plan.double)
+        for _ in range(copies):
+            late = self.faults and self.rng.random() < plan.slow
+            most = 2 * plan.timing.lease if late else 40_000
+            self.after(500, most, lambda: self._arrive(sender, peer, message))
+
+    def _arrive(self, sender: int, peer: int, message: Any) -> None:
+        node = self.nodes[peer]
+        if node.core is not None:
+            self._carry_out(node, node.core.heard(self.clock(node), sender, message))
+
+    # Viewers
+
+    def _viewer(self, name: str, number: int) -> None:
+        """One session after the other, at any front."""
+        if not self.faults:
+            return
+        node, sess = self.nodes[self.rng.randrange(len(self.nodes))], f"{name}.{number}"
+        self._take(node, sess, self._plays)
+        if self.rng.random() < 0.3:  # a repeat that may cross the answer
+            self.after(0, 300_000, lambda: self._take(node, sess, self._plays))
+        self.after(500_000, 8_000_000, lambda: self._viewer(name, number + 1))
+
+    def _take(self, node: Node, sess: str, then: Callable[[str, str], None]) -> None:
+        if node.core is None:
+            return
+        ticket = next(self.tickets)
+        self.asked[ticket] = (sess, "take", self.now)
+        self.then = then
+        self._carry_out(
+            node, node.core.take(self.clock(node), ticket, self.key, sess.partition(".")[0], sess)
+        )
+
+    def _granted(self, node: Node, got: Granted) -> None:
+        asked = self.asked.pop(got.ticket, None)
+        if asked is None:
+            return
+        self.found.granted += 1
+        self.found.grant_ms.append((self.now - asked[2]) / 1000)
+        old = self.claims.get(got.seat)
+        if old is None or old.generation <= got.generation:
+            self.claims[got.seat] = Claim(node.number, got.seat, got.generation, got.expires)
+        if asked[1] == "take":
+            self.then(got.sess, got.seat)
+
+    def _plays(self, sess: str, seat: str) -> None:
+        viewer, left = sess.partition(".")[0], self.rng.randint(0, 6)
+        self._go_on(viewer, seat, left)
+
+    def _go_on(self, viewer: str, seat: str, left: int) -> None:
+        """Renew a few times, then give back or vanish; now and then cheat."""
+        claim = self.claims.get(seat)
+        if claim is None or not self.faults:
+            return
+        node, chance = self.nodes[claim.front], self.rng.random()
+        if left == 0:
+            if chance < 0.6 and node.core is not None:
+                self._give_back(node, viewer, claim)
+            return
+        if node.core is not None:
+            generation = claim.generation - (chance < 0.15) - (chance < 0.05) + (chance > 0.97)
+            who = "thief" if 0.9 < chance < 0.95 else viewer
+            self._renew(node, claim, who, generation)
+            if chance < 0.4:  # the same renewal again, crossing the first
+                self.after(0, 200_000, lambda: self._renew(node, claim, viewer, generation))
+        self.after(300_000, 1_500_000, lambda: self._go_on(viewer, seat, left - 1))
+
+    def _renew(self, node: Node, claim: Claim, viewer: str, generation: int) -> None:
+        if node.core is None:
+            return
+        ticket = next(self.tickets)
+        self.asked[ticket] = (viewer, "renew", self.now)
+        now = self.clock(node)
+        self._carry_out(node, node.core.renew(now, ticket, self.key, claim.seat, viewer, generation))
+
+    def _give_back(self, node: Node, viewer: str, claim: Claim) -> None:
+        assert node.core is not None
+        effects = node.core.give_back(self.clock(node), self.key, claim.seat, viewer)
+        self.claims.pop(claim.seat, None)  # the viewer has stopped before it said so
+        self._carry_out(node, effects)
+
+
+def drawn(seed: int) -> Schedule:
+    """A schedule of any shape."""
+    rng = Random(seed * 7919 + 1)
+    return Schedule(
+        seed, fronts=rng.choice([2, 3, 3, 5]), viewers=rng.randint(4, 24), limit=rng.randint(1, 8),
+        seconds=rng.randint(10, 40), loss=rng.choice([0, 0.1, 0.3]), double=rng.choice([0, 0.1, 0.3]),
+        slow=rng.choice([0, 0.05, 0.2]), crashes=rng.randint(0, 8), disk_losses=rng.choice([0, 0, 0.3]),
+        drift=rng.choice([0, 0.01]),
+    )  # fmt: skip
+
+
+def explore(first: int, count: int, make: Callable[..., Seats] = Seats) -> tuple[int, str]:
+    """Run schedules one after the other until one fails; returns how many ran and what failed."""
+    for number in range(count):
+        try:
+            Simulation(drawn(first + number), make).run()
+        except ExceededError as problem:
+            return number + 1, str(problem)
+    return count, ""
--- /dev/null
+++ b/ponddoor/store/__init__.py
@@ -0,0 +1,2 @@
+"""Storage that survives crashes: a journal of checksummed records, and snapshots, over an interface to
+files."""
