--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -69,22 +69,39 @@
         return float(min(self.players["groups"].values()))
 
 
+_GUARDS: list[
+    socket.socket
+] = []  # each holds the first port of a block that is ours while this process lives
+_BLOCK = 64
+
+
 def free_ports(count: int) -> list[int]:
-    """Ports on loopback that nothing holds now, outside the range the kernel hands out by itself."""
+    """Ports on loopback that nothing holds now, outside the range the kernel hands out by itself.
+
+    Guards against two rehearsals at once that find the same ports: each takes whole blocks, and holds one
+    port of a block for as long as it lives. Raises RehearsalError where there are not enough."""
     found: list[int] = []
-    candidates = list(range(12_000, 31_000))
-    random.SystemRandom().shuffle(candidates)
-    for port in candidates:
-        with (
-            contextlib.suppress(OSError),
-            socket.socket() as tcp,
-            socket.socket(type=socket.SOCK_DGRAM) as udp,
-        ):
-            tcp.bind(("127.0.0.1", port))
-            udp.bind(("127.0.0.1", port))
-            found.append(port)
-        if len(found) == count:
-            return found
+    blocks = list(range(12_000, 32_000, _BLOCK))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        _GUARDS.append(guard)
+        for port in range(first + 1, first + _BLOCK):
+            with (
+                contextlib.suppress(OSError),
+                socket.socket() as tcp,
+                socket.socket(type=socket.SOCK_DGRAM) as udp,
+            ):
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+                found.append(port)
+            if len(found) == count:
+                return found
     raise RehearsalError("not enough free ports")
 
 
--- a/ponddoor/seats/core.py
+++ b/ponddoor/seats/core.py
@@ -248,6 +248,8 @@
                 self._keep(Seat(seat, (tenant, name), viewer, sess, generation, expires))
             case ["back", seat, tenant, name]:
                 self._drop(self.share((tenant, name)), seat)
+            case ["lent", tenant, name, peer, 0]:
+                self.book((tenant, name)).lent.pop(peer, None)
             case ["lent", tenant, name, peer, count]:
                 self.book((tenant, name)).lent[peer] = Lent(count, now)
             case _:
@@ -308,7 +310,8 @@
         self.limits = dict(limits)
         out: list[Effect] = []
         for key, book in self.books.items():
-            if self._lent(now, book) > self.limits.get(key, 0):
+            out += self._lapse(now, key, book)
+            if self._lent(book) > self.limits.get(key, 0):
                 out += self._recall(now, key, book)
         return out
 
@@ -491,11 +494,17 @@
     def book(self, key: Key) -> Book:
         return self.books.setdefault(key, Book())
 
-    def _lent(self, now: int, book: Book) -> int:
-        for peer in [peer for peer, lent in book.lent.items() if lent.until <= now]:
-            del book.lent[peer]
+    def _lent(self, book: Book) -> int:
         return sum(lent.count for lent in book.lent.values())
 
+    def _lapse(self, now: int, key: Key, book: Book) -> list[Effect]:
+        """Guards against a share that lapsed and was lent elsewhere, and runs anew after our restart: that it
+        lapsed stands in the journal before whatever is lent from it."""
+        gone = [peer for peer, lent in book.lent.items() if lent.until <= now]
+        for peer in gone:
+            del book.lent[peer]
+        return [self._write(["lent", *key, peer, 0]) for peer in gone]
+
     def _asked(self, now: int, peer: int, ask: Ask) -> list[Effect]:
         """A front's question. What is lent is never lowered but by its borrower's own word."""
         key = ask.key
@@ -505,10 +514,11 @@
             # Guards against a word for less from before our restart, overtaken since by one for more.
             return self._to(now, peer, Lend(key, ask.epoch, ask.number, self.epoch, -1))
         book = self.book(key)
-        in_all = self._lent(now, book)
+        out = self._lapse(now, key, book)
+        in_all = self._lent(book)
         lent = book.lent.get(peer) or Lent(0, now)
         if (ask.epoch, ask.number) < (lent.epoch, lent.number):
-            return []
+            return out
         free = max(0, self.limits[key] - in_all)
         count = ask.want if ask.want <= lent.count else lent.count + min(ask.want - lent.count, free)
         before, lent.count = lent.count, count
@@ -516,12 +526,11 @@
         lent.until = now + self.timing.at_home()
         book.lent[peer] = lent
         answer = Lend(key, ask.epoch, ask.number, self.epoch, count, count < ask.want and ask.want > before)
-        out: list[Effect] = []
         if count != before:
             write = self._write(["lent", *key, peer, count])
-            out = [write, *self._after(write.number, Send(peer, answer), now)]
+            out += [write, *self._after(write.number, Send(peer, answer), now)]
         else:
-            out = self._to(now, peer, answer)
+            out += self._to(now, peer, answer)
         if count < ask.want or in_all > self.limits[key]:
             out += self._recall(now, key, book)
         return out
@@ -552,6 +561,8 @@
     def _pass(self, now: int, effect: Effect) -> list[Effect]:
         if isinstance(effect, Send):
             return self._to(now, effect.peer, effect.message)
+        if isinstance(effect, Granted) and effect.seat not in self.share(effect.key).seats:
+            return [self._refuse(effect.ticket, "expired")]  # given back before its answer could go out
         return [effect]
 
     def _to(self, now: int, peer: int, message: Message) -> list[Effect]:
--- a/ponddoor/seats/simulation.py
+++ b/ponddoor/seats/simulation.py
@@ -137,6 +137,8 @@
         self._until(end)
         self.faults = False
         for node in self.nodes:
+            node.files.crash_in = -1
+            node.files.fail.clear()
             if node.core is None:
                 self._start(node)
         quiet = 3 * plan.timing.lease
@@ -336,7 +338,7 @@
 
     def _plays(self, sess: str, seat: str) -> None:
         viewer, left = sess.partition(".")[0], self.rng.randint(0, 6)
-        self._go_on(viewer, seat, left)
+        self.after(0, 500_000, lambda: self._go_on(viewer, seat, left))
 
     def _go_on(self, viewer: str, seat: str, left: int) -> None:
         """Renew a few times, then give back or vanish; now and then cheat."""
