--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -105,6 +105,10 @@
     def find(self, sess: str) -> Held | None:
         return self._held.get(sess) or self._ended.get(sess)
 
+    def repeated(self, ask: Ask, repeat_key: str | None) -> Held | None:
+        """The session that a repeat of a request would find."""
+        return None if repeat_key is None else self._repeats.get((ask.tenant, repeat_key))
+
     def playing_at(self, server: int) -> list[Held]:
         return list(self._at_server.get(server, {}).values())
 
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -21,6 +21,7 @@
 from ponddoor.front.metrics import Metrics, Sample
 from ponddoor.front.roster import Roster
 from ponddoor.front.sealed import Seal
+from ponddoor.front.seating import Seating
 from ponddoor.front.servers import Servers
 from ponddoor.front.trace import Tracer
 from ponddoor.front.viewers import Viewers
@@ -28,6 +29,7 @@
 from ponddoor.interface.events import ServerState
 from ponddoor.interface.facts import SiteFacts
 from ponddoor.runtime.driver import Decisions
+from ponddoor.seats.core import Seats, Timing
 from ponddoor.settings.sexpr import SettingsError
 from ponddoor.settings.site import Limits, Site, load
 from ponddoor.web.server import Bounds, Server
@@ -71,6 +73,8 @@
         seal = Seal(site.words.key, me, len(site.fronts), site.words.age)
         self.words = WordSocket(site, me, seal, self._heard)
         self.viewers = Viewers(site, self.engine, self.apply, self._address, self._answered)
+        self.seating = self._seats(kept) if site.seats.limits else None
+        self.viewers.seating = self.seating
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
         self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
         self.acting = Acting()
@@ -130,6 +134,8 @@
         self.apply(self.engine.due)
 
     def _heard(self, peer: int, payload: bytes) -> None:
+        if self.seating is not None and self.seating.heard(peer, payload):
+            return
         self.apply(lambda now: self.engine.word(now, peer, payload))
 
     def _address(self, server: int) -> str:
@@ -139,13 +145,26 @@
     def _answered(self, kind: str, seconds: float) -> None:
         self.metrics.answered(kind, seconds)
 
+    def _seats(self, kept: Path | None) -> Seating:
+        terms = self.site.seats
+        timing = Timing(
+            terms.token, terms.lease, terms.drift, borrow_wait=terms.borrow_wait, come_back=terms.come_back
+        )
+        folder = (kept or Path(f"front-{self.me}")).with_suffix(".seats")
+        return Seating(
+            self.me, len(self.site.fronts), terms.limits, timing, self.site.words.key, folder, clock,
+            self.words.send, self.viewers.seat_ended, lambda why: self._stopping.set(),
+        )  # fmt: skip
+
     # Life
 
     async def start(self) -> None:
         """Take the addresses and begin. Raises OSError where an address can't be had."""
         place = self.site.fronts[self.me]
-        if len(self.site.fronts) > 1 and self.site.facts.permissions.messages:
+        if len(self.site.fronts) > 1 and (self.site.facts.permissions.messages or self.site.seats.limits):
             await self.words.start()
+        if self.seating is not None:
+            self.seating.start()
         self.gate.lag.due = clock() + SAMPLE
         self.listing.begin()
         self.port = await self.web.start(*place.viewers)
@@ -179,7 +198,9 @@
         except SettingsError as problem:
             log.error("reload-refused", problems=[str(one) for one in problem.problems])
             return False
-        kept = replace(self.site, limits=fresh.limits, node=fresh.node)
+        kept = replace(self.site, limits=fresh.limits, seats=fresh.seats, node=fresh.node)
+        if self.seating is not None:
+            self.seating.set_limits(fresh.seats.limits)
         parts = ("facts", "zones", "kinds", "titles", "servers", "listing", "fronts", "words")
         other = [name for name in parts if getattr(fresh, name) != getattr(self.site, name)]
         if other:
@@ -223,6 +244,8 @@
         await asyncio.sleep(0)
         await self.servers.close(1.0)
         await self.listing.close()
+        if self.seating is not None:
+            await self.seating.close()
         self.words.close()
         await self.web.close()
         await self.metrics_web.close()
@@ -300,6 +323,8 @@
             "why",
             _floats(seal.refused),
         )
+        if self.seating is not None:
+            yield from self._seat_samples(self.seating.core)
         yield (
             "gauge",
             "list_version",
@@ -343,6 +368,14 @@
             )
             yield "gauge", "resting", "Whether a server rests after failures.", "server", rests
 
+    def _seat_samples(self, core: Seats) -> Iterator[Sample]:
+        held = sum(len(share.seats) for share in core.shares.values())
+        yield "gauge", "seats_held", "Seats granted by this front that run.", "", {"": held}
+        lent = sum(one.count for book in core.books.values() for one in book.lent.values())
+        yield "gauge", "seats_lent", "Seats this home has lent, to itself as well.", "", {"": lent}
+        yield "counter", "seats_refused", "Seats refused, by reason.", "why", _floats(core.refused)
+        yield "counter", "seat_messages", "Messages to other fronts about seats.", "", {"": core.messages}
+
 
 def _floats(table: dict[str, int]) -> dict[str, float]:
     return {word: float(count) for word, count in table.items()}
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -13,6 +13,9 @@
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import Answer, Ask, Effect
 from ponddoor.front.engine import Engine, Held, Phase, RepeatError, number_of
+from ponddoor.front.seating import Seating
+from ponddoor.seats.core import Granted, Key, Refused
+from ponddoor.seats.tokens import Token, TokenError, opened
 from ponddoor.settings.site import Site
 from ponddoor.web.server import HttpError, Reply, Request, decoded
 from ponddoor.web.timing import within
@@ -36,6 +39,15 @@
     wait_ms: Annotated[float, msgspec.Meta(gt=0, le=3_600_000)] | None = None
     again: bool = False
     moved: bool = False
+    entitlement: Annotated[str, msgspec.Meta(max_length=100)] = ""
+    token: Annotated[str, msgspec.Meta(max_length=2000)] = ""
+
+
+class SeatAsk(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of a renewal: the token, and who shows it."""
+
+    token: Annotated[str, msgspec.Meta(max_length=2000)]
+    viewer: Name
 
 
 @dataclass(slots=True)
@@ -51,6 +63,8 @@
     followers: dict[str, list[asyncio.Queue[dict[str, Any] | None]]] = field(default_factory=dict)
     following: int = 0
     dropped_followers: int = 0
+    seating: Seating | None = None
+    seats: dict[str, tuple[Key, str, str]] = field(default_factory=dict)  # session: entitlement, seat, viewer
     names: tuple[str, ...] = ()
     tenants: tuple[str, ...] = ()
 
@@ -70,6 +84,12 @@
                 self._found(sess)
                 self.apply(lambda now: self.engine.left(now, sess))
                 return Reply(204)
+            case "POST", ("seats", "renew"):
+                return await self._renew(decoded(request.body, SeatAsk))
+            case "POST", ("seats", "return"):
+                return self._return_seat(decoded(request.body, SeatAsk))
+            case "GET", ("seats",):
+                return Reply(200, {"seats": self._seating().shown()})
             case _, ("sessions",) | ("sessions", _) | ("sessions", _, "events"):
                 raise HttpError(405, "method", f"{request.method} is not for this resource")
             case _:
@@ -78,11 +98,17 @@
     def carry_out(self, effect: Effect) -> None:
         match effect:
             case fx.Reply(sess, answer):
+                if answer.kind != "playing":
+                    self._drop_seat(sess)
                 for future in self.waiting.pop(sess, []):
                     if not future.done():
                         future.set_result(answer)
             case fx.Push(sess, what, value):
                 line = {"event": what, "value": value}
+                if what == "moved":
+                    self.seats.pop(sess, None)  # its viewer comes again with the token, and keeps the seat
+                if what == "ended":
+                    self._drop_seat(sess)
                 for queue in self.followers.get(sess, []):
                     if queue.qsize() < EVENTS_AHEAD:
                         queue.put_nowait(line)
@@ -131,6 +157,15 @@
             raise HttpError(400, "malformed-key", "an idempotency key has 1 to 200 characters")
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         sess = secrets.token_hex(12)
+        granted: Granted | None = None
+        body = decoded(request.body, SessionAsk)
+        if body.entitlement:
+            known = self.engine.repeated(ask, key)
+            sess = known.sess if known is not None else sess
+            granted = await self._take_seat(body, sess)
+            if request.gone.is_set():
+                self._drop_seat(sess)
+                return Reply(499, drop=True)
         held: Held | None = None
         refused: list[Answer] = []
 
@@ -149,6 +184,7 @@
         except RepeatError as problem:
             raise HttpError(422, "key-used-otherwise", str(problem)) from None
         if held is None:
+            self._drop_seat(sess)
             return self._reply("", refused[0])
         held_now: Held = held
         if held_now.answer is None:
@@ -161,7 +197,76 @@
         assert answer is not None
         if held_now.sess == sess:
             self.observe(answer.kind, asyncio.get_running_loop().time() - began)
-        return self._reply(held_now.sess, answer)
+        reply = self._reply(held_now.sess, answer)
+        if granted is not None and answer.kind == "playing" and isinstance(reply.body, dict):
+            reply.body["token"] = self._seating().token(granted)
+        return reply
+
+    # Seats
+
+    def _seating(self) -> Seating:
+        if self.seating is None:
+            raise HttpError(404, "no-entitlements", "this site has no entitlements")
+        return self.seating
+
+    async def _take_seat(self, body: SessionAsk, sess: str) -> Granted:
+        """A seat before the decisions are asked; a moved session shows its token and keeps the seat it
+        has."""
+        seating, key = self._seating(), (body.tenant, body.entitlement)
+        if not body.viewer:
+            raise HttpError(422, "no-viewer", "a seat is bound to a viewer: name one")
+        if body.token:
+            token = self._opened(body.token)
+            if (token.tenant, token.entitlement) != key:
+                raise HttpError(403, "other-entitlement", token.entitlement)
+            got = await seating.renew(token, body.viewer)
+        else:
+            got = await seating.take(key, body.viewer, sess)
+        if isinstance(got, Refused):
+            raise self._refusal(got)
+        self.seats[sess] = (key, got.seat, body.viewer)
+        return got
+
+    def _opened(self, text: str) -> Token:
+        try:
+            token = opened(text, self._seating().key)
+        except TokenError as problem:
+            raise HttpError(403, problem.why, "the token is not to be trusted") from None
+        if token.front != self._seating().me:
+            place = self.site.fronts[token.front].viewers if token.front < len(self.site.fronts) else None
+            where = f"http://{place[0]}:{place[1]}/seats/renew" if place else ""
+            raise HttpError(307, "another-front", "the front that granted it answers", (("Location", where),))
+        return token
+
+    def _refusal(self, got: Refused) -> HttpError:
+        status = {"no-such-entitlement": 422, "not-yours": 403, "expired": 410, "superseded": 409,
+                  "never-given": 409}.get(got.why, 503)  # fmt: skip
+        seconds = max(1, math.ceil(got.come_back / SECOND))
+        headers = (("Retry-After", str(seconds)),) if status == 503 else ()
+        return HttpError(status, got.why, "no seat", headers)
+
+    async def _renew(self, ask: SeatAsk) -> Reply:
+        got = await self._seating().renew(self._opened(ask.token), ask.viewer)
+        if isinstance(got, Refused):
+            raise self._refusal(got)
+        return Reply(200, {"token": self._seating().token(got), "generation": got.generation})
+
+    def _return_seat(self, ask: SeatAsk) -> Reply:
+        token = self._opened(ask.token)
+        self._seating().give_back((token.tenant, token.entitlement), token.seat, ask.viewer)
+        return Reply(204)
+
+    def _drop_seat(self, sess: str) -> None:
+        """A session that ended, or never began, gives its seat back at once."""
+        held = self.seats.pop(sess, None)
+        if held is not None and self.seating is not None:
+            self.seating.give_back(*held)
+
+    def seat_ended(self, seat: str) -> None:
+        """A seat ran out: its session must not go on."""
+        for sess in [sess for sess, held in self.seats.items() if held[1] == seat]:
+            del self.seats[sess]
+            self.apply(lambda now, sess=sess: self.engine.left(now, sess))  # type: ignore[misc]
 
     def _leave(self, held: Held, future: asyncio.Future[Answer]) -> None:
         """A waiting client is gone; with the last one who waits for this session, so is the viewer."""
--- a/ponddoor/seats/core.py
+++ b/ponddoor/seats/core.py
@@ -161,6 +161,7 @@
     fence: int = 0
     sent: dict[int, int] = field(default_factory=dict)  # number: when sent
     asked_at: int = -(1 << 60)
+    full_until: int = 0
     idle_since: int | None = None
     seats: dict[str, Seat] = field(default_factory=dict)
     owners: dict[tuple[str, str], str] = field(default_factory=dict)  # (viewer, session): seat
@@ -191,6 +192,7 @@
     epoch: int = 0
     number: int = 0
     used: int = 0
+    written: int = 0
 
 
 @dataclass(slots=True)
@@ -430,23 +432,33 @@
         fresh = sum(not waiting.renews for waiting in share.waiting)
         need = used + fresh
         spare = max(1, need // 4)
-        lack = need > held or bool(share.waiting)
-        due = bool(need or held) and share.until - now < 2 * self.timing.at_borrower() // 3
-        if lack or due:
-            pause = self.timing.retry if lack else self.timing.lease // 12
-            return (
-                self._ask(now, key, need + spare if lack else max(held, need))
-                if now - share.asked_at >= pause
-                else []
-            )
+        out: list[Effect] = []
+        if fresh and now < share.full_until:
+            out, need = self._turn_away(share), len(share.seats)
+        unanswered = share.accepted < share.number and now - share.asked_at < self.timing.retry
+        if need > held or share.waiting:
+            return out if unanswered else out + self._ask(now, key, need + spare)
+        if (need or held) and share.until - now < 2 * self.timing.at_borrower() // 3:
+            pause = self.timing.lease // 12
+            return out + self._ask(now, key, max(held, need)) if now - share.asked_at >= pause else out
         if held > need + 2 * spare + 1:
             share.idle_since = now if share.idle_since is None else share.idle_since
             if now - share.idle_since >= self.timing.idle:
                 share.idle_since = None
-                return self._ask(now, key, need + spare)
+                return out + self._ask(now, key, need + spare)
         else:
             share.idle_since = None
-        return []
+        return out
+
+    def _turn_away(self, share: Share) -> list[Effect]:
+        """Who wants a new seat is answered at once; who renews one still waits for the lease."""
+        out: list[Effect] = []
+        renewals = deque(waiting for waiting in share.waiting if waiting.renews)
+        for waiting in share.waiting:
+            if not waiting.renews:
+                out.append(self._refuse(waiting.ticket, "no-seat", self.timing.come_back))
+        share.waiting = renewals
+        return out
 
     def _ask(self, now: int, key: Key, want: int) -> list[Effect]:
         """A question to the home. One for less than we hold lowers our share before it goes out."""
@@ -484,9 +496,11 @@
         share.until = max(share.until, sent + self.timing.at_borrower())
         share.count = lend.count
         out = self._serve(now, lend.key)
-        if lend.wanted:  # the home has no more: who still waits is answered at once
-            while share.waiting and not share.waiting[0].renews:
-                out.append(self._refuse(share.waiting.popleft().ticket, "no-seat", self.timing.come_back))
+        if (
+            lend.wanted
+        ):  # the home has no more: who waits, and who comes in the next moment, is answered at once
+            share.full_until = now + self.timing.retry
+            out += self._turn_away(share)
         return out
 
     # The home
@@ -528,9 +542,10 @@
         answer = Lend(key, ask.epoch, ask.number, self.epoch, count, count < ask.want and ask.want > before)
         if count != before:
             write = self._write(["lent", *key, peer, count])
-            out += [write, *self._after(write.number, Send(peer, answer), now)]
-        else:
-            out += self._to(now, peer, answer)
+            lent.written = write.number
+            out.append(write)
+        # Guards against a question that comes twice: its second answer waits for the record like the first.
+        out += self._after(lent.written, Send(peer, answer), now)
         if count < ask.want or in_all > self.limits[key]:
             out += self._recall(now, key, book)
         return out
--- a/ponddoor/seats/simulation.py
+++ b/ponddoor/seats/simulation.py
@@ -50,6 +50,8 @@
     crashes: int = 4
     disk_losses: float = 0.15
     drift: float = 0.01
+    down: int = 6_000_000
+    cuts: int = 0
     timing: Timing = Timing(
         token=2_000_000, lease=5_000_000, retry=80_000, borrow_wait=400_000, least_life=200_000, idle=800_000
     )
@@ -105,9 +107,10 @@
         self.found = Found()
         self.events: list[tuple[int, int, Callable[[], None]]] = []
         self.order, self.tickets = itertools.count(), itertools.count(1)
-        self.asked: dict[int, tuple[str, str, int]] = {}
+        self.asked: dict[int, tuple[str, int, int]] = {}  # ticket: (who, generation shown or 0, when)
         self.claims: dict[str, Claim] = {}
         self.faults = True
+        self.cut: set[int] = set()
         self.nodes = [
             Node(n, 1 + plan.drift * self.rng.uniform(-1, 1), self.rng.randrange(10**9), self._disk())
             for n in range(plan.fronts)
@@ -134,8 +137,11 @@
             self.after(0, 3_000_000, lambda viewer=viewer: self._viewer(f"v{viewer}", 0))  # type: ignore[misc]
         for _ in range(plan.crashes):
             self.after(1_000_000, end * 2 // 3, self._some_crash)
+        for _ in range(plan.cuts):
+            self.after(1_000_000, end * 2 // 3, self._cut_off)
         self._until(end)
         self.faults = False
+        self.cut.clear()
         for node in self.nodes:
             node.files.crash_in = -1
             node.files.fail.clear()
@@ -217,7 +223,9 @@
             node.files = self._disk()
         life = node.life
         self.after(
-            50_000, 6_000_000, lambda: self._start(node) if node.life == life and node.core is None else None
+            50_000,
+            self.plan.down,
+            lambda: self._start(node) if node.life == life and node.core is None else None,
         )
 
     def _some_crash(self) -> None:
@@ -229,6 +237,12 @@
         else:
             self._down(node)
 
+    def _cut_off(self) -> None:
+        """One front hears nobody and is heard by nobody, for longer than a lease or not."""
+        number = self.rng.randrange(len(self.nodes))
+        self.cut.add(number)
+        self.after(1_000_000, 3 * self.plan.timing.lease, lambda: self.cut.discard(number))
+
     def _carry_out(self, node: Node, effects: list[Effect]) -> None:
         life = node.life
         for effect in effects:
@@ -290,7 +304,9 @@
     def _send(self, sender: int, peer: int, message: Any) -> None:
         self.found.messages += 1
         plan, copies = self.plan, 1
-        if self.faults:
+        if sender in self.cut or peer in self.cut:
+            copies = 0
+        elif self.faults:
             copies = 0 if self.rng.random() < plan.loss else 1 + (self.rng.random() < plan.double)
         for _ in range(copies):
             late = self.faults and self.rng.random() < plan.slow
@@ -318,7 +334,7 @@
         if node.core is None:
             return
         ticket = next(self.tickets)
-        self.asked[ticket] = (sess, "take", self.now)
+        self.asked[ticket] = (sess, 0, self.now)
         self.then = then
         self._carry_out(
             node, node.core.take(self.clock(node), ticket, self.key, sess.partition(".")[0], sess)
@@ -333,7 +349,10 @@
         old = self.claims.get(got.seat)
         if old is None or old.generation <= got.generation:
             self.claims[got.seat] = Claim(node.number, got.seat, got.generation, got.expires)
-        if asked[1] == "take":
+        if asked[1] and (got.generation > asked[1] + 1 or asked[0] != got.viewer):
+            told = f"{asked[0]} showed generation {asked[1]}, got {got.generation} of {got.viewer}"
+            raise ExceededError(f"seed {self.plan.seed}: {told}")
+        if not asked[1]:
             self.then(got.sess, got.seat)
 
     def _plays(self, sess: str, seat: str) -> None:
@@ -362,7 +381,7 @@
         if node.core is None:
             return
         ticket = next(self.tickets)
-        self.asked[ticket] = (viewer, "renew", self.now)
+        self.asked[ticket] = (viewer, generation, self.now)
         now = self.clock(node)
         self._carry_out(node, node.core.renew(now, ticket, self.key, claim.seat, viewer, generation))
 
@@ -380,15 +399,17 @@
         seed, fronts=rng.choice([2, 3, 3, 5]), viewers=rng.randint(4, 24), limit=rng.randint(1, 8),
         seconds=rng.randint(10, 40), loss=rng.choice([0, 0.1, 0.3]), double=rng.choice([0, 0.1, 0.3]),
         slow=rng.choice([0, 0.05, 0.2]), crashes=rng.randint(0, 8), disk_losses=rng.choice([0, 0, 0.3]),
-        drift=rng.choice([0, 0.01]),
+        drift=rng.choice([0, 0.01]), cuts=rng.choice([0, 0, 1, 3]),
     )  # fmt: skip
 
 
-def explore(first: int, count: int, make: Callable[..., Seats] = Seats) -> tuple[int, str]:
+def explore(
+    first: int, count: int, make: Callable[..., Seats] = Seats, shape: Callable[[int], Schedule] = drawn
+) -> tuple[int, str]:
     """Run schedules one after the other until one fails; returns how many ran and what failed."""
     for number in range(count):
         try:
-            Simulation(drawn(first + number), make).run()
+            Simulation(shape(first + number), make).run()
         except ExceededError as problem:
             return number + 1, str(problem)
     return count, ""
--- a/ponddoor/settings/site.py
+++ b/ponddoor/settings/site.py
@@ -92,6 +92,19 @@
     age: int
 
 
+@dataclass(frozen=True, slots=True)
+class SeatTerms:
+    """How many may play at once by (tenant, entitlement), and how long seats and shares run
+    (microseconds)."""
+
+    limits: dict[tuple[str, str], int]
+    token: int
+    lease: int
+    drift: float
+    borrow_wait: int
+    come_back: int
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     """Everything a site file says."""
@@ -106,6 +119,7 @@
     listing: ListSide
     fronts: tuple[FrontPlace, ...]
     words: WordsSide
+    seats: SeatTerms
     node: tuple[Node, ...]
 
     def facts_of(self, me: int, seed: int | None = None) -> fx.SiteFacts:
@@ -166,7 +180,9 @@
     facts = replace(
         facts, fronts=max(1, len(fronts)), asked_discovery=asked, reporting=reporting, report_fields=names
     )
-    words = _words(top.section("words"), folder, facts.permissions.messages and len(fronts) > 1)
+    seats = _seats(top.section("entitlements"), [tenant.name for tenant in facts.tenants])
+    needs_key = bool(seats.limits) or (facts.permissions.messages and len(fronts) > 1)
+    words = _words(top.section("words"), folder, needs_key)
     site = Site(
         top.words[0].text if top.words else "site",
         tuple(zones),
@@ -178,6 +194,7 @@
         listing,
         fronts,
         words,
+        seats,
         (top.node,),
     )
     top.done(words=1)
@@ -463,6 +480,27 @@
     return tuple(places)
 
 
+def _seats(held: Form, tenants: list[str]) -> SeatTerms:
+    limits: dict[tuple[str, str], int] = {}
+    for one in held.many("entitlement"):
+        name, tenant = one.name(), one.index("tenant", tenants, "a tenant") if tenants else 0
+        key = (tenants[tenant] if tenants else "", name.text)
+        if key in limits:
+            one.problem(name.place, f"entitlement {name} again", "each entitlement of a tenant once")
+        limits[key] = one.whole("limit", None, 0)
+        one.done(words=1)
+    terms = SeatTerms(
+        limits, held.time("token", 10 * SECOND, 100_000), held.time("lease", 30 * SECOND, 300_000),
+        held.number("drift", 0.01, 0, 0.2), held.time("borrow-wait", SECOND // 2, 1000),
+        held.time("come-back", SECOND))  # fmt: skip
+    if terms.lease < 2 * terms.token:
+        held.problem(
+            held.place, f"a lease of {terms.lease}us for tokens of {terms.token}us", "twice a token's life"
+        )
+    held.done()
+    return terms
+
+
 def _words(held: Form, folder: Path, needed: bool) -> WordsSide:
     text, file = held.text("key", ""), held.text("key-file", "")
     if file:
--- /dev/null
+++ b/tests/seats/test_seats.py
@@ -0,0 +1,238 @@
+"""The count of seats: its answers one by one, the simulation, and the guards taken out."""
+
+from typing import Any
+
+import pytest
+
+from ponddoor.seats.core import (
+    Ask,
+    Effect,
+    Expired,
+    Granted,
+    Key,
+    Lend,
+    Refused,
+    Seats,
+    Send,
+    Timing,
+    Write,
+    home_of,
+)
+from ponddoor.seats.mutants import MUTANTS
+from ponddoor.seats.simulation import ExceededError, Simulation, drawn, explore
+
+KEY: Key = ("t", "e")
+TIMING = Timing(token=2_000_000, lease=6_000_000)
+BEGIN = 100_000_000
+
+
+class Alone:
+    """One front that is the home of all it holds; every write is durable at once, unless `slow`."""
+
+    def __init__(self, limit: int = 2, fronts: int = 1, me: int = 0) -> None:
+        self.core = Seats(me, fronts, {KEY: limit}, TIMING, 7, 0)
+        self.now, self.slow, self.seen = BEGIN, False, list[Effect]()
+        self.records: list[Any] = []
+        self.run(self.core.begin(self.now))
+
+    def run(self, effects: list[Effect]) -> list[Effect]:
+        """All effects, with those that wait for a write."""
+        seen: list[Effect] = []
+        while effects:
+            effect, effects = effects[0], effects[1:]
+            if isinstance(effect, Write):
+                self.records.append(effect.record)
+                if not self.slow:
+                    effects += self.core.durable(self.now, effect.number)
+            else:
+                seen.append(effect)
+        self.seen += seen
+        return seen
+
+    def take(self, viewer: str, sess: str = "s") -> list[Effect]:
+        return self.run(self.core.take(self.now, 1, KEY, viewer, sess))
+
+    def renew(self, seat: Granted, viewer: str | None = None, generation: int | None = None) -> list[Effect]:
+        shown = seat.generation if generation is None else generation
+        return self.run(self.core.renew(self.now, 2, KEY, seat.seat, viewer or seat.viewer, shown))
+
+
+def granted(effects: list[Effect]) -> Granted:
+    assert len(effects) == 1 and isinstance(effects[0], Granted), effects
+    return effects[0]
+
+
+def refused(effects: list[Effect]) -> str:
+    assert len(effects) == 1 and isinstance(effects[0], Refused), effects
+    return effects[0].why
+
+
+def test_no_more_than_the_limit_and_asked_again_the_same() -> None:
+    front = Alone()
+    first = granted(front.take("a"))
+    assert granted(front.take("a")) == first
+    granted(front.take("b"))
+    assert refused(front.take("c")) == "no-seat"
+    assert refused(front.run(front.core.take(front.now, 1, ("t", "x"), "a", "s"))) == "no-such-entitlement"
+
+
+def test_each_renewal_has_one_defined_answer() -> None:
+    front = Alone()
+    first = granted(front.take("a"))
+    front.now += 1_000_000
+    second = granted(front.renew(first))
+    assert (second.generation, second.expires) == (2, front.now + TIMING.token)
+    front.now += 500_000
+    assert granted(front.renew(first)) == second  # the same again: the answer was lost, nothing is extended
+    third = granted(front.renew(second))
+    assert refused(front.renew(first)) == "superseded"
+    assert refused(front.renew(third, generation=9)) == "never-given"
+    assert refused(front.renew(third, viewer="thief")) == "not-yours"
+    front.now = third.expires
+    assert [type(effect) for effect in front.renew(third)] == [Expired, Refused]
+
+
+def test_a_seat_comes_back_when_it_is_given_back_and_when_it_runs_out() -> None:
+    front = Alone(limit=1)
+    first = granted(front.take("a"))
+    assert refused(front.take("b")) == "no-seat"
+    front.run(front.core.give_back(front.now, KEY, first.seat, "thief"))
+    assert refused(front.take("b")) == "no-seat"
+    front.run(front.core.give_back(front.now, KEY, first.seat, "a"))
+    front.run(front.core.give_back(front.now, KEY, first.seat, "a"))
+    second = granted(front.take("b"))
+    front.now = second.expires
+    assert front.run(front.core.tick(front.now))[0] == Expired(second.seat, "s")
+    granted(front.take("c"))
+
+
+def test_nothing_is_granted_before_it_is_durable() -> None:
+    front = Alone()
+    granted(front.take("a"))
+    front.slow = True
+    assert front.take("b") == [] == front.take("b")
+    front.slow = False
+    assert {type(effect) for effect in front.run(front.core.durable(front.now, front.core.written))} == {
+        Granted
+    }
+
+
+def test_an_answer_that_waits_is_refused_when_the_seat_was_given_back() -> None:
+    front = Alone()
+    first = granted(front.take("a"))
+    front.slow = True
+    assert front.renew(first) == []
+    front.run(front.core.give_back(front.now, KEY, first.seat, "a"))
+    front.slow = False
+    assert refused(front.run(front.core.durable(front.now, front.core.written))) == "expired"
+
+
+def test_a_limit_that_is_lowered_cuts_nobody_and_grants_none_until_it_fits() -> None:
+    front = Alone(limit=3)
+    held = [granted(front.take(viewer)) for viewer in "abc"]
+    front.run(front.core.set_limits(front.now, {KEY: 1}))
+    front.now += 500_000
+    assert all(isinstance(effect, Granted) for effect in front.renew(held[0]))
+    for seat in held[:2]:
+        front.run(front.core.give_back(front.now, KEY, seat.seat, seat.viewer))
+        front.now += 4 * TIMING.idle
+        held[2] = granted(front.renew(held[2])) if front.now < held[2].expires else held[2]
+        front.run(front.core.tick(front.now))
+    front.run(front.core.tick(front.now + TIMING.idle))
+    granted(front.take("d"))
+    assert refused(front.take("e")) == "no-seat"
+
+
+def test_a_front_without_its_disk_waits_until_all_it_gave_has_lapsed() -> None:
+    front = Alone()
+    front.core = Seats(0, 1, {KEY: 1}, TIMING, 8, front.now)
+    front.run(front.core.begin(front.now))
+    assert front.take("a") == []
+    front.now += TIMING.at_home()
+    front.run(front.core.tick(front.now))
+    granted(front.take("b"))
+
+
+def test_a_front_that_restarts_honours_what_runs_and_grants_it_to_nobody_else() -> None:
+    front = Alone(limit=1)
+    first = granted(front.take("a"))
+    front.core = Seats(0, 1, {KEY: 1}, TIMING, 8, front.now)
+    front.core.recover(front.now, None, front.records)
+    front.run(front.core.begin(front.now))
+    assert refused(front.take("b")) == "no-seat"
+    front.now += 1_000_000
+    assert granted(front.renew(first)).generation == 2
+    again = Seats(0, 1, {KEY: 1}, TIMING, 9, front.now)
+    again.recover(front.now, front.core.state(), [])
+    assert again.state()[1:] == front.core.state()[1:]
+
+
+def lent(core: Seats, number: int, count: int, fence: int = 5) -> Lend:
+    return Lend(KEY, core.epoch, number, fence, count)
+
+
+def borrower() -> tuple[Alone, int]:
+    home = home_of(KEY, 2)
+    front = Alone(limit=9, fronts=2, me=1 - home)
+    return front, home
+
+
+def test_an_answer_that_was_overtaken_changes_nothing() -> None:
+    front, home = borrower()
+    core = front.core
+    front.take("a")
+    asks = [effect.message for effect in front.seen if isinstance(effect, Send)]
+    first = asks[0]
+    assert isinstance(first, Ask) and first.want >= 1
+    front.now += 200_000
+    front.run(core.tick(front.now))
+    front.run(core.heard(front.now, home, lent(core, 2, 3)))
+    assert core.share(KEY).count == 3
+    front.run(core.heard(front.now, home, lent(core, 1, 9)))  # older than the one that counted
+    front.run(core.heard(front.now, home, lent(core, 99, 9)))  # to a question that was never sent
+    front.run(core.heard(front.now, 1 - home, lent(core, 2, 9)))  # from who is not the home
+    front.run(core.heard(front.now, home, Lend(KEY, core.epoch - 1, 2, 5, 9)))  # for an earlier life
+    assert core.share(KEY).count == 3
+
+
+def test_a_home_ignores_words_from_before_its_restart() -> None:
+    front = Alone(limit=9, fronts=2, me=home_of(KEY, 2))
+    peer = 1 - front.core.me
+    got = front.run(front.core.heard(front.now, peer, Ask(KEY, 3, 4, 6, 5, 0)))
+    assert got == [Send(peer, Lend(KEY, 3, 4, 7, -1))]  # it tells its fence, and lends nothing
+    got = front.run(front.core.heard(front.now, peer, Ask(KEY, 3, 5, 7, 5, 0)))
+    assert got == [Send(peer, Lend(KEY, 3, 5, 7, 5))]
+    assert front.run(front.core.heard(front.now, peer, Ask(KEY, 3, 4, 7, 1, 0))) == []  # an older question
+    assert front.core.book(KEY).lent[peer].count == 5
+
+
+def test_a_question_that_comes_twice_is_answered_no_sooner() -> None:
+    front = Alone(limit=9, fronts=2, me=home_of(KEY, 2))
+    front.slow, peer = True, 1 - front.core.me
+    ask = Ask(KEY, 3, 5, 7, 5, 0)
+    assert (
+        front.run(front.core.heard(front.now, peer, ask))
+        == []
+        == front.run(front.core.heard(front.now, peer, ask))
+    )
+    assert len(front.run(front.core.durable(front.now, front.core.written))) == 2
+
+
+def test_a_simulated_schedule_is_the_same_again() -> None:
+    first, second = (Simulation(drawn(17)).run() for _ in range(2))
+    assert first == second and first.granted > 10
+
+
+@pytest.mark.parametrize("first", range(0, 300, 50))
+def test_no_simulated_schedule_exceeds_the_limit_and_all_seats_come_back(first: int) -> None:
+    assert explore(first, 50) == (50, "")
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_the_simulation_finds_each_guard_that_is_taken_out(name: str) -> None:
+    make, shape = MUTANTS[name]
+    ran, problem = explore(0, 600, make, shape)
+    assert problem, f"not found in {ran} schedules"
+    seed = int(problem.split()[1].rstrip(":"))
+    with pytest.raises(ExceededError, match=f"seed {seed}:"):
+        Simulation(shape(seed), make).run()
