--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -357,6 +357,61 @@
     sys.exit(1 if breaches else 0)
 
 
+@main.group()
+def seats() -> None:
+    """Seats: what a front holds, and the simulation of their count."""
+
+
+@seats.command(name="show")
+@click.argument("front", metavar="HOST:PORT")
+@click.option("--json", "as_json", is_flag=True)
+def seats_show(front: str, as_json: bool) -> None:
+    """Each entitlement as one front sees it: held, lent, lapsing."""
+    from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
+
+    async def ask() -> dict[str, Any]:
+        host, _, port = front.rpartition(":")
+        pool = Pool(host, int(port), 1, 2.0)
+        try:
+            return (await pool.request("GET", "/seats")).json()
+        finally:
+            pool.close()
+
+    try:
+        got = asyncio.run(ask())
+    except (NotSentError, BrokenError, LateError, ValueError) as problem:
+        click.echo(f"{front}: {problem}", err=True)
+        sys.exit(1)
+    if as_json or "seats" not in got:
+        click.echo(msgspec.json.encode(got))
+        sys.exit(0 if "seats" in got else 1)
+    for row in got["seats"]:
+        lent = ", ".join(f"{count} to {peer}" for peer, count in row["lent"].items()) or "nothing"
+        click.echo(
+            f"{row['tenant']} {row['entitlement']}: limit {row['limit']}, held {row['held']} of a share of "
+            f"{row['share']} that ends in {row['share_ends_in_ms']} ms, {row['waiting']} waiting, lent {lent}"
+        )
+
+
+@seats.command()
+@click.option("--first", type=int, default=0, show_default=True, help="The first seed.")
+@click.option("--count", type=int, default=1000, show_default=True)
+@click.option("--without", type=str, help="Take a guard out, by its name.")
+def simulate(first: int, count: int, without: str | None) -> None:
+    """Play schedules of the count from their seeds; exit 1 and the seed where one fails."""
+    from ponddoor.seats.core import Seats
+    from ponddoor.seats.mutants import MUTANTS
+    from ponddoor.seats.simulation import drawn, explore
+
+    if without is not None and without not in MUTANTS:
+        click.echo(f"one of: {', '.join(MUTANTS)}", err=True)
+        sys.exit(2)
+    make, shape = MUTANTS[without] if without is not None else (Seats, drawn)
+    ran, problem = explore(first, count, make, shape)
+    click.echo(f"{ran} schedules; {problem or 'the limit held, every seat came back'}")
+    sys.exit(1 if problem else 0)
+
+
 @main.command()
 @click.argument(
     "traces", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path)
