--- a/ponddoor/audit/rules.py
+++ b/ponddoor/audit/rules.py
@@ -15,7 +15,15 @@
 FOREVER = 1 << 60
 SLACK = 150_000
 CHANCE = 2  # set-ups over a cold server's pace that chance may bring
-RULES = ("none lost", "no double set-up", "drains kept", "cold servers", "terms kept", "setup budget")
+RULES = (
+    "none lost",
+    "no double set-up",
+    "drains kept",
+    "cold servers",
+    "terms kept",
+    "setup budget",
+    "seats",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +135,7 @@
         *cold_kept(account),
         *terms_kept(account),
         *budget_kept(account),
+        *seats_kept(account),
     ]
     return sorted(found, key=lambda breach: breach.at)
 
@@ -331,6 +340,27 @@
     return attempt.ended if attempt.started else min(attempt.out_until, attempt.ended)
 
 
+def seats_kept(account: Account) -> Iterator[Breach]:
+    """No more streams of sessions with a seat than the entitlement's limit, and no token for a thief."""
+    limits = {
+        row["sess"]: int(row["limit"]) for row in account.rows if row["what"] == "answer" and row.get("limit")
+    }
+    moves: list[tuple[int, int, str]] = []
+    for sess, limit in limits.items():
+        for attempt in account.by_sess.get(sess, []):
+            if attempt.started and limit:
+                moves.append((attempt.started, 1, sess))
+                moves.append((max(attempt.started, attempt.ended - account.slack), -1, sess))
+    count = 0
+    for at, step, sess in sorted(moves):
+        count += step
+        if count > limits[sess]:
+            yield Breach("seats", sess, at, f"{count} play of {limits[sess]}")
+    for row in account.rows:
+        if row["what"] == "stolen":
+            yield Breach("seats", str(row["sess"]), int(row["at"]), "a token renewed for another viewer")
+
+
 def budget_kept(account: Account) -> Iterator[Breach]:
     """Further SETUPs of a front in any window: the spare ones and the share of the requests it took."""
     rules = account.facts.rules
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -162,7 +162,10 @@
         if body.entitlement:
             known = self.engine.repeated(ask, key)
             sess = known.sess if known is not None else sess
-            granted = await self._take_seat(body, sess)
+            taken = await self._take_seat(body, sess)
+            if isinstance(taken, Refused):
+                return self._reply("", Answer("busy", come_back=taken.come_back, why=taken.why))
+            granted = taken
             if request.gone.is_set():
                 self._drop_seat(sess)
                 return Reply(499, drop=True)
@@ -209,7 +212,7 @@
             raise HttpError(404, "no-entitlements", "this site has no entitlements")
         return self.seating
 
-    async def _take_seat(self, body: SessionAsk, sess: str) -> Granted:
+    async def _take_seat(self, body: SessionAsk, sess: str) -> Granted | Refused:
         """A seat before the decisions are asked; a moved session shows its token and keeps the seat it
         has."""
         seating, key = self._seating(), (body.tenant, body.entitlement)
@@ -223,7 +226,10 @@
         else:
             got = await seating.take(key, body.viewer, sess)
         if isinstance(got, Refused):
-            raise self._refusal(got)
+            refusal = self._refusal(got)
+            if refusal.status != 503:
+                raise refusal
+            return got
         self.seats[sess] = (key, got.seat, body.viewer)
         return got
 
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -62,6 +62,7 @@
     come_back: tuple[int, int]
     mix: tuple[float, ...]
     troubles: tuple[Trouble, ...]
+    entitlement: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +117,10 @@
         mix=tuple(share / sum(mix) for share in mix),
         troubles=tuple(trouble for form in top.many("at") for trouble in _trouble(form)),
     )
+    entitlement = top.text("entitlement", "")
+    if entitlement and entitlement not in {name for _, name in site.seats.limits}:
+        top.problem(top.place, f"entitlement {entitlement}", f"one that {site.name} has")
+    day = replace(day, entitlement=entitlement)
     top.done(words=1)
     if day.servers < site.facts.plant.cells:
         found = f"{day.servers} servers for {site.facts.plant.cells} cells of {site.name}"
--- a/ponddoor/standins/players.py
+++ b/ponddoor/standins/players.py
@@ -134,6 +134,10 @@
         }
         if site.facts.tenants:
             body["tenant"] = site.facts.tenants[viewer.tenant].name
+        limit = 0
+        if self.day.entitlement:
+            body["entitlement"] = self.day.entitlement
+            limit = site.seats.limits.get((str(body.get("tenant", "")), self.day.entitlement), 0)
         asked = time.monotonic()
         self.rec.note("ask", ask=name, front=front, wait_us=group.setup_timeout, group=viewer.group)
         pool = self.fronts[front]
@@ -154,18 +158,40 @@
             status=answer.status,
             state=state,
             sess=sess,
+            limit=limit,
             unasked=pool.unasked,
         )
         if state != "playing":
             return state, float(got.get("come_back_ms", 0.0)) / 1000
         lag = time.monotonic() - asked
         self.tally.starts.append(lag)
+        renewing = asyncio.create_task(self.renew(pool, str(got.get("token", "")), f"v{viewer.number}", rng))
         why = await self.play(viewer, str(got["server"]), sess, end, lag <= group.start_target / SECOND, rng)
+        renewing.cancel()
+        if self.day.entitlement and rng.random() < 0.1:
+            return "vanished", 0.0  # says nothing: seat and stream come back by themselves
         self.rec.note("end", ask=name, front=front, sess=sess, why=why)
         with contextlib.suppress(NotSentError, BrokenError, LateError):
             await pool.request("DELETE", f"/sessions/{sess}", timeout=1.0)
         return why, 0.0
 
+    async def renew(self, pool: Pool, token: str, viewer: str, rng: np.random.Generator) -> None:
+        """Keep a seat: renew in time, now and then twice at once, with an old token, or as somebody else."""
+        oldest = token
+        while token:
+            await asyncio.sleep(self.day.site.seats.token / SECOND / 3)
+            chance = float(rng.random())
+            asks = [(token, viewer)] * (2 if chance < 0.2 else 1)
+            asks += [(oldest, viewer)] * (0.2 <= chance < 0.3) + [(token, "thief")] * (chance > 0.9)
+            for text, who in asks:
+                with contextlib.suppress(NotSentError, BrokenError, LateError):
+                    body = {"token": text, "viewer": who}
+                    answer = await pool.request("POST", "/seats/renew", body, 2.0)
+                    self.tally.count(f"renewal {answer.json().get('error', 'granted')}")
+                    if answer.status == 200 and who == "thief":
+                        self.rec.note("stolen", sess=viewer)
+                    token = str(answer.json().get("token", token))
+
     async def play(
         self, viewer: Viewer, server: str, sess: str, end: float, timely: bool, rng: np.random.Generator
     ) -> str:
--- a/tests/front/test_audit.py
+++ b/tests/front/test_audit.py
@@ -210,3 +210,44 @@
     path.write_bytes(path.read_bytes()[:-9])
     got, left_out = read(tmp_path)
     assert [row["number"] for row in got] == [0, 1] and len(left_out) == 1
+
+
+def seated(number: int, at: int) -> list[tuple[int, str, dict[str, Any]]]:
+    sess = f"s{number}"
+    setup = {
+        "sess": sess,
+        "attempt": 0,
+        "server": 1,
+        "front": 0,
+        "epoch": 1,
+        "group": 0,
+        "title": "t",
+        "rung": 0,
+        "timeout_us": 500_000,
+    }
+    state = {
+        "ask": sess,
+        "front": 0,
+        "status": 201,
+        "state": "playing",
+        "sess": sess,
+        "unasked": 0,
+        "limit": 1,
+    }
+    ask = {"ask": sess, "front": 0, "wait_us": 2_000_000, "group": 0}
+    return [
+        (at, "ask", ask),
+        (at + 1, "setup", setup),
+        (at + 50, "started", {"sess": sess, "attempt": 0}),
+        (at + 51, "outcome", {"sess": sess, "attempt": 0, "result": "started"}),
+        (at + 52, "answer", state),
+        (at + 2000, "ended", {"sess": sess, "attempt": 0, "why": "teardown"}),
+    ]
+
+
+def test_more_streams_than_seats_and_a_stolen_token_are_named() -> None:
+    facts = loads(site_text()).facts
+    both = sorted([*seated(1, 0), *seated(2, 1000)], key=lambda row: row[0])
+    assert [(breach.rule, breach.who) for breach in audit(rows(*both), facts)] == [("seats", "s2")]
+    assert audit(rows(*seated(1, 0), *seated(2, 3000)), facts) == []
+    assert [breach.rule for breach in audit(rows((5, "stolen", {"sess": "v1"})), facts)] == ["seats"]
