--- a/tests/front/test_seating.py
+++ b/tests/front/test_seating.py
@@ -142,3 +142,24 @@
         await world.until(lambda: not world.streams())
 
     in_world(live, audited=False, kept=tmp_path / "k", fronts=2, seats=seats(3))
+
+
+def test_a_rolling_restart_loses_no_seat_and_admits_none_twice(in_world: Run, tmp_path: Path) -> None:
+    async def live(world: World) -> None:
+        await past_silence(world)
+        tokens: list[Any] = []
+        for me in range(2):
+            got = await watch(world, f"v{me}", me)
+            assert got.status == 201
+            tokens.append(got.json()["token"])
+        for me in range(2):
+            old = world.fronts.pop(0)
+            old.viewers.seats.clear()  # killed: nobody gives anything back
+            await old.stop()
+            world.fronts.append(await world.front(me))
+        for me in range(2):
+            assert (await watch(world, "late", me)).json()["error"] == "no-seat"
+            got = await world.call("POST", "/seats/renew", me, {"token": tokens[me], "viewer": f"v{me}"})
+            assert got.json().get("generation") == 2, got.body
+
+    in_world(live, audited=False, kept=tmp_path / "k", fronts=2, seats=seats(2))
