--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -112,9 +112,6 @@
     def playing_at(self, server: int) -> list[Held]:
         return list(self._at_server.get(server, {}).values())
 
-    def sessions(self) -> Iterable[Held]:
-        return self._held.values()
-
     # What happens
 
     def request(
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -72,7 +72,7 @@
         self.listing = ListKeeper(site, me, roster, self.engine, self.apply, self.servers.learn, kept)
         seal = Seal(site.words.key, me, len(site.fronts), site.words.age)
         self.words = WordSocket(site, me, seal, self._heard)
-        self.viewers = Viewers(site, self.engine, self.apply, self._address, self._answered)
+        self.viewers = Viewers(site, self.engine, self.apply, self._address, self.metrics.answered)
         self.seating = self._seats(kept) if site.seats.limits else None
         self.viewers.seating = self.seating
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
@@ -142,9 +142,6 @@
         entry = self.listing.roster.entries.get(server)
         return entry.address if entry is not None else ""
 
-    def _answered(self, kind: str, seconds: float) -> None:
-        self.metrics.answered(kind, seconds)
-
     def _seats(self, kept: Path | None) -> Seating:
         terms = self.site.seats
         timing = Timing(
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -151,14 +151,14 @@
 
     async def _ask(self, request: Request) -> Reply:
         began = asyncio.get_running_loop().time()
-        ask = self._checked(decoded(request.body, SessionAsk))
+        body = decoded(request.body, SessionAsk)
+        ask = self._checked(body)
         key = request.headers.get("idempotency-key")
         if key is not None and not 1 <= len(key) <= 200:
             raise HttpError(400, "malformed-key", "an idempotency key has 1 to 200 characters")
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         sess = secrets.token_hex(12)
         granted: Granted | None = None
-        body = decoded(request.body, SessionAsk)
         if body.entitlement:
             known = self.engine.repeated(ask, key)
             sess = known.sess if known is not None else sess
--- a/ponddoor/store/journal.py
+++ b/ponddoor/store/journal.py
@@ -91,7 +91,8 @@
         records: list[Any] = []
         number, broken_at, newest = upto + 1, "", 0
         for at, name in enumerate(segments):
-            frames, good = _frames(self.files.read(name))
+            data = self.files.read(name)
+            frames, good = _frames(data)
             for offset, found, synced, body, _ in frames:
                 newest = max(newest, synced)
                 if broken_at or offset > good:
@@ -101,11 +102,10 @@
                 elif found == number:
                     records.append(body)
                     number += 1
-            size = len(self.files.read(name))
-            if not broken_at and good < size:
+            if not broken_at and good < len(data):
                 broken_at = f"{name} at byte {good}: a record that is not whole"
             if broken_at and at == len(segments) - 1 and newest < number:
-                dropped.append(f"{broken_at}; {size - good} bytes behind it")
+                dropped.append(f"{broken_at}; {len(data) - good} bytes behind it")
         if broken_at and newest >= number:
             raise DamagedError(f"{broken_at}, but records up to {newest} were durable")
         if broken_at and not dropped:
@@ -119,11 +119,12 @@
     def _cut_off(self, segments: list[str], number: int) -> None:
         """What a crash left behind is taken away, so that it can't follow what comes now."""
         for name in segments:
-            size, frames = 0, _frames(self.files.read(name))[0]
+            data, size = self.files.read(name), 0
+            frames = _frames(data)[0]
             for offset, found, _, _, end in frames:
                 if found < number and offset == size:
                     size = end
-            if size < len(self.files.read(name)):
+            if size < len(data):
                 self.files.truncate(name, size)
                 self.files.sync(name)
         self.files.sync_names()
