--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -126,6 +126,7 @@
 @click.option(
     "--trace", type=click.Path(path_type=Path), help="Write every event and what followed, for replay."
 )
+@RECORD
 @click.option("--profile", type=click.Path(path_type=Path), hidden=True)
 def front(
     site: Path,
@@ -135,9 +136,11 @@
     decisions: str,
     log_requests: bool,
     trace: Path | None,
+    record: Path | None,
     profile: Path | None,
 ) -> None:
     """Run one front. SIGTERM drains, a second one ends it; SIGHUP reads the limits anew."""
+    from ponddoor.audit.records import Recorder
     from ponddoor.decide import Front
     from ponddoor.front.process import FrontProcess
     from ponddoor.rehearse.baseline import RandomHolder
@@ -151,7 +154,8 @@
     held_kept = kept or site.with_name(f"{site.stem}-{me}.list")
 
     async def serve() -> None:
-        process = FrontProcess(held, me, held_kept, seed, deciding, log_requests, trace)
+        noted = Recorder(record, f"front {me}").note if record is not None else None
+        process = FrontProcess(held, me, held_kept, seed, deciding, log_requests, trace, noted)
         try:
             await process.start()
         except OSError as problem:
--- a/ponddoor/front/effects.py
+++ b/ponddoor/front/effects.py
@@ -1,6 +1,6 @@
 """What the engine wants done by the shells around it. Times are microseconds."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,7 +13,7 @@
     home: int
     span: int
     top: int
-    wait: int
+    wait: int = field(compare=False)  # a repeat has less of it left
     length: int | None = None
     viewer: int = 0
     again: bool = False
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -57,7 +57,7 @@
 
     def __init__(self, site: Site, me: int, kept: Path | None = None, seed: int | None = None,
                  deciding: Deciding = Front, log_requests: bool = False,
-                 trace: Path | None = None) -> None:  # fmt: skip
+                 trace: Path | None = None, noted: Callable[..., None] | None = None) -> None:  # fmt: skip
         self.site, self.me, self._log_requests = site, me, log_requests
         facts, now = site.facts_of(me, seed), clock()
         self.decisions = deciding(facts, now)
@@ -74,6 +74,8 @@
         self.words = WordSocket(site, me, seal, self._heard)
         self.viewers = Viewers(site, self.engine, self.apply, self._address, self.metrics.answered)
         self.seating = self._seats(kept) if site.seats.limits else None
+        if self.seating is not None and noted is not None:
+            self.seating.noted = noted
         self.viewers.seating = self.seating
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
         self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
--- a/ponddoor/front/seating.py
+++ b/ponddoor/front/seating.py
@@ -21,10 +21,15 @@
 log = structlog.get_logger("seats")
 
 
+def _unnoted(what: str, **fields: Any) -> None:
+    """Where nobody keeps a record."""
+
+
 @dataclass(slots=True)
 class Seating:
     """All seats of one front. `send` takes a payload to one other front, `ended` the session of a seat that
-    ran out, `broken` why the disk failed: then nothing more is granted, and the front must stop."""
+    ran out, `broken` why the disk failed: then nothing more is granted, and the front must stop. `noted` is
+    told of every seat that is granted, kept over a restart, or back."""
 
     me: int
     fronts: int
@@ -36,6 +41,7 @@
     send: Callable[[int, bytes], None]
     ended: Callable[[str], None]
     broken: Callable[[str], None]
+    noted: Callable[..., None] = _unnoted
     core: Seats = field(init=False)
     dropped: list[str] = field(default_factory=list)
     recovered: int = 0
@@ -61,6 +67,8 @@
         self.core = Seats(self.me, self.fronts, self.limits, self.timing, max([*begun, wall()]) + 1, now)
         self.core.recover(now, held.state, held.records)
         self._first = self._journal.next_number - 1
+        kept = [seat for share in self.core.shares.values() for seat in share.seats]
+        self.noted("seats-kept", front=self.me, seats=kept)
         self._committer = Committer(self._journal, self._durable, self._fail)
         self._run(self.core.begin(now))
         self._ticking = asyncio.create_task(self._tick())
@@ -79,8 +87,10 @@
         )
 
     def give_back(self, key: Key, seat: str, viewer: str) -> None:
-        if not self._failed:
-            self._run(self.core.give_back(self.clock(), key, seat, viewer))
+        effects = [] if self._failed else self.core.give_back(self.clock(), key, seat, viewer)
+        if effects:
+            self.noted("seat-back", front=self.me, seat=seat, why="given-back")
+        self._run(effects)
 
     def token(self, got: Granted) -> str:
         """The signed token of a grant; its time is told by the wall clock."""
@@ -143,12 +153,15 @@
                 case Send(peer, message):
                     self._tell(peer, message)
                 case Granted(ticket) | Refused(ticket):
+                    if isinstance(effect, Granted) and effect.generation == 1:
+                        self.noted("seat", front=self.me, seat=effect.seat, sess=effect.sess)
                     future = self._waiting.get(ticket)
                     if future is not None and not future.done():
                         future.set_result(effect)
                     elif isinstance(effect, Granted) and future is None and effect.generation == 1:
                         self.give_back(effect.key, effect.seat, effect.viewer)  # nobody waits for it any more
                 case Expired(seat):
+                    self.noted("seat-back", front=self.me, seat=seat, why="expired")
                     self.ended(seat)
 
     def _tell(self, peer: int, message: Message) -> None:
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -4,7 +4,7 @@
 import math
 import secrets
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Annotated, Any
 
@@ -166,6 +166,9 @@
             if isinstance(taken, Refused):
                 return self._reply("", Answer("busy", come_back=taken.come_back, why=taken.why))
             granted = taken
+            # Guards against a viewer whose time is up while the decisions still count all of it.
+            spent = round((asyncio.get_running_loop().time() - began) * SECOND)
+            ask = replace(ask, wait=max(0, ask.wait - spent))
             if request.gone.is_set():
                 self._drop_seat(sess)
                 return Reply(499, drop=True)
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -29,6 +29,9 @@
     "balancer_roll": {"part": (0, 1, 1), "down": (0, 60, 0.8)},
     "origin_slow": {"size": (1, 100, 3)},
     "peer_down": {"part": (0, 1, 1)},
+    "front_deaths": {"every": (0.1, 60, 3), "down": (0, 60, 0.8)},
+    "words_lost": {"size": (0, 1, 0.2)},
+    "connections_cut": {"size": (0, 1, 0.1)},
 }
 
 
--- a/ponddoor/rehearse/report.py
+++ b/ponddoor/rehearse/report.py
@@ -3,8 +3,11 @@
 from typing import Any
 
 from ponddoor.audit.rules import RULES
+from ponddoor.audit.seats import SeatsSeen
 from ponddoor.rehearse.run import Result
 
+PARTS = (("median", 0.5), ("90th", 0.9), ("99th", 0.99), ("last", 1.0))
+
 
 def as_dict(result: Result) -> dict[str, Any]:
     """A result for scripts."""
@@ -25,6 +28,21 @@
         "fell": result.fell,
         "breaches": [str(breach) for breach in result.breaches],
         "records_cut": len(result.left_out),
+        "seats": seats_rows(result.seats) if result.seats else {},
+    }
+
+
+def seats_rows(seen: SeatsSeen) -> dict[str, Any]:
+    """What became of the seats; times in seconds."""
+    return {
+        "seat limit": seen.limit,
+        "seats granted": seen.seats,
+        "most streams with a seat": seen.played,
+        "most seats held": seen.held,
+        "seat still held": seen.still_held,
+        "refused for want of a seat": seen.refused,
+        "  while one was free": seen.wrongly,
+        **{f"seat back after, {name} s": round(_at(seen.returns, part), 2) for name, part in PARTS},
     }
 
 
@@ -45,6 +63,8 @@
         rows.append((f"SETUPs {word}", [str(run["setups"].get(word, 0)) for run in runs]))
     rows.append(("start, median ms", [f"{run['start_ms_p50']:.0f}" for run in runs]))
     rows.append(("start, 99th ms", [f"{run['start_ms_p99']:.0f}" for run in runs]))
+    for name in runs[0]["seats"]:
+        rows.append((name, [str(run["seats"].get(name, "")) for run in runs]))
     for rule in RULES:
         rows.append((rule, [_kept(result, rule) for result in results]))
     first = max(len(name) for name, _ in rows)
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -7,7 +7,7 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -16,7 +16,8 @@
 import numpy as np
 
 from ponddoor.audit.records import Recorder, read
-from ponddoor.audit.rules import Breach, audit
+from ponddoor.audit.rules import Account, Breach, audit
+from ponddoor.audit.seats import SeatsSeen, seats_seen
 from ponddoor.rehearse.day import SECOND, Day, Trouble, weight_of
 from ponddoor.rehearse.wires import Wires
 from ponddoor.settings.sexpr import Listing, Node, form, word, write
@@ -55,6 +56,7 @@
     setups: dict[str, int]
     fell: int
     folder: Path
+    seats: SeatsSeen | None = None
 
     @property
     def whole(self) -> float:
@@ -125,6 +127,7 @@
     rng: np.random.Generator = field(default_factory=np.random.default_rng)
     rec: Recorder = field(default_factory=lambda: Recorder(None, "rehearse"))
     wires: Wires = field(default_factory=lambda: Wires([]))
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def play(self) -> Result:
         """Play the day to its end. Raises RehearsalError where a process fails that should not."""
@@ -153,6 +156,7 @@
             setups,
             fell,
             self.folder,
+            seats_seen(Account(rows, self.day.site.facts)) if self.day.entitlement else None,
         )
 
     async def _set_up(self) -> None:
@@ -232,7 +236,8 @@
                 *arguments,
                 "--site",
                 str(self.folder / f"site-{site}.pond"),
-                *(["--record", str(self.folder / f"{name}.rec")] if arguments[0] == "standin" else []),
+                "--record",
+                str(self.folder / f"{name}.rec"),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -303,7 +308,8 @@
 
     async def _play_day(self) -> dict[str, Any]:
         length = self.day.length / SECOND
-        begin = time.monotonic() + 2.5
+        silent = self.day.site.seats.lease * 1.05 / SECOND if self.day.entitlement else 0.0
+        begin = time.monotonic() + 2.5 + silent  # fronts without a journal grant nothing for a lease
         out = self.folder / "players.json"
         players = await self._spawn(
             "players",
@@ -371,9 +377,25 @@
                 self.wires.cut |= set(list(self.fronts)[:count])
                 await asyncio.sleep(lasts)
                 self.wires.cut -= set(list(self.fronts)[:count])
-            case _:  # hot_key is in the arrivals
+            case "front_deaths":
+                end = time.monotonic() + lasts
+                while (pause := float(self.rng.exponential(figures["every"]))) < end - time.monotonic():
+                    await asyncio.sleep(pause)
+                    up = [me for me, process in self.fronts.items() if process.returncode is None]
+                    if up:
+                        self._later(self._kill_front(up[int(self.rng.integers(len(up)))], figures["down"]))
+            case "words_lost":
+                self.wires.lost = figures["size"]
+                await asyncio.sleep(lasts)
+                self.wires.lost = 0.0
+            case _:  # hot_key is in the arrivals, connections_cut in the players
                 return
 
+    def _later(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def _some(self, part: float) -> list[Box]:
         count = max(1, round(part * len(self.boxes)))
         return [self.boxes[int(n)] for n in self.rng.choice(len(self.boxes), count, replace=False)]
@@ -445,6 +467,8 @@
 
     async def _stop(self) -> None:
         self.stopping = True
+        for task in self.tasks:
+            task.cancel()
         everybody = [*self.fronts.values(), *self.others, *(box.process for box in self.boxes if box.process)]
         for process in everybody:
             if process.returncode is None:
--- a/ponddoor/rehearse/wires.py
+++ b/ponddoor/rehearse/wires.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import random
 from dataclasses import dataclass, field
 
 Address = tuple[str, int]
@@ -21,6 +22,8 @@
 
     fronts: list[Address]
     cut: set[int] = field(default_factory=set)
+    lost: float = 0.0  # the share of datagrams that go astray
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
     _ends: dict[tuple[int, int], asyncio.DatagramTransport] = field(default_factory=dict)
 
     async def start(self) -> None:
@@ -38,6 +41,8 @@
         return str(host), int(port)
 
     def pass_on(self, mine: int, other: int, data: bytes) -> None:
+        if self.lost and self.rng.random() < self.lost:
+            return
         if mine not in self.cut and other not in self.cut:
             self._ends[(other, mine)].sendto(data, self.fronts[other])
 
--- a/ponddoor/seats/core.py
+++ b/ponddoor/seats/core.py
@@ -159,7 +159,7 @@
     lowered: int = 0
     accepted: int = 0
     fence: int = 0
-    sent: dict[int, int] = field(default_factory=dict)  # number: when sent
+    sent: dict[int, tuple[int, int]] = field(default_factory=dict)  # number: when sent, and for how many
     asked_at: int = -(1 << 60)
     full_until: int = 0
     scarce_until: int = 0  # others lack seats: none is held in reserve
@@ -306,7 +306,8 @@
         if held is None or held.viewer != viewer:
             return []
         self._drop(share, seat)
-        return [self._write(["back", seat, *key]), *self._serve(now, key)]
+        out = [self._write(["back", seat, *key]), *self._serve(now, key)]
+        return out + self._tend(now, key, share) if now < share.scarce_until else out
 
     def set_limits(self, now: int, limits: dict[Key, int]) -> list[Effect]:
         """Limits change in service. Nobody is cut; none is granted or lent until it fits."""
@@ -446,7 +447,7 @@
             return out + self._ask(now, key, max(held, need)) if now - share.asked_at >= pause else out
         if held > need + 2 * spare + (not scarce):
             share.idle_since = now if share.idle_since is None else share.idle_since
-            if now - share.idle_since >= (self.timing.retry if scarce else self.timing.idle):
+            if scarce or now - share.idle_since >= self.timing.idle:
                 share.idle_since = None
                 return out + self._ask(now, key, need + spare)
         else:
@@ -470,10 +471,15 @@
         share = self.share(key)
         share.number += 1
         share.asked_at = now
-        if want < share.count:
-            share.count, share.lowered = want, share.number
-        share.sent = {number: at for number, at in share.sent.items() if at > now - self.timing.lease // 2}
-        share.sent[share.number] = now
+        recent = now - self.timing.lease // 2
+        share.sent = {number: asked for number, asked in share.sent.items() if asked[0] > recent}
+        hoped = [many for number, (_, many) in share.sent.items() if number > share.accepted]
+        if want < max([share.count, *hoped]):
+            # Guards against an answer to a question for more that comes after this word for less: the home
+            # has taken the difference back by then, also where no share was held yet.
+            share.count, share.lowered = min(share.count, want), share.number
+            share.full_until = now  # the home has what comes back: who comes now waits for it
+        share.sent[share.number] = (now, want)
         used = len(share.seats)
         home, ask = home_of(key, self.fronts), Ask(key, self.epoch, share.number, share.fence, want, used)
         # Guards against seats that come back in a crash after their room was given up: what is freed is
@@ -495,14 +501,14 @@
             share.fence = lend.fence
             used = len(share.seats)
             return self._ask(now, lend.key, max(used + len(share.waiting) + 1, self._held(now, share)))
-        sent = share.sent[lend.number]
+        sent, _ = share.sent[lend.number]
         share.until = max(share.until, sent + self.timing.at_borrower())
         share.count = lend.count
         out = self._serve(now, lend.key)
         if (
             lend.wanted
         ):  # the home has no more: who waits, and who comes in the next moment, is answered at once
-            share.full_until = now + self.timing.retry
+            share.full_until = now + self.timing.retry // 4
             out += self._turn_away(share)
         return out
 
--- a/ponddoor/seats/simulation.py
+++ b/ponddoor/seats/simulation.py
@@ -83,6 +83,16 @@
     expires: int
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What a ticket was for: a renewal of the generation shown, or a seat (0) that `then` is told of."""
+
+    who: str
+    shown: int
+    at: int
+    then: Callable[[str, str], None]
+
+
 @dataclass(slots=True)
 class Found:
     """What a run saw."""
@@ -107,7 +117,7 @@
         self.found = Found()
         self.events: list[tuple[int, int, Callable[[], None]]] = []
         self.order, self.tickets = itertools.count(), itertools.count(1)
-        self.asked: dict[int, tuple[str, int, int]] = {}  # ticket: (who, generation shown or 0, when)
+        self.asked: dict[int, Asked] = {}
         self.claims: dict[str, Claim] = {}
         self.faults = True
         self.cut: set[int] = set()
@@ -334,8 +344,7 @@
         if node.core is None:
             return
         ticket = next(self.tickets)
-        self.asked[ticket] = (sess, 0, self.now)
-        self.then = then
+        self.asked[ticket] = Asked(sess, 0, self.now, then)
         self._carry_out(
             node, node.core.take(self.clock(node), ticket, self.key, sess.partition(".")[0], sess)
         )
@@ -345,15 +354,15 @@
         if asked is None:
             return
         self.found.granted += 1
-        self.found.grant_ms.append((self.now - asked[2]) / 1000)
+        self.found.grant_ms.append((self.now - asked.at) / 1000)
         old = self.claims.get(got.seat)
         if old is None or old.generation <= got.generation:
             self.claims[got.seat] = Claim(node.number, got.seat, got.generation, got.expires)
-        if asked[1] and (got.generation > asked[1] + 1 or asked[0] != got.viewer):
-            told = f"{asked[0]} showed generation {asked[1]}, got {got.generation} of {got.viewer}"
+        if asked.shown and (got.generation > asked.shown + 1 or asked.who != got.viewer):
+            told = f"{asked.who} showed generation {asked.shown}, got {got.generation} of {got.viewer}"
             raise ExceededError(f"seed {self.plan.seed}: {told}")
-        if not asked[1]:
-            self.then(got.sess, got.seat)
+        if not asked.shown:
+            asked.then(got.sess, got.seat)
 
     def _plays(self, sess: str, seat: str) -> None:
         viewer, left = sess.partition(".")[0], self.rng.randint(0, 6)
@@ -381,7 +390,7 @@
         if node.core is None:
             return
         ticket = next(self.tickets)
-        self.asked[ticket] = (viewer, generation, self.now)
+        self.asked[ticket] = Asked(viewer, generation, self.now, lambda sess, seat: None)
         now = self.clock(node)
         self._carry_out(node, node.core.renew(now, ticket, self.key, claim.seat, viewer, generation))
 
--- a/ponddoor/standins/players.py
+++ b/ponddoor/standins/players.py
@@ -60,6 +60,8 @@
             for zone in range(max(1, len(day.site.zones)))
         }
         self.begin = 0.0
+        self.unseated: set[str] = set()
+        self.cuts = [trouble for trouble in day.troubles if trouble.kind == "connections_cut"]
 
     async def run(self, begin: float) -> dict[str, Any]:
         """Play the day from a moment of the monotonic clock; returns the count."""
@@ -142,6 +144,8 @@
         self.rec.note("ask", ask=name, front=front, wait_us=group.setup_timeout, group=viewer.group)
         pool = self.fronts[front]
         try:
+            if await self.cut(pool, "/sessions", body, rng, name):
+                self.rec.note("ask", ask=name, front=front, wait_us=group.setup_timeout, group=viewer.group)
             answer = await pool.request("POST", "/sessions", body, wait + 2.0, (("Idempotency-Key", name),))
             got: dict[str, Any] = answer.json()
         except NotSentError:
@@ -159,6 +163,7 @@
             state=state,
             sess=sess,
             limit=limit,
+            why=str(got.get("error", "")),
             unasked=pool.unasked,
         )
         if state != "playing":
@@ -175,6 +180,22 @@
             await pool.request("DELETE", f"/sessions/{sess}", timeout=1.0)
         return why, 0.0
 
+    async def cut(
+        self, pool: Pool, path: str, body: dict[str, Any], rng: np.random.Generator, key: str
+    ) -> bool:
+        """Whether the day cut the viewer's connection as it asked; then it asks again with the same key."""
+        now = (time.monotonic() - self.begin) * SECOND
+        share = sum(
+            trouble.figures["size"] for trouble in self.cuts if 0 <= now - trouble.at < trouble.length
+        )
+        if not share or rng.random() >= share:
+            return False
+        self.tally.count("connections cut")
+        with contextlib.suppress(TimeoutError, NotSentError, BrokenError, LateError):
+            async with asyncio.timeout(float(rng.uniform(0, 0.03))):
+                await pool.request("POST", path, body, 2.0, (("Idempotency-Key", key),))
+        return True
+
     async def renew(self, pool: Pool, token: str, viewer: str, rng: np.random.Generator) -> None:
         """Keep a seat: renew in time, now and then twice at once, with an old token, or as somebody else."""
         oldest = token
@@ -186,11 +207,15 @@
             for text, who in asks:
                 with contextlib.suppress(NotSentError, BrokenError, LateError):
                     body = {"token": text, "viewer": who}
+                    await self.cut(pool, "/seats/renew", body, rng, "")
                     answer = await pool.request("POST", "/seats/renew", body, 2.0)
                     self.tally.count(f"renewal {answer.json().get('error', 'granted')}")
                     if answer.status == 200 and who == "thief":
                         self.rec.note("stolen", sess=viewer)
                     token = str(answer.json().get("token", token))
+                    if answer.status == 410 and who == viewer:  # it ran out: an honest viewer stops
+                        self.unseated.add(viewer)
+                        return
 
     async def play(
         self, viewer: Viewer, server: str, sess: str, end: float, timely: bool, rng: np.random.Generator
@@ -216,6 +241,9 @@
                 async for line in stream:
                     got = msgspec.json.decode(line, type=dict[str, Any])
                     earn()
+                    if f"v{viewer.number}" in self.unseated:
+                        self.unseated.discard(f"v{viewer.number}")
+                        return "seat-lost"
                     if got.get("over"):
                         return "broken"
                     if rung not in (-1, got["rung"]):
--- a/tests/seats/test_seats.py
+++ b/tests/seats/test_seats.py
@@ -199,6 +199,28 @@
     assert core.share(KEY).count == 3
 
 
+def test_an_answer_that_comes_after_a_question_for_less_is_not_counted() -> None:
+    """Also where no share was held when the question for less went out: the home has lowered its loan."""
+    front, home = borrower()
+    core = front.core
+    for viewer in "abc":
+        front.take(viewer)
+    front.now += 200_000
+    front.run(core.tick(front.now))
+    front.now += TIMING.borrow_wait  # those three are turned away
+    front.run(core.tick(front.now))
+    front.take("d")
+    front.now += 200_000
+    front.run(core.tick(front.now))
+    wants = [effect.message.want for effect in front.seen if isinstance(effect, Send)
+             and isinstance(effect.message, Ask)]  # fmt: skip
+    assert max(wants) > wants[-1]
+    front.run(core.heard(front.now, home, lent(core, 1 + wants.index(max(wants)), max(wants))))
+    assert core.share(KEY).count == 0
+    front.run(core.heard(front.now, home, lent(core, len(wants), wants[-1])))
+    assert core.share(KEY).count == wants[-1]
+
+
 def test_a_home_ignores_words_from_before_its_restart() -> None:
     front = Alone(limit=9, fronts=2, me=home_of(KEY, 2))
     peer = 1 - front.core.me
