Hints: codecs of CMCD (both versions, three carriers) and CMSD, by a table of keys

Change: ponddoor/hints reads and writes CMCD in headers, query argument and JSON, reports of version 2, and CMSD static and dynamic; structured fields by http-sf. A malformed key costs that key; every loss is counted by reason; text, keys, lists, hops and reports are bounded. Carriers that disagree on a key lose that key. Result: inverse on drawn valid values on every carrier; no drawn text or JSON raises.

--- /dev/null
+++ b/ponddoor/hints/cmcd.py
@@ -0,0 +1,174 @@
+"""CMCD (CTA-5004): a player's hints in their three carriers, and the event and interval reports of version 2.
+
+Free of I/O. `read_request` gathers what one request carries; `write_*` make each carrier."""
+
+from collections.abc import Mapping
+from urllib.parse import parse_qs, quote
+
+import msgspec
+from http_sf import Token
+
+from ponddoor.hints.fields import Bounds, Read, Typed, Values, check, read_dictionary, rounded, written
+from ponddoor.hints.keys import CMCD, Group
+
+HEADERS = (Group.OBJECT, Group.REQUEST, Group.SESSION, Group.STATUS)
+ARGUMENT = "CMCD"
+REPORTS = "application/cmcd"  # the media type of a batch of reports (version 2)
+MOST_REPORTS = 100
+BOUNDS = Bounds()
+
+
+def read_headers(headers: Mapping[str, str], bounds: Bounds = BOUNDS) -> Read:
+    """The four headers (names in lower case). A key in the wrong header is kept and counted: proxies fold."""
+    read = Read()
+    for group in HEADERS:
+        text = headers.get(group.value.lower())
+        if text is None:
+            continue
+        part = read_dictionary(text, CMCD, bounds)
+        for name in part.values:
+            if name in CMCD and CMCD[name].group is not group:
+                part.lose("wrong-header")
+        read.take(part)
+    return read
+
+
+def read_query(query: str, bounds: Bounds = BOUNDS) -> Read:
+    """The argument `CMCD` of a query string, still in its percent coding."""
+    read = Read()
+    if len(query) > 3 * bounds.characters:
+        read.lose("too-long")
+        return read
+    try:
+        found = parse_qs(query, max_num_fields=100, errors="strict").get(ARGUMENT, [])
+    except ValueError:
+        read.lose("malformed-query")
+        return read
+    for text in found[:1]:
+        read.take(read_dictionary(text, CMCD, bounds))
+    if len(found) > 1:
+        read.lose("argument-twice", len(found) - 1)
+    return read
+
+
+def read_json(text: bytes, bounds: Bounds = BOUNDS) -> Read:
+    """A JSON object: booleans, numbers and strings; tokens are strings there."""
+    read = Read()
+    if len(text) > bounds.characters:
+        read.lose("too-long")
+        return read
+    try:
+        members = msgspec.json.decode(text)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        read.lose("malformed-json")
+        return read
+    return read_members(members, bounds)
+
+
+def read_members(members: object, bounds: Bounds = BOUNDS) -> Read:
+    """The same of a JSON object that is decoded already. Members of lists are values, or {"value", "of"}."""
+    read = Read()
+    if not isinstance(members, dict):
+        read.lose("malformed-json")
+        return read
+    shaped = {
+        str(name): [_typed(one) for one in member] if isinstance(member, list) else member
+        for name, member in members.items()
+    }
+    check(shaped, CMCD, bounds, read)
+    return read
+
+
+def _typed(one: object) -> object:
+    if isinstance(one, dict) and one.keys() <= {"value", "of"}:
+        of = one.get("of")
+        return (one.get("value"), {of: True} if isinstance(of, str) and of else {})
+    return (one, {})
+
+
+def read_request(
+    headers: Mapping[str, str], query: str = "", body: object = None, bounds: Bounds = BOUNDS
+) -> Read:
+    """All that a request carries. Where two carriers disagree on a key, the key is lost."""
+    parts = [read_headers(headers, bounds), read_query(query, bounds)]
+    if body is not None:
+        parts.append(read_members(body, bounds))
+    whole, disputed = Read(), set[str]()
+    for part in parts:
+        for name, value in part.values.items():
+            if whole.values.setdefault(name, value) != value:
+                disputed.add(name)
+        for why, times in part.lost.items():
+            whole.lose(why, times)
+    for name in sorted(disputed):
+        del whole.values[name]
+        whole.lose("carriers-disagree")
+    return whole
+
+
+def read_reports(text: bytes, bounds: Bounds = BOUNDS, most: int = MOST_REPORTS) -> tuple[list[Values], Read]:
+    """A batch of reports of version 2, one a line: the reports with an event, and what was lost."""
+    all_of, reports = Read(), list[Values]()
+    try:
+        lines = text.decode("ascii").splitlines()
+    except UnicodeDecodeError:
+        all_of.lose("malformed-reports")
+        return [], all_of
+    if len(lines) > most:
+        all_of.lose("too-many-reports", len(lines) - most)
+    for line in lines[:most]:
+        if not line.strip():
+            continue
+        read = read_dictionary(line, CMCD, bounds)
+        for why, times in read.lost.items():
+            all_of.lose(why, times)
+        if "e" in read.values:
+            reports.append(read.values)
+        elif not read.lost:
+            all_of.lose("no-event")
+    return reports, all_of
+
+
+def write_headers(values: Values) -> dict[str, str]:
+    """The headers that carry these values; custom keys go with the session's. Raises ValueError."""
+    made: dict[str, list[str]] = {}
+    for name, text in written(values, CMCD).items():
+        group = CMCD[name].group if name in CMCD else Group.SESSION
+        made.setdefault(group.value, []).append(text)
+    return {name: ",".join(parts) for name, parts in sorted(made.items())}
+
+
+def write_query(values: Values) -> str:
+    """The query argument, percent-coded. Raises ValueError."""
+    return f"{ARGUMENT}={quote(','.join(written(values, CMCD).values()), safe='')}"
+
+
+def write_json(values: Values) -> bytes:
+    """The JSON object. Raises ValueError where a value can't be written."""
+    written(values, CMCD)  # the same checks as on every carrier
+    made: dict[str, object] = {}
+    for name in sorted(values):
+        key = CMCD.get(name)
+        value = values[name] if key is None else rounded(key, values[name])
+        if key is not None and value == key.omitted and type(value) is type(key.omitted):
+            continue
+        if isinstance(value, tuple):
+            value = [{"value": one.value, "of": one.of} if one.of else one.value for one in value]
+        made[name] = str(value) if isinstance(value, Token) else value
+    return msgspec.json.encode(made)
+
+
+def write_reports(reports: list[Values]) -> bytes:
+    """A batch, one report a line. Raises ValueError, also for a report without an event."""
+    for report in reports:
+        if "e" not in report:
+            raise ValueError("a report needs its event, e")
+    return b"\n".join(",".join(written(report, CMCD).values()).encode("ascii") for report in reports)
+
+
+def one_of(value: object, kind: str = "v") -> object:
+    """The one value that matters of a list of version 2: that of an object type, else the first."""
+    if not isinstance(value, tuple):
+        return value
+    of_kind = [one.value for one in value if isinstance(one, Typed) and one.of == kind]
+    return of_kind[0] if of_kind else value[0].value
--- /dev/null
+++ b/tests/hints/test_codecs.py
@@ -0,0 +1,184 @@
+"""The codecs of hints: inverse on all valid values, and nothing malformed costs more than itself."""
+
+from typing import Any
+
+import pytest
+from http_sf import Token
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ponddoor.hints import cmcd, cmsd
+from ponddoor.hints.fields import Bounds, Typed, read_dictionary
+from ponddoor.hints.keys import CMCD, CMSD_DYNAMIC, CMSD_STATIC, Group, Key, Kind
+
+TEXT = st.text(st.characters(min_codepoint=0x20, max_codepoint=0x7E), min_size=1, max_size=40)
+KINDS = st.sampled_from(["", "v", "a", "av"])
+TABLES: list[dict[str, Key]] = [CMCD, CMSD_STATIC, CMSD_DYNAMIC]
+
+
+def bare(key: Key) -> st.SearchStrategy[Any]:
+    match key.kind:
+        case Kind.INTEGER:
+            return st.integers(0, 10**9).map(lambda n: n * key.nearest)
+        case Kind.DECIMAL:
+            return st.integers(0, 100_000).map(lambda n: n / 1000)
+        case Kind.BOOLEAN:
+            return st.booleans()
+        case Kind.STRING:
+            return TEXT
+        case Kind.TOKEN:
+            return st.sampled_from(key.tokens)
+
+
+def value(key: Key) -> st.SearchStrategy[Any]:
+    if not key.many:
+        return bare(key)
+    members = st.builds(Typed, bare(key), KINDS)
+    return bare(key) | st.lists(members, min_size=1, max_size=4).map(tuple)
+
+
+def valid(keys: dict[str, Key]) -> st.SearchStrategy[dict[str, Any]]:
+    """Values that a sender would send: without those that say nothing."""
+    known = st.fixed_dictionaries({}, optional={name: value(key) for name, key in keys.items()})
+    name = st.from_regex(r"com\.[a-z]{1,8}-[A-Za-z]{1,8}", fullmatch=True)
+    own = st.dictionaries(name, st.integers(0, 999) | st.booleans() | TEXT, max_size=2)
+    return st.tuples(known, own).map(
+        lambda parts: {
+            **{
+                n: v
+                for n, v in parts[0].items()
+                if v != keys[n].omitted or type(v) is not type(keys[n].omitted)
+            },
+            **parts[1],
+        }
+    )
+
+
+WIDE = Bounds(100_000, 200)
+
+
+@given(valid(CMCD))
+def test_every_carrier_of_cmcd_gives_back_what_was_written(values: dict[str, Any]) -> None:
+    headers = {name.lower(): text for name, text in cmcd.write_headers(values).items()}
+    assert cmcd.read_headers(headers, WIDE).values == values
+    assert cmcd.read_query("a=1&" + cmcd.write_query(values) + "&b=2", WIDE).values == values
+    assert cmcd.read_json(cmcd.write_json(values), WIDE).values == values
+
+
+@given(valid({name: key for name, key in CMCD.items() if name != "e"}), st.sampled_from(CMCD["e"].tokens))
+def test_reports_give_back_what_was_written(values: dict[str, Any], event: str) -> None:
+    reports = [{**values, "e": event}, {"e": "t"}]
+    got, read = cmcd.read_reports(cmcd.write_reports(reports), WIDE)
+    assert got == reports and not read.lost
+
+
+def small(values: dict[str, Any]) -> dict[str, Any]:
+    return {name.lower(): value for name, value in values.items()}
+
+
+@given(valid(CMSD_STATIC), st.lists(st.builds(cmsd.Hop, TEXT, valid(CMSD_DYNAMIC).map(small)), max_size=5))
+def test_cmsd_gives_back_what_was_written(values: dict[str, Any], hops: list[cmsd.Hop]) -> None:
+    assert cmsd.read_static(cmsd.write_static(values), WIDE).values == values
+    got, read = cmsd.read_dynamic(cmsd.write_dynamic(hops), WIDE)
+    assert got == hops and not read.lost
+
+
+@given(st.text(max_size=200) | st.binary(max_size=200).map(lambda raw: raw.decode("latin-1")))
+@settings(max_examples=300)
+def test_no_text_raises_and_what_is_kept_can_be_written(text: str) -> None:
+    for keys in TABLES:
+        read = read_dictionary(text, keys, WIDE)
+        assert not text.strip() or read.values or read.lost
+    kept = cmcd.read_headers({"cmcd-request": text}).values
+    assert cmcd.read_headers({k.lower(): v for k, v in cmcd.write_headers(kept).items()}).values is not None
+    cmcd.read_query(text)
+    cmcd.read_json(text.encode())
+    cmcd.read_reports(text.encode())
+    cmsd.write_dynamic(cmsd.read_dynamic(text)[0])
+
+
+LEAVES = st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=9)
+
+
+@given(
+    st.recursive(LEAVES, lambda one: st.lists(one, max_size=3) | st.dictionaries(st.text(max_size=3), one))
+)
+def test_no_json_raises(members: Any) -> None:
+    cmcd.read_members(members)
+    cmcd.read_members({"br": members, "mtp": [members], "x-y": members})
+
+
+MALFORMED = [
+    ("bl=21300,mtp=fast,su", {"bl": 21300, "su": True}, {"wrong-type": 1}),
+    ("bl=21300,mtp=,dl=100", {"bl": 21300, "dl": 100}, {"malformed-key": 1}),
+    ("bl=-5,mtp=1000", {"mtp": 1000}, {"out-of-range": 1}),
+    ("ot=x,sf=d", {"sf": "d"}, {"unknown-token": 1}),
+    ('cid="' + "x" * 65 + '",sf=d', {"sf": "d"}, {"too-long": 1}),
+    ("bl=1,zz=3", {"bl": 1, "zz": 3}, {"unknown-key": 1}),
+    ("com.Example-aKey=3,bl=1", {"com.Example-aKey": 3, "bl": 1}, {}),
+    ('nor="a,b\\"c",bl=1,(', {"nor": 'a,b"c', "bl": 1}, {"malformed-key": 1}),
+    ("dl=(1 2)", {}, {"wrong-type": 1}),
+    ("br=(1;v \"x\")", {"br": (Typed(1, "v"),)}, {"wrong-type": 1}),
+    ("bl=1, bl=2", {"bl": 2}, {"key-twice": 1}),
+    ("x-b=:YWJj:,bl=1", {"bl": 1}, {"unusable-custom": 1}),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("text", "values", "lost"), MALFORMED)
+def test_a_malformed_key_costs_that_key(text: str, values: dict[str, Any], lost: dict[str, int]) -> None:
+    read = read_dictionary(text, CMCD, Bounds())
+    assert (read.values, read.lost) == (values, lost)
+
+
+def test_bounds_are_kept_and_said() -> None:
+    assert read_dictionary("a-b=1," * 1000, CMCD, Bounds()).lost == {"too-long": 1}
+    many = ",".join(f"k-{n}=1" for n in range(70))
+    read = read_dictionary(many, CMCD, Bounds())
+    assert len(read.values) == 64 and read.lost == {"too-many-keys": 6}
+    assert read_dictionary(f"br=({'1 ' * 40})", CMCD, Bounds()).lost == {"list-too-long": 1}
+    got, read = cmcd.read_reports(b"\n".join([b"e=t"] * 120))
+    assert len(got) == 100 and read.lost == {"too-many-reports": 20}
+    hops, read = cmsd.read_dynamic(",".join(f'"h{n}";mb=1' for n in range(20)))
+    assert len(hops) == 16 and read.lost == {"too-many-hops": 4}
+
+
+def test_carriers_that_disagree_are_not_believed_and_folded_headers_are_read() -> None:
+    headers = {"cmcd-request": "mtp=1000,bl=200", "cmcd-session": "v=2,tb=900"}
+    read = cmcd.read_request(headers, "CMCD=mtp%3D9000%2Cbl%3D200", {"sf": "d"})
+    assert read.values == {"bl": 200, "v": 2, "tb": 900, "sf": "d"}
+    assert read.lost == {"carriers-disagree": 1, "wrong-header": 1}
+    assert cmcd.read_query("CMCD=bl%3D1&CMCD=bl%3D2").lost == {"argument-twice": 1}
+
+
+def test_units_are_rounded_and_silent_values_left_out() -> None:
+    values = {"bl": 21_349, "mtp": 25_451, "dl": 50, "d": 4004, "bs": False, "pr": 1.0, "v": 1, "sf": "h"}
+    assert cmcd.write_headers(values) == {
+        "CMCD-Object": "d=4004",
+        "CMCD-Request": "bl=21300,dl=100,mtp=25500",
+        "CMCD-Session": "sf=h",
+    }
+    with pytest.raises(ValueError, match="no capitals"):
+        cmsd.write_dynamic([cmsd.Hop("a", {"x-A": 1})])
+    for broken in ({"sf": "\n"}, {"com.a-b": object()}, {"no key": 1}, {"cid": "\u00e9"}):
+        with pytest.raises(ValueError, match="can't be written"):
+            cmcd.write_headers(broken)
+    with pytest.raises(ValueError, match="needs its event"):
+        cmcd.write_reports([{"bl": 1}])
+
+
+def test_an_intermediary_adds_itself_last_and_keeps_what_it_can_read() -> None:
+    text = cmsd.appended('"origin";etp=96;du;x-own=3, 5', cmsd.Hop("front", {"mb": 2500}))
+    assert text == '"origin";du;etp=96;x-own=3,"front";mb=2500'
+    assert cmsd.appended(None, cmsd.Hop("front")) == '"front"'
+
+
+def test_the_value_that_matters_of_a_list() -> None:
+    assert cmcd.one_of((Typed(128, "a"), Typed(900, "v"))) == 900
+    assert cmcd.one_of((Typed(128, "a"),)) == 128 and cmcd.one_of(7) == 7
+
+
+def test_every_key_has_its_header_and_a_custom_token_stays_one() -> None:
+    assert {key.group for key in CMCD.values()} == set(cmcd.HEADERS) and Group.STATIC not in cmcd.HEADERS
+    read = cmcd.read_headers({"cmcd-status": "x-mode=fast"})
+    assert read.values == {"x-mode": Token("fast")}
+    assert cmcd.write_headers(read.values) == {"CMCD-Session": "x-mode=fast"}
