--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -16,6 +16,7 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -44,6 +45,8 @@
 PARTS = (0.5, 0.34, 0.25)
 COLD_USE = 0.4            # of a cold server's pace, that the fronts expect to use together
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
+MEANS_AGE = 8 * SECOND     # how long a player's word on what it can take counts
+TAKES = 0.9               # of the throughput that a player measured, that a rung may use
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
@@ -101,6 +104,10 @@
                 self.learn_report(server, event.report)
             case ev.PeerMessage():
                 self.learn_word(event)
+            case ev.PlayerHint() if event.req_id in self.sessions:
+                self.sessions[event.req_id].means = event.means
+            case ev.ServerHint() if event.server in self.servers and event.duress:
+                self.load(self.servers[event.server].link, event.taken, 1.0)
             case ev.ViewerLeft() if event.req_id in self.sessions:
                 self.sessions[event.req_id].over = True
 
@@ -345,6 +352,27 @@
                 heapq.heappush(steps, (-self.gain(sessions[i], rungs[i] + 1), i))
         return rungs
 
+    def usable(self, sess: Sess) -> int:
+        """The highest rung that a player can use, by its own word while that is fresh.
+
+        Guards against rates that nobody takes, and against raising who starves. It may harm where a player's
+        measure is low for a moment: until its next word, or for as long as one counts."""
+        means, rung = sess.means, sess.top
+        if means is None or means.taken <= self.now - MEANS_AGE:
+            return rung
+        most = min(means.top_kb or math.inf, (means.throughput_kb or math.inf) * TAKES)
+        while rung > sess.group.floor and sess.rate(rung) > most:
+            rung -= 1
+        held = sess.began is not None and self.starving(sess)
+        return max(min(rung, sess.rung), sess.group.floor) if held else rung
+
+    def starving(self, sess: Sess) -> bool:
+        means = sess.means
+        if means is None or means.taken <= self.now - MEANS_AGE:
+            return False
+        soon = min(SECOND if left is None else left for left in (means.buffer, means.due))
+        return means.starved or soon < SECOND // 2
+
     def place(self, sess: Sess) -> Server | None:
         """Size by the holders' pooled idle, take the one with most, cap the rung to fit and size again."""
         open_now = [s for s in self.servers.values() if not self.barred(sess, s)]
@@ -365,7 +393,7 @@
             if sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
                 return None  # few could be cut to make room: one more costs the others more than it earns
         pooled = sum(max(0.0, kb) for kb in idle.values())
-        sess.rung = self.size([sess], pooled, [sess.top])[0]
+        sess.rung = self.size([sess], pooled, [self.usable(sess)])[0]
         while sess.rung > sess.group.floor and sess.rate(sess.rung) > idle[best.row.server]:
             sess.rung = self.size([sess], pooled, [sess.rung - 1])[0]
         return best
@@ -432,6 +460,7 @@
         group = self.facts.groups[req.service_group]
         top = min(req.top, group.top, len(self.facts.ladder.rate_kb) - 1)
         sess = Sess(req, group, self.facts.ladder, self.now + req.time_left, group.floor, top)
+        sess.means = req.means
         return self.sessions.setdefault(req.req_id, sess)
 
     def session(self, req: ev.SessionRequest) -> Script:
@@ -449,7 +478,7 @@
             if server is None:
                 later = [s for s in self.servers.values() if not self.barred(sess, s, paced=False)]
                 chance = min(map(self.paced_until, later), default=sess.deadline)
-                if not self.now < chance < sess.deadline:
+                if not self.now < chance < sess.deadline and (chance := self.later(sess)) <= self.now:
                     break
                 got: Resumed = yield act.Wait(chance)
             else:
@@ -468,6 +497,14 @@
         advice = allowed.max_come_back // 2 if allowed.come_back else 0
         yield act.BusyReply(req_id, advice) if self.may_refuse(sess) else act.TearDown(req_id)
 
+    def later(self, sess: Sess) -> int:
+        """When a moved player that plays on from a deep buffer is tried again; now, where it can't wait."""
+        means = sess.means
+        if means is None or not sess.req.moved or sess.attempts:
+            return self.now
+        until = min(means.taken + (means.buffer or 0) - SECOND, sess.deadline - SECOND // 10)
+        return max(self.now, min(self.now + SECOND // 2, until))
+
     def handed_over(self, event: ev.HandedOver) -> Script:
         sess = self.open(event.request)
         if event.server in self.servers:
@@ -533,11 +570,13 @@
         room = self.idles([server], 1 / contend)[server.row.server]
         room *= own / max(asked, own) if room < 0 else 1
         spent = sum(s.rate(s.rung) for s in mine)
-        want = zip(mine, self.size(mine, spent + room, [s.top for s in mine]), strict=True)
+        mine.sort(key=self.starving)  # of like gain they have the last step up, and the first down
+        want = zip(mine, self.size(mine, spent + room, [self.usable(s) for s in mine]), strict=True)
         for sess, rung in sorted(want, key=lambda w: (w[1] > w[0].rung, self.gain(w[0], max(w[0].rung, 1)))):
             need = sess.rate(rung) - sess.rate(sess.rung)
             sure = contend <= CROWD or self.chance.draw(1000) * need > room * 2000  # many: by chance
-            if (need < 0 and room < 0 and sure) or (0 < need <= room and self.earns(sess, rung) > 0):
+            idles = need < 0 and sess.rung > self.usable(sess)
+            if idles or (need < 0 and room < 0 and sure) or (0 < need <= room and self.earns(sess, rung) > 0):
                 sess.rung = rung
                 room -= need
                 yield act.SetRung(sess.req.req_id, rung)
--- a/ponddoor/front/trace.py
+++ b/ponddoor/front/trace.py
@@ -22,7 +22,8 @@
 VERSION = 1
 _KINDS = (ev.ServerNews, ev.SessionRequest, ev.HandedOver, ev.Note, ev.Started, ev.Ended, ev.ViewerLeft)
 EVENTS: dict[str, type[Any]] = {
-    kind.__name__: kind for kind in (*_KINDS, ev.Probed, ev.PeerMessage, ev.TimerDue)
+    kind.__name__: kind
+    for kind in (*_KINDS, ev.Probed, ev.PeerMessage, ev.TimerDue, ev.PlayerHint, ev.ServerHint)
 }
 
 
--- a/ponddoor/hints/cmcd.py
+++ b/ponddoor/hints/cmcd.py
@@ -33,6 +33,11 @@
     return read
 
 
+def read_argument(text: str, bounds: Bounds = BOUNDS) -> Read:
+    """The value of the argument `CMCD`, its percent coding undone."""
+    return read_dictionary(text, CMCD, bounds)
+
+
 def read_query(query: str, bounds: Bounds = BOUNDS) -> Read:
     """The argument `CMCD` of a query string, still in its percent coding."""
     read = Read()
@@ -45,7 +50,7 @@
         read.lose("malformed-query")
         return read
     for text in found[:1]:
-        read.take(read_dictionary(text, CMCD, bounds))
+        read.take(read_argument(text, bounds))
     if len(found) > 1:
         read.lose("argument-twice", len(found) - 1)
     return read
@@ -87,10 +92,10 @@
 
 
 def read_request(
-    headers: Mapping[str, str], query: str = "", body: object = None, bounds: Bounds = BOUNDS
+    headers: Mapping[str, str], argument: str = "", body: object = None, bounds: Bounds = BOUNDS
 ) -> Read:
     """All that a request carries. Where two carriers disagree on a key, the key is lost."""
-    parts = [read_headers(headers, bounds), read_query(query, bounds)]
+    parts = [read_headers(headers, bounds), read_argument(argument, bounds)]
     if body is not None:
         parts.append(read_members(body, bounds))
     whole, disputed = Read(), set[str]()
--- a/ponddoor/interface/events.py
+++ b/ponddoor/interface/events.py
@@ -64,6 +64,19 @@
     rows: tuple[ServerRow, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Means:
+    """What a player can take, by its own word, as far as it is believed: rates in kB a second, its buffer and
+    the time until it needs media in microseconds; `taken` is when it measured."""
+
+    taken: int
+    throughput_kb: float | None = None
+    top_kb: float | None = None
+    buffer: int | None = None
+    due: int | None = None
+    starved: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class SessionRequest:
     """A viewer wants a session."""
@@ -80,6 +93,7 @@
     top: int
     moved: bool = False
     again: bool = False
+    means: Means | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +114,28 @@
     server: int
 
 
+@dataclass(frozen=True, slots=True)
+class PlayerHint:
+    """A player's later word on what it can take."""
+
+    req_id: int
+    means: Means
+
+
+@dataclass(frozen=True, slots=True)
+class ServerHint:
+    """A server's own word, as far as it is believed: whether it is in duress, what it takes a stream to get
+    and suggests at most (kB a second), and how long it holds answers back (us); `taken` is when it
+    measured."""
+
+    server: int
+    taken: int
+    duress: bool = False
+    throughput_kb: float | None = None
+    suggested_kb: float | None = None
+    held: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Started:
     """The session plays."""
@@ -156,4 +192,4 @@
 
 
 Event = (ServerNews | SessionRequest | HandedOver | Note | Started | Ended | ViewerLeft | Probed
-         | PeerMessage | TimerDue)
+         | PeerMessage | TimerDue | PlayerHint | ServerHint)
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -37,6 +37,7 @@
     over: bool = False
     began: int | None = None
     attempts: list[tuple[int, int, ev.Result | None]] = field(default_factory=list)  # (server, sent at, end)
+    means: ev.Means | None = None           # what its player can take, by its last word
 
     def rate(self, rung: int) -> float:
         return self.ladder.rate_kb[rung] * self.group.rate_factor
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -165,6 +165,8 @@
                 "span": 8,
                 "top": 9,
             } | options
+            means = {f.name: base.pop(f.name) for f in fields(ev.Means) if f.name in base}
+            base["means"] = ev.Means(**{"taken": self.now} | means) if means else None
             request = ev.SessionRequest(req_id=int(plain[0]), **base)
             self.sent[plain[0]] = (int(plain[1]) if what == "playing" else 0, -1 if what == "request" else 0)
             return request if what == "request" else ev.HandedOver(request, int(plain[1]))
@@ -173,6 +175,10 @@
             return ev.ServerNews(ev.NewsScope.CHANGES, (self.rows[plain[0]],))
         if what == "word":
             return ev.PeerMessage(int(plain[0]), self.word(plain[1:], options))
+        if what == "serverhint":
+            return ev.ServerHint(int(plain[0]), **{"taken": self.now} | options)
+        if what == "hint":
+            return ev.PlayerHint(int(plain[0]), ev.Means(**{"taken": self.now} | options))
         if what == "probed":
             result = ev.Result(options.pop("result", "served").replace("_", " "))
             return ev.Probed(int(plain[0]), 1000, result, options)
