Hints on sockets: CMCD on requests, reports and servers' notes; CMSD on answers, reads and events

A session request carries hints in headers, query or body; POST /sessions/ID/hints takes batches of version 2; servers pass on what they saw and say of themselves. (hints no) switches all of it off. Fields sent in several lines are one, as RFC 9110 has it.

--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -115,7 +115,7 @@
     # What happens
 
     def request(
-        self, now: int, sess: str, ask: Ask, repeat_key: str | None
+        self, now: int, sess: str, ask: Ask, repeat_key: str | None, means: ev.Means | None = None
     ) -> tuple[Held | None, list[Effect]]:
         """A viewer asks. Returns the session, new or repeated, or None and a Reply that names the limit.
 
@@ -137,7 +137,7 @@
         self.in_hand += 1
         request = ev.SessionRequest(
             held.req_id, ask.service_group, ask.tenant, ask.viewer, number_of(ask.title), ask.wait,
-            ask.length, ask.home, ask.span, ask.top, ask.moved, ask.again,
+            ask.length, ask.home, ask.span, ask.top, ask.moved, ask.again, means,
         )  # fmt: skip
         return held, self._feed(now, request, held)
 
@@ -212,6 +212,16 @@
             return self._feed(now, ev.Note(held.req_id, kind, value, server), held)
         return []
 
+    def player_hint(self, now: int, sess: str, means: ev.Means) -> list[Effect]:
+        """What a player that plays can take; of one that does not it says nothing any more."""
+        held = self._held.get(sess)
+        if held is None or held.phase is not Phase.PLAYING:
+            return []
+        return self._feed(now, ev.PlayerHint(held.req_id, means), held)
+
+    def server_hint(self, now: int, hint: ev.ServerHint) -> list[Effect]:
+        return self._feed(now, hint, None)
+
     def probed(
         self, now: int, server: int, lag: int, result: ev.Result, report: dict[str, float]
     ) -> list[Effect]:
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -16,6 +16,7 @@
 from ponddoor.front.acting import Acting, looking
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
+from ponddoor.front.hinting import Hinting
 from ponddoor.front.limits import SAMPLE, Gate, LagMeter
 from ponddoor.front.listing import ListKeeper
 from ponddoor.front.metrics import Metrics, Sample
@@ -66,6 +67,7 @@
         self.tracer = Tracer(trace, facts, now) if trace is not None else None
         self.engine.traced = self.tracer.fed if self.tracer is not None else None
         self.metrics = Metrics(self._samples)
+        self.hinting: Hinting | None = None
         offset = now - wall()
         roster = Roster(site.zones, site.kinds, facts.plant.cells, offset)
         self.servers = Servers(site, me, secrets.randbits(48), self.engine, self.apply)
@@ -77,6 +79,9 @@
         if self.seating is not None and noted is not None:
             self.seating.noted = noted
         self.viewers.seating = self.seating
+        if site.hints:
+            hinting = Hinting(site, me, self.engine, self.apply, clock)
+            self.hinting = self.viewers.hinting = self.servers.hinting = hinting
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
         self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
         self.acting = Acting()
@@ -324,6 +329,13 @@
         )
         if self.seating is not None:
             yield from self._seat_samples(self.seating.core)
+        if self.hinting is not None:
+            intake = self.hinting.intake
+            yield "counter", "hints", "Hints, by what became of them.", "what", _floats(intake.counts)
+            doubted: dict[str, int] = {}
+            for kind, _ in intake.trust.doubted():
+                doubted[kind] = doubted.get(kind, 0) + 1
+            yield "gauge", "hint_sources_doubted", "Sources not believed now.", "kind", _floats(doubted)
         yield (
             "gauge",
             "list_version",
--- a/ponddoor/front/servers.py
+++ b/ponddoor/front/servers.py
@@ -14,6 +14,7 @@
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
+from ponddoor.front.hinting import Hinting
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.settings.site import Site
@@ -52,6 +53,9 @@
     value: float = 0.0
     started_us: int = 0
     streams: list[tuple[str, int]] = []
+    cmcd: dict[str, str] = {}
+    cmsd: dict[str, str] = {}
+    age_ms: float = 0.0
 
 
 Apply = Callable[[Callable[[int], list[Effect]]], None]
@@ -80,6 +84,7 @@
     setups: dict[tuple[str, int], asyncio.Task[None]] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     dropped_teardowns: int = 0
+    hinting: Hinting | None = None
 
     def learn(self, entries: dict[int, Entry]) -> None:
         """The list in hand has changed: connect to who is new, let go of who is gone and holds nothing."""
@@ -102,6 +107,8 @@
                 self._drop(number)
 
     def _drop(self, number: int) -> None:
+        if self.hinting is not None:
+            self.hinting.gone(number)
         link = self.links.pop(number)
         if link.notes is not None:
             link.notes.cancel()
@@ -265,11 +272,26 @@
     def _noted(self, number: int, got: NoteLine) -> None:
         kinds = {"delivered": ev.NoteKind.DELIVERED, "link": ev.NoteKind.LINK_ASKED,
                  "uplink": ev.NoteKind.UPLINK_ASKED}  # fmt: skip
+        if self.hinting is not None:
+            self._hinted(self.hinting, number, got)
         if got.note == "ended":
             self.apply(lambda now: self.engine.stream_ended(now, got.sess, got.attempt, got.why))
         elif got.note in kinds:
             self.apply(lambda now: self.engine.note(now, number, kinds[got.note], got.value))
 
+    def _hinted(self, hinting: Hinting, number: int, got: NoteLine) -> None:
+        """What a server passes on of its players, says of itself, or shows by its notes."""
+        age = round(min(max(got.age_ms, -3.6e6), 3.6e6) * 1000)
+        match got.note:
+            case "delivered":
+                hinting.measured(number, got.value)
+            case "hints":
+                hinting.passed_on(number, got.sess, got.cmcd, got.value, age)
+            case "cmsd":
+                hinting.server_said(number, got.cmsd.get("dynamic", ""), got.cmsd.get("static", ""), age)
+            case _:
+                hinting.alive(number)
+
     async def close(self, wait: float) -> None:
         """Let teardowns under way finish, then close everything."""
         if self.tasks:
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -13,7 +13,9 @@
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import Answer, Ask, Effect
 from ponddoor.front.engine import Engine, Held, Phase, RepeatError, number_of
+from ponddoor.front.hinting import Hinting
 from ponddoor.front.seating import Seating
+from ponddoor.hints import cmsd
 from ponddoor.seats.core import Granted, Key, Refused
 from ponddoor.seats.tokens import Token, TokenError, opened
 from ponddoor.settings.site import Site
@@ -41,6 +43,7 @@
     moved: bool = False
     entitlement: Annotated[str, msgspec.Meta(max_length=100)] = ""
     token: Annotated[str, msgspec.Meta(max_length=2000)] = ""
+    cmcd: dict[str, Any] | None = None
 
 
 class SeatAsk(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -64,6 +67,7 @@
     following: int = 0
     dropped_followers: int = 0
     seating: Seating | None = None
+    hinting: Hinting | None = None
     seats: dict[str, tuple[Key, str, str]] = field(default_factory=dict)  # session: entitlement, seat, viewer
     names: tuple[str, ...] = ()
     tenants: tuple[str, ...] = ()
@@ -77,20 +81,23 @@
             case "POST", ("sessions",):
                 return await self._ask(request)
             case "GET", ("sessions", sess):
-                return Reply(200, self._state(self._found(sess)))
+                found = self._found(sess)
+                return Reply(200, self._state(found), self._dynamic(found))
             case "GET", ("sessions", sess, "events"):
                 return self._follow(self._found(sess))
             case "DELETE", ("sessions", sess):
                 self._found(sess)
                 self.apply(lambda now: self.engine.left(now, sess))
                 return Reply(204)
+            case "POST", ("sessions", sess, "hints"):
+                return self._report(self._found(sess), request)
             case "POST", ("seats", "renew"):
                 return await self._renew(decoded(request.body, SeatAsk))
             case "POST", ("seats", "return"):
                 return self._return_seat(decoded(request.body, SeatAsk))
             case "GET", ("seats",):
                 return Reply(200, {"seats": self._seating().shown()})
-            case _, ("sessions",) | ("sessions", _) | ("sessions", _, "events"):
+            case _, ("sessions",) | ("sessions", _) | ("sessions", _, "events" | "hints"):
                 raise HttpError(405, "method", f"{request.method} is not for this resource")
             case _:
                 raise HttpError(404, "no-such-resource", "/" + "/".join(request.path)[:100])
@@ -105,10 +112,15 @@
                         future.set_result(answer)
             case fx.Push(sess, what, value):
                 line = {"event": what, "value": value}
+                held = self.engine.find(sess)
+                if what == "rung" and held is not None and self.hinting is not None:
+                    line["cmsd"] = self.hinting.dynamic(held)
                 if what == "moved":
                     self.seats.pop(sess, None)  # its viewer comes again with the token, and keeps the seat
                 if what == "ended":
                     self._drop_seat(sess)
+                    if self.hinting is not None:
+                        self.hinting.over(sess)
                 for queue in self.followers.get(sess, []):
                     if queue.qsize() < EVENTS_AHEAD:
                         queue.put_nowait(line)
@@ -174,10 +186,12 @@
                 return Reply(499, drop=True)
         held: Held | None = None
         refused: list[Answer] = []
+        hinting = self.hinting
+        means = hinting.on_request(request, body.cmcd, body.viewer, body.tenant) if hinting else None
 
         def take(now: int) -> list[Effect]:
             nonlocal held
-            held, out = self.engine.request(now, sess, ask, key)
+            held, out = self.engine.request(now, sess, ask, key, means)
             if held is None:
                 refused.extend(effect.answer for effect in out if isinstance(effect, fx.Reply))
                 return []
@@ -204,10 +218,24 @@
         if held_now.sess == sess:
             self.observe(answer.kind, asyncio.get_running_loop().time() - began)
         reply = self._reply(held_now.sess, answer)
+        reply.headers += self._dynamic(held_now)
         if granted is not None and answer.kind == "playing" and isinstance(reply.body, dict):
             reply.body["token"] = self._seating().token(granted)
         return reply
 
+    # Hints
+
+    def _dynamic(self, held: Held) -> tuple[tuple[str, str], ...]:
+        if self.hinting is None or held.phase is not Phase.PLAYING:
+            return ()
+        return ((cmsd.DYNAMIC, self.hinting.dynamic(held)),)
+
+    def _report(self, held: Held, request: Request) -> Reply:
+        if self.hinting is None:
+            raise HttpError(404, "no-hints", "this site takes no hints")
+        taken = self.hinting.report(held.sess, request)
+        return Reply(200, {"taken": taken}, self._dynamic(held))
+
     # Seats
 
     def _seating(self) -> Seating:
--- a/ponddoor/settings/site.py
+++ b/ponddoor/settings/site.py
@@ -120,6 +120,7 @@
     fronts: tuple[FrontPlace, ...]
     words: WordsSide
     seats: SeatTerms
+    hints: bool
     node: tuple[Node, ...]
 
     def facts_of(self, me: int, seed: int | None = None) -> fx.SiteFacts:
@@ -195,6 +196,7 @@
         fronts,
         words,
         seats,
+        top.flag("hints", True),
         (top.node,),
     )
     top.done(words=1)
--- a/ponddoor/web/server.py
+++ b/ponddoor/web/server.py
@@ -238,7 +238,10 @@
             query = dict(parse_qsl(target.query, keep_blank_values=True, max_num_fields=50))
         except (ValueError, UnicodeDecodeError) as problem:
             raise HttpError(400, "malformed-target", str(problem)) from None
-        headers = {name.decode("ascii"): value.decode("latin-1") for name, value in head.headers}
+        headers: dict[str, str] = {}
+        for raw, value in head.headers:  # a field in several lines is one (RFC 9110, section 5.3)
+            name, text = raw.decode("ascii"), value.decode("latin-1")
+            headers[name] = f"{headers[name]}, {text}" if name in headers else text
         return Request(head.method.decode("ascii"), path, query, headers, body, self.peer)
 
     async def _read(self, limit: float) -> bytes | None:
