--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -274,7 +274,7 @@
     from ponddoor.standins.players import Players
 
     told = msgspec.json.decode(day.read_bytes(), type=dict[str, Any])
-    held = usable(lambda: load_day(Path(told["file"]), told["seed"]))
+    held = usable(lambda: load_day(Path(told["file"]), told["seed"], told.get("hints"), told.get("shares")))
     addresses = [(host, int(port)) for host, _, port in (text.rpartition(":") for text in fronts)]
     playing = Players(held, Recorder(record, "players"), addresses)
     got = asyncio.run(playing.run(begin))
@@ -293,9 +293,18 @@
     "--keep", type=click.Path(file_okay=False, path_type=Path), help="Keep records and logs in this folder."
 )
 @click.option("--trace", is_flag=True, help="Have the fronts write traces (with --keep).")
+@click.option(
+    "--hints/--no-hints", default=None, help="Whether hints are sent and taken; else as the site says."
+)
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 def rehearse(
-    day: Path, seed: tuple[int, ...], baseline: bool, keep: Path | None, trace: bool, as_json: bool
+    day: Path,
+    seed: tuple[int, ...],
+    baseline: bool,
+    keep: Path | None,
+    trace: bool,
+    hints: bool | None,
+    as_json: bool,
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
     from ponddoor.rehearse.day import load_day
@@ -305,12 +314,12 @@
     results = []
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
-            held = usable(partial(load_day, day, number))
+            held = usable(partial(load_day, day, number, hints))
             for decisions in ("ponddoor", "random") if baseline else ("ponddoor",):
                 folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
                 folder.mkdir(parents=True, exist_ok=True)
                 (folder / "day.json").write_bytes(
-                    msgspec.json.encode({"file": str(day.resolve()), "seed": held.seed})
+                    msgspec.json.encode({"file": str(day.resolve()), "seed": held.seed, "hints": hints})
                 )
                 label = f"{held.name}, seed {held.seed}, {decisions}"
                 with click.progressbar(length=1000, label=label, file=sys.stderr, show_eta=False) as bar:
@@ -453,6 +462,42 @@
     sys.exit(1 if different else 0)
 
 
+@main.group()
+def hints() -> None:
+    """What hints of players and servers bring and cost."""
+
+
+@hints.command()
+@click.argument("days", nargs=-1, required=True, type=click.Path(dir_okay=False, path_type=Path))
+@click.option("--seeds", type=int, default=10, show_default=True, help="Seeds 1 to this.")
+@click.option("--jobs", type=int, default=1, show_default=True, help="Pairs at once.")
+@click.option("--share", "shares", multiple=True, help="NAME=VALUE of heed, liars, weak or malformed.")
+@click.option("--out", required=True, type=click.Path(path_type=Path), help="A line of JSON a pair is added.")
+def pairs(days: tuple[Path, ...], seeds: int, jobs: int, shares: tuple[str, ...], out: Path) -> None:
+    """Play each day with hints and without at the same time; exit 1 if a rule is broken."""
+    from ponddoor.rehearse.pairs import play_pairs
+
+    told: dict[str, float] = {}
+    for text in shares:
+        name, _, value = text.partition("=")
+        if name not in ("heed", "liars", "weak", "malformed") or not value.replace(".", "", 1).isdigit():
+            click.echo(f"{text}: one of heed, liars, weak or malformed, = and a share", err=True)
+            sys.exit(2)
+        told[name] = float(value)
+    broken = asyncio.run(play_pairs(list(days), seeds, jobs, told, out, lambda line: click.echo(line)))
+    sys.exit(1 if broken else 0)
+
+
+@hints.command()
+@click.argument("results", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
+@click.option("--to", "picture", required=True, type=click.Path(path_type=Path), help="The picture to write.")
+def plot(results: tuple[Path, ...], picture: Path) -> None:
+    """Plot pairs, each a point, and print the medians of their differences."""
+    from ponddoor.rehearse.pairs import plotted
+
+    click.echo(plotted(list(results), picture))
+
+
 @main.group()
 def load() -> None:
     """Drive a front, and measure it in one run beside a bare relay."""
--- a/ponddoor/front/hinting.py
+++ b/ponddoor/front/hinting.py
@@ -91,7 +91,7 @@
         if gets_kb > 0:
             self.intake.took(now - age, sess, gets_kb)
         if read.values:
-            self._told(now, sess, read.values, age, "server")
+            self._told(now, sess, read.values, age, "passed-on")
 
     def server_said(self, server: int, dynamic: str, static: str, age: int) -> None:
         """A server's CMSD: its own entry is the last one, next to us."""
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -259,6 +259,8 @@
         if self.tracer is not None:
             self.engine.traced = None
             self.tracer.close()
+        if self.hinting is not None and self.hinting.intake.counts:
+            log.info("hints", **{k.replace(" ", "_"): n for k, n in self.hinting.intake.counts.items()})
         log.info("front-stopped", me=self.me)
 
     def kill(self) -> None:
--- a/ponddoor/hints/intake.py
+++ b/ponddoor/hints/intake.py
@@ -112,7 +112,7 @@
             self.count("dropped no-such-session")
             return None
         said = values.get("sid")
-        if isinstance(said, str) and said != sess and origin == "server":
+        if isinstance(said, str) and said != sess and origin == "passed-on":
             self.count("dropped other-session")  # a server mixed two sessions up
             return None
         means = self._means(now, values, age)
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -31,10 +31,16 @@
     "peer_down": {"part": (0, 1, 1)},
     "front_deaths": {"every": (0.1, 60, 3), "down": (0, 60, 0.8)},
     "words_lost": {"size": (0, 1, 0.2)},
+    "hint_lies": {"part": (0, 1, 0.2)},
+    "hint_late": {"part": (0, 1, 0.5), "size": (0, 60, 5)},
+    "hint_stuck": {"part": (0, 1, 0.2)},
     "connections_cut": {"size": (0, 1, 0.1)},
 }
 
 
+HOWS: dict[str, tuple[str, str]] = {"answer_lost": ("silent", "reset"), "hint_lies": ("idle", "duress")}
+
+
 @dataclass(frozen=True, slots=True)
 class Trouble:
     """One trouble: when it begins and how long it lasts, in microseconds, and its figures."""
@@ -66,6 +72,11 @@
     mix: tuple[float, ...]
     troubles: tuple[Trouble, ...]
     entitlement: str = ""
+    segments: bool = False
+    heed: float = 1.0
+    liars: float = 0.0
+    weak: float = 0.0
+    malformed: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,12 +93,17 @@
     stay: int
 
 
-def load_day(path: Path, seed: int | None = None) -> Day:
-    """The day a file describes. Raises SettingsError with all that is wrong, also with the site it names."""
+def load_day(
+    path: Path, seed: int | None = None, hints: bool | None = None, shares: dict[str, float] | None = None
+) -> Day:
+    """The day a file describes, with hints or without where `hints` says so, and other `shares` of players.
+
+    Raises SettingsError with all that is wrong, also with the site it names."""
     problems: list[Problem] = []
     top = top_form(read(path), "day", str(path), problems)
     site_path = path.parent / top.text("site")
     site = load(site_path)
+    site = site if hints is None else replace(site, hints=hints)
     load_part = top.number("load", 0.0, 0, 10)
     servers = top.whole("servers", 15, 1, 1000)
     stay = _span(top, "stay", (20 * SECOND, 60 * SECOND))
@@ -124,6 +140,17 @@
     if entitlement and entitlement not in {name for _, name in site.seats.limits}:
         top.problem(top.place, f"entitlement {entitlement}", f"one that {site.name} has")
     day = replace(day, entitlement=entitlement)
+    players = top.section("players")
+    day = replace(
+        day,
+        segments=players.flag("segments", False),
+        heed=players.number("heed", 1.0, 0, 1),
+        liars=players.number("liars", 0.0, 0, 1),
+        weak=players.number("weak", 0.0, 0, 1),
+        malformed=players.number("malformed", 0.0, 0, 1),
+    )
+    players.done()
+    day = replace(day, **(shares or {}))  # type: ignore[arg-type]
     top.done(words=1)
     if day.servers < site.facts.plant.cells:
         found = f"{day.servers} servers for {site.facts.plant.cells} cells of {site.name}"
@@ -169,7 +196,8 @@
             got = {
                 name: held.number(name, default, low, high) for name, (low, high, default) in figures.items()
             }
-            how = held.choice("how", ["silent", "reset"], "silent") if kind == "answer_lost" else ""
+            hows = HOWS.get(kind)
+            how = held.choice("how", hows, hows[0]) if hows else ""
             made.append(Trouble(kind, round(when or 0), held.time("for", 10 * SECOND), got, how))
             held.done()
     if not made:
--- a/ponddoor/rehearse/report.py
+++ b/ponddoor/rehearse/report.py
@@ -28,10 +28,33 @@
         "fell": result.fell,
         "breaches": [str(breach) for breach in result.breaches],
         "records_cut": len(result.left_out),
+        "watched": watched_rows(result.players.get("watched", [])),
         "seats": seats_rows(result.seats) if result.seats else {},
     }
 
 
+def watched_rows(sessions: list[dict[str, float]]) -> dict[str, float]:
+    """What sessions by segments were like, and the honest and the liars of them apart."""
+    rows: dict[str, float] = {}
+    for name, mine in (
+        ("", sessions),
+        (" of the honest", [s for s in sessions if not s["liar"]]),
+        (" of liars", [s for s in sessions if s["liar"]]),
+    ):
+        if not mine or (name and len(mine) == len(sessions)):
+            continue
+        seconds = sum(s["seconds"] for s in mine)
+        stalls = sorted(s["stalled"] for s in mine)
+        rows["sessions by segments" + name] = len(mine)
+        rows["  utility a segment" + name] = round(sum(s["utility"] for s in mine) / len(mine), 3)
+        rows["  stalled, share of time" + name] = round(sum(stalls) / max(seconds, 1e-9), 4)
+        rows["  stalled, 90th, s" + name] = round(_at(stalls, 0.9), 2)
+        rows["  switches a minute" + name] = round(
+            sum(s["switches"] for s in mine) * 60 / max(seconds, 1e-9), 2
+        )
+    return rows
+
+
 def seats_rows(seen: SeatsSeen) -> dict[str, Any]:
     """What became of the seats; times in seconds."""
     return {
@@ -63,8 +86,9 @@
         rows.append((f"SETUPs {word}", [str(run["setups"].get(word, 0)) for run in runs]))
     rows.append(("start, median ms", [f"{run['start_ms_p50']:.0f}" for run in runs]))
     rows.append(("start, 99th ms", [f"{run['start_ms_p99']:.0f}" for run in runs]))
-    for name in runs[0]["seats"]:
-        rows.append((name, [str(run["seats"].get(name, "")) for run in runs]))
+    for part in ("watched", "seats"):
+        for name in runs[0][part]:
+            rows.append((name, [str(run[part].get(name, "")) for run in runs]))
     for rule in RULES:
         rows.append((rule, [_kept(result, rule) for result in results]))
     first = max(len(name) for name, _ in rows)
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -25,7 +25,8 @@
 from ponddoor.web.timing import within
 
 READY_WITHIN = 60.0
-FAULTS = ("vanish", "slow", "hang", "fast_errors", "neighbour", "report_late", "answer_lost")
+FAULTS = ("vanish", "slow", "hang", "fast_errors", "neighbour", "report_late", "answer_lost", "hint_lies",
+          "hint_late", "hint_stuck")  # fmt: skip
 
 
 class RehearsalError(Exception):
@@ -132,6 +133,8 @@
     async def play(self) -> Result:
         """Play the day to its end. Raises RehearsalError where a process fails that should not."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        if any(self.folder.glob("*.rec")):
+            raise RehearsalError(f"{self.folder} holds records of another run")
         self.rng = np.random.default_rng([self.day.seed, 31])
         self.rec = Recorder(self.folder / "rehearse.rec", "rehearse")
         try:
@@ -222,8 +225,11 @@
                     items.append(
                         Listing((*kept, form("address", f"127.0.0.1:{self.list_ports[0]}")), item.place)
                     )
+                case "hints":
+                    continue
                 case _:
                     items.append(item)
+        items.append(form("hints", word("yes" if self.day.site.hints else "no")))
         return Listing(tuple(items), top.place)
 
     async def _spawn(self, name: str, *arguments: str, site: int = 0) -> asyncio.subprocess.Process:
--- a/ponddoor/standins/media.py
+++ b/ponddoor/standins/media.py
@@ -17,6 +17,7 @@
 
 from ponddoor.audit.records import Recorder
 from ponddoor.front.roster import Entry
+from ponddoor.hints import cmcd, cmsd
 from ponddoor.settings.site import Site
 from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
 from ponddoor.web.server import Bounds, HttpError, Reply, Request, Server, decoded
@@ -27,6 +28,7 @@
 FRONT_GRACE = 1.0
 DETACH_GRACE = 1.0
 UNEVEN, VARY = 0.15, 0.12  # how far links lie off what is told, and rates off the ladder
+BURST = 3.0  # times its rate, that a segment may come at most
 SLACK = 2  # set-ups beyond the pace that chance may bring
 
 
@@ -72,6 +74,11 @@
     detached_at: float = 0.0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     over: bool = False
+    fetched: int | None = None  # the rung of the segment that its player asked for last
+
+    @property
+    def taken(self) -> int:
+        return self.rung if self.fetched is None else self.fetched
 
 
 class MediaServer:
@@ -150,7 +157,7 @@
     def rate(self, stream: Stream) -> float:
         facts = self.site.facts
         return (
-            facts.ladder.rate_kb[stream.rung] * facts.groups[stream.setup.group].rate_factor * stream.factor
+            facts.ladder.rate_kb[stream.taken] * facts.groups[stream.setup.group].rate_factor * stream.factor
         )
 
     def asked(self) -> float:
@@ -174,7 +181,7 @@
         return {name: load[name] * noise for name in self.site.facts.report_fields}
 
     async def tick(self) -> None:
-        plant, told, last_told = self.site.facts.plant, 0.0, 0.0
+        plant, told, last_told, said = self.site.facts.plant, 0.0, 0.0, 0.0
         while True:
             await asyncio.sleep(TICK)
             if not self.awake.is_set():
@@ -183,6 +190,9 @@
             share = min(1.0, 1 / max(load["link_asked"], 1e-9), 1 / max(load["uplink_asked"], 1e-9))
             self.share = 0.5 * self.share + 0.5 * share
             self.history.append((now, load))
+            if self.site.hints and now - said >= 1:
+                said = now
+                self.tell_hints()
             if now - told >= 1 and (self.share < 0.98 or self.short_before):
                 told, self.short_before = now, self.share < 0.98
                 self.tell_all("delivered", self.share)
@@ -259,13 +269,68 @@
                 return self.follow(int(request.query["front"]), int(request.query["epoch"]))
             case "GET", ("play", sess):
                 await self.awake.wait()
-                found = next((s for key, s in self.streams.items() if key[0] == sess), None)
-                if found is None:
-                    raise HttpError(404, "no-such-stream", sess)
-                return Reply(200, lines=self.play(found))
+                return Reply(200, lines=self.play(self.found(sess)))
+            case "GET", ("segment", sess):
+                await self.awake.wait()
+                return await self.segment(sess, self.found(sess), request)
             case _:
                 raise HttpError(404, "no-such-resource", "/".join(request.path)[:100])
 
+    def found(self, sess: str) -> Stream:
+        found = next((stream for key, stream in self.streams.items() if key[0] == sess), None)
+        if found is None:
+            raise HttpError(404, "no-such-stream", sess)
+        return found
+
+    async def segment(self, sess: str, stream: Stream, request: Request) -> Reply:
+        """One second of media at the rung asked for, at the shared rate; a byte stands for a hundred."""
+        rates = self.site.facts.ladder.rate_kb
+        asked = request.query.get("rung", "")
+        stream.fetched = min(int(asked), len(rates) - 1, stream.setup.top) if asked.isdigit() else stream.rung
+        said = cmcd.read_headers(request.headers).values
+        load, rate, wanted = self.load(), self.rate(stream), said.get("rtp")
+        speed = min(BURST, 1 / max(load["link_asked"], 1e-9), 1 / max(load["uplink_asked"], 1e-9))
+        takes = 1 / speed
+        if isinstance(wanted, int) and wanted > 0:
+            takes = max(takes, rate / (wanted / 8))
+        await asyncio.sleep(takes)
+        await self.awake.wait()
+        if stream.over:
+            raise HttpError(404, "no-such-stream", sess)
+        held = self.notes.get(stream.setup.front)
+        if self.site.hints and held is not None and held[1].qsize() < 1000:
+            carried = {name: text for name, text in request.headers.items() if name.startswith("cmcd-")}
+            held[1].put_nowait({"note": "hints", "sess": sess, "cmcd": carried, "value": rate / takes})
+        fixed = {"br": round(rate * 8), "d": 1000, "ot": "v", "st": "v", "ht": round(takes * 1000)}
+        headers = (("Content-Type", "video/mp4"), (cmsd.STATIC, cmsd.write_static(fixed)),
+                   (cmsd.DYNAMIC, cmsd.write_dynamic([self.hop(rate * speed)])))  # fmt: skip
+        return Reply(200, bytes(round(rate * 10)), headers)
+
+    def hop(self, kb: float) -> cmsd.Hop:
+        """What this server says of itself, or is made to say."""
+        duress, lie = self.share < 0.98, self.faults.get("hint_lies")
+        if lie is not None:
+            duress = lie.how != "idle"
+        return cmsd.Hop(f"media-{self.entry.server}", {"etp": round(kb * 8), "du": duress})
+
+    def tell_hints(self) -> None:
+        """CMSD to all fronts, by the notes and as late as they are; it tells how old it is."""
+        mean = self.link() / max(len(self.streams), 1)
+        text, measured = cmsd.write_dynamic([self.hop(mean)]), time.monotonic()
+        late, lie = self.site.facts.plant.note_delay / 1e6, self.faults.get("hint_late")
+        handle: asyncio.TimerHandle
+
+        def tell() -> None:
+            self.delayed.discard(handle)
+            age = 0.0 if "hint_stuck" in self.faults else (time.monotonic() - measured) * 1000
+            for _, queue in self.notes.values():
+                if queue.qsize() < 1000:
+                    queue.put_nowait({"note": "cmsd", "cmsd": {"dynamic": text}, "age_ms": age})
+
+        late += lie.size if lie is not None else 0.0
+        handle = asyncio.get_running_loop().call_later(late, tell)
+        self.delayed.add(handle)
+
     async def setup(self, request: Request) -> Reply:
         got = decoded(request.body, Setup)
         key, server = (got.sess, got.attempt), self.entry.server
--- a/ponddoor/standins/players.py
+++ b/ponddoor/standins/players.py
@@ -14,7 +14,9 @@
 import numpy as np
 
 from ponddoor.audit.records import Recorder
+from ponddoor.hints import cmcd
 from ponddoor.rehearse.day import SECOND, Day, Viewer, draw
+from ponddoor.standins.segments import FULL, Habits, Watching
 from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
 
 WINDOW = 10.0  # seconds of a window of the count
@@ -31,6 +33,7 @@
     earned: dict[tuple[int, int], float] = field(default_factory=dict)
     counts: dict[str, int] = field(default_factory=dict)
     starts: list[float] = field(default_factory=list)
+    watched: list[dict[str, float]] = field(default_factory=list)  # of each session by segments
 
     def add(
         self,
@@ -61,6 +64,7 @@
         }
         self.begin = 0.0
         self.unseated: set[str] = set()
+        self.in_force: dict[str, int] = {}  # session: its rung, as the server last told it
         self.cuts = [trouble for trouble in day.troubles if trouble.kind == "connections_cut"]
 
     async def run(self, begin: float) -> dict[str, Any]:
@@ -86,6 +90,7 @@
             "windows": windows,
             "groups": groups,
             "counts": self.tally.counts,
+            "watched": self.tally.watched,
             "starts_ms": sorted(round(s * 1000, 1) for s in self.tally.starts),
         }
 
@@ -121,7 +126,7 @@
         self, viewer: Viewer, number: int, end: float, rng: np.random.Generator, moved: bool
     ) -> tuple[str, float]:
         """One try; returns how it ended and the advice when to come back, in seconds."""
-        site = self.day.site
+        day, site = self.day, self.day.site
         group, fronts = site.facts.groups[viewer.group], self.near[viewer.zone]
         front = int(fronts[int(rng.beta(2, 3) * len(fronts))])
         name, wait = f"v{viewer.number}.{number}", group.setup_timeout / SECOND
@@ -140,13 +145,18 @@
         if self.day.entitlement:
             body["entitlement"] = self.day.entitlement
             limit = site.seats.limits.get((str(body.get("tenant", "")), self.day.entitlement), 0)
+        seen, hinted = None, site.hints
+        if day.segments:
+            habits = Habits.drawn(rng, site.facts.ladder, day.heed, day.liars, day.weak, day.malformed)
+            seen = Watching(habits, site.facts.ladder, group.rate_factor, viewer.top, "", rng)
         asked = time.monotonic()
         self.rec.note("ask", ask=name, front=front, wait_us=group.setup_timeout, group=viewer.group)
         pool = self.fronts[front]
         try:
             if await self.cut(pool, "/sessions", body, rng, name):
                 self.rec.note("ask", ask=name, front=front, wait_us=group.setup_timeout, group=viewer.group)
-            answer = await pool.request("POST", "/sessions", body, wait + 2.0, (("Idempotency-Key", name),))
+            headers = (("Idempotency-Key", name), *(seen.headers() if seen is not None and hinted else ()))
+            answer = await pool.request("POST", "/sessions", body, wait + 2.0, headers)
             got: dict[str, Any] = answer.json()
         except NotSentError:
             self.rec.note("not-taken", ask=name, front=front)
@@ -171,7 +181,15 @@
         lag = time.monotonic() - asked
         self.tally.starts.append(lag)
         renewing = asyncio.create_task(self.renew(pool, str(got.get("token", "")), f"v{viewer.number}", rng))
-        why = await self.play(viewer, str(got["server"]), sess, end, lag <= group.start_target / SECOND, rng)
+        timely = lag <= group.start_target / SECOND
+        fetching = None
+        if seen is not None:
+            seen.sess, seen.buffer.at = sess, time.monotonic()
+            fetching = asyncio.create_task(self.fetch(seen, pool, str(got["server"]), int(got["rung"]), end))
+        why = await self.play(viewer, str(got["server"]), sess, end, timely, rng, seen)
+        if fetching is not None and seen is not None:
+            fetching.cancel()
+            self.watched(seen, viewer, timely, time.monotonic() - asked - lag)
         renewing.cancel()
         if self.day.entitlement and rng.random() < 0.1:
             return "vanished", 0.0  # says nothing: seat and stream come back by themselves
@@ -196,6 +214,49 @@
                 await pool.request("POST", path, body, 2.0, (("Idempotency-Key", key),))
         return True
 
+    async def fetch(self, seen: Watching, front: Pool, server: str, rung: int, end: float) -> None:
+        """Segment after segment, as long as the session plays; every two seconds a report to the front."""
+        host, _, port = server.rpartition(":")
+        pool, reported = Pool(host, int(port or 0), 2, 1.0), time.monotonic()
+        hints = self.day.site.hints
+        try:
+            while (now := time.monotonic()) < end:
+                seen.buffer.drain(now)
+                if seen.buffer.seconds > FULL:
+                    await asyncio.sleep(seen.buffer.seconds - FULL)
+                    continue
+                if hints and now - reported > 2:
+                    reported = now
+                    with contextlib.suppress(NotSentError, BrokenError, LateError):
+                        path = f"/sessions/{seen.sess}/hints"
+                        await front.request("POST", path, seen.report(), 1.0, kind=cmcd.REPORTS)
+                chosen = seen.choose(self.in_force.get(seen.sess, rung))
+                path, headers = f"/segment/{seen.sess}?rung={chosen}", seen.headers() if hints else ()
+                begun = time.monotonic()
+                try:
+                    answer = await pool.request("GET", path, None, 10.0, headers)
+                except (NotSentError, BrokenError, LateError):
+                    await asyncio.sleep(0.2)
+                    continue
+                if answer.status != 200:
+                    await asyncio.sleep(0.2)
+                    continue
+                least = seen.rate(chosen) / seen.habits.access_kb
+                await asyncio.sleep(max(0.0, begun + least - time.monotonic()))
+                seen.took(time.monotonic(), chosen, time.monotonic() - begun)
+        finally:
+            seen.buffer.drain(time.monotonic())
+            pool.close()
+
+    def watched(self, seen: Watching, viewer: Viewer, timely: bool, seconds: float) -> None:
+        """What a session by segments was like."""
+        self.in_force.pop(seen.sess, None)
+        worth = seen.worth / max(seen.fetched, 1) if timely else 0.0
+        row = {"seconds": seconds, "stalled": seen.buffer.stalled, "switches": seen.switches}
+        row |= {"utility": worth, "segments": seen.fetched, "liar": float(bool(seen.habits.lie))}
+        row |= {"weak": float(seen.habits.access_kb < 1e9), "heeds": float(seen.habits.heeds)}
+        self.tally.watched.append({**row, "group": viewer.group})
+
     async def renew(self, pool: Pool, token: str, viewer: str, rng: np.random.Generator) -> None:
         """Keep a seat: renew in time, now and then twice at once, with an old token, or as somebody else."""
         oldest = token
@@ -218,7 +279,14 @@
                         return
 
     async def play(
-        self, viewer: Viewer, server: str, sess: str, end: float, timely: bool, rng: np.random.Generator
+        self,
+        viewer: Viewer,
+        server: str,
+        sess: str,
+        end: float,
+        timely: bool,
+        rng: np.random.Generator,
+        seen: Watching | None,
     ) -> str:
         """Watch until the end, a break, or until too little comes."""
         facts = self.day.site.facts
@@ -257,6 +325,7 @@
                             group.utility if timely else 0.0,
                         )
                     rung, share = got["rung"], got["share"]
+                    self.in_force[sess] = rung
                     now = time.monotonic()
                     short_since = (short_since or now) if share < LEAVE_AT else 0.0
                     if short_since and now - short_since > 2 and rng.random() < 0.15:
--- a/ponddoor/web/client.py
+++ b/ponddoor/web/client.py
@@ -60,11 +60,17 @@
         return self.reader.at_eof() or self.writer.is_closing()
 
     async def send(
-        self, method: str, path: str, host: str, body: bytes, headers: tuple[tuple[str, str], ...]
+        self,
+        method: str,
+        path: str,
+        host: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+        kind: str = "application/json",
     ) -> None:
         fields = [("Host", host), *headers]
         if body:
-            fields += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+            fields += [("Content-Type", kind), ("Content-Length", str(len(body)))]
         data = self.http.send(h11.Request(method=method, target=path, headers=fields)) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
@@ -127,14 +133,17 @@
         body: object = None,
         timeout: float = 5.0,
         headers: tuple[tuple[str, str], ...] = (),
+        kind: str = "application/json",
     ) -> Answer:
-        """One exchange. Raises NotSentError, BrokenError or LateError; a late one's connection is closed."""
+        """One exchange; a body of bytes goes as it is, of media type `kind`, any other as JSON.
+
+        Raises NotSentError, BrokenError or LateError; a late one's connection is closed."""
         try:
             async with asyncio.timeout(timeout):
                 wire = await self._take()
                 done = False
                 try:
-                    answer = await self._exchange(wire, method, path, body, headers)
+                    answer = await self._exchange(wire, method, path, body, headers, kind)
                     done = wire.http.our_state is h11.DONE and wire.http.their_state is h11.DONE
                     return answer
                 except (OSError, h11.RemoteProtocolError) as problem:
@@ -145,10 +154,16 @@
             raise LateError(f"no answer in {timeout:g} s") from None
 
     async def _exchange(
-        self, wire: _Wire, method: str, path: str, body: object, headers: tuple[tuple[str, str], ...]
+        self,
+        wire: _Wire,
+        method: str,
+        path: str,
+        body: object,
+        headers: tuple[tuple[str, str], ...],
+        kind: str,
     ) -> Answer:
-        data = b"" if body is None else msgspec.json.encode(body)
-        await wire.send(method, path, f"{self.host}:{self.port}", data, headers)
+        data = b"" if body is None else body if isinstance(body, bytes) else msgspec.json.encode(body)
+        await wire.send(method, path, f"{self.host}:{self.port}", data, headers, kind)
         head, text = await wire.head(), bytearray()
         while not isinstance(event := await wire.event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
--- a/tests/hints/test_intake.py
+++ b/tests/hints/test_intake.py
@@ -59,7 +59,7 @@
 
 def test_hints_of_nobody_and_of_another_session_are_dropped(desk: Desk) -> None:
     assert desk.told(sess="y", mtp=800) is None
-    assert desk.told(origin="server", sid="other", mtp=800) is None
+    assert desk.told(origin="passed-on", sid="other", mtp=800) is None
     desk.intake.over("x")
     assert desk.told(mtp=800) is None
     assert desk.count("dropped no-such-session") == 2 and desk.count("dropped other-session") == 1
