--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -472,8 +472,17 @@
 @click.option("--seeds", type=int, default=10, show_default=True, help="Seeds 1 to this.")
 @click.option("--jobs", type=int, default=1, show_default=True, help="Pairs at once.")
 @click.option("--share", "shares", multiple=True, help="NAME=VALUE of heed, liars, weak or malformed.")
+@click.option(
+    "--against",
+    type=click.Choice(["off", "truth"]),
+    default="off",
+    show_default=True,
+    help="The other of a pair: without hints, or with hints where who would lie tells the truth.",
+)
 @click.option("--out", required=True, type=click.Path(path_type=Path), help="A line of JSON a pair is added.")
-def pairs(days: tuple[Path, ...], seeds: int, jobs: int, shares: tuple[str, ...], out: Path) -> None:
+def pairs(
+    days: tuple[Path, ...], seeds: int, jobs: int, shares: tuple[str, ...], against: str, out: Path
+) -> None:
     """Play each day with hints and without at the same time; exit 1 if a rule is broken."""
     from ponddoor.rehearse.pairs import play_pairs
 
@@ -484,10 +493,24 @@
             click.echo(f"{text}: one of heed, liars, weak or malformed, = and a share", err=True)
             sys.exit(2)
         told[name] = float(value)
-    broken = asyncio.run(play_pairs(list(days), seeds, jobs, told, out, lambda line: click.echo(line)))
+    broken = asyncio.run(
+        play_pairs(list(days), seeds, jobs, told, out, lambda line: click.echo(line), against)
+    )
     sys.exit(1 if broken else 0)
 
 
+@hints.command(name="measure")
+@click.option("--seconds", type=float, default=3.0, show_default=True)
+@click.option("--rounds", type=int, default=7, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def hints_measure(seconds: float, rounds: int, as_json: bool) -> None:
+    """What a hint costs alone, and set-ups with hints and without on one front, in turn."""
+    from ponddoor.load.hints import alone, beside
+    from ponddoor.load.measure import shown
+
+    click.echo(shown({**alone(), **asyncio.run(beside(seconds, rounds))}, as_json))
+
+
 @hints.command()
 @click.argument("results", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
 @click.option("--to", "picture", required=True, type=click.Path(path_type=Path), help="The picture to write.")
--- a/ponddoor/load/generator.py
+++ b/ponddoor/load/generator.py
@@ -52,6 +52,7 @@
     tenants: list[str] = field(default_factory=list)
     leave: bool = True
     seed: int = 1
+    headers: tuple[tuple[str, str], ...] = ()
     pools: list[Pool] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -66,7 +67,7 @@
         if self.tenants:
             body["tenant"] = self.tenants[number % len(self.tenants)]
         try:
-            answer = await pool.request("POST", "/sessions", body, 30.0)
+            answer = await pool.request("POST", "/sessions", body, 30.0, self.headers)
             got = answer.json()
             state = str(got.get("state", answer.status))
         except (NotSentError, BrokenError, LateError) as problem:
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -77,6 +77,7 @@
     liars: float = 0.0
     weak: float = 0.0
     malformed: float = 0.0
+    candid: bool = False  # those who would lie tell the truth, to be compared
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +149,7 @@
         liars=players.number("liars", 0.0, 0, 1),
         weak=players.number("weak", 0.0, 0, 1),
         malformed=players.number("malformed", 0.0, 0, 1),
+        candid=players.flag("candid", False),
     )
     players.done()
     day = replace(day, **(shares or {}))  # type: ignore[arg-type]
--- a/ponddoor/rehearse/pairs.py
+++ b/ponddoor/rehearse/pairs.py
@@ -36,6 +36,7 @@
     shares: dict[str, float],
     out: Path,
     say: Callable[[str], None],
+    against: str = "off",
 ) -> int:
     """Add a line of JSON a pair to a file; returns how many rules were broken. A pair that could not be
     played is said and left out."""
@@ -46,13 +47,14 @@
         async with gate:
             try:
                 on, off = await asyncio.gather(
-                    _played(day, seed, True, shares), _played(day, seed, False, shares)
+                    _played(day, seed, True, shares),
+                    _played(day, seed, against == "truth", {**shares, "candid": float(against == "truth")}),
                 )
             except RehearsalError as problem:
                 say(f"{day.name}, seed {seed}: {problem}")
                 return
         with out.open("ab") as file:
-            row = {"day": on["day"], "seed": seed, "shares": shares, "on": on, "off": off}
+            row = {"day": on["day"], "seed": seed, "shares": shares, "against": against, "on": on, "off": off}
             file.write(msgspec.json.encode(row) + b"\n")
         faults = [*on["breaches"], *off["breaches"]]
         broken += len(faults)
@@ -72,7 +74,7 @@
 
 
 def plotted(results: list[Path], picture: Path) -> str:
-    """A picture of all pairs, with hints less without, and the medians as a table. Raises ValueError."""
+    """A picture of all pairs, with hints less without (or lies less truth), and the medians as a table. Raises ValueError."""
     import matplotlib
 
     matplotlib.use("Agg")
@@ -81,7 +83,8 @@
     rows = [msgspec.json.decode(line) for path in results for line in path.read_bytes().splitlines() if line]
     groups: dict[str, list[dict[str, Any]]] = defaultdict(list)
     for row in rows:
-        changed = "".join(f" {name}={value:g}" for name, value in sorted(row["shares"].items()))
+        changed = ", lies against truth" if row.get("against") == "truth" else ""
+        changed += "".join(f" {name}={value:g}" for name, value in sorted(row["shares"].items()))
         groups[row["day"].removeprefix("hints-") + changed].append(row)
     if not groups:
         raise ValueError("no pairs in these files")
--- a/ponddoor/standins/players.py
+++ b/ponddoor/standins/players.py
@@ -148,6 +148,7 @@
         seen, hinted = None, site.hints
         if day.segments:
             habits = Habits.drawn(rng, site.facts.ladder, day.heed, day.liars, day.weak, day.malformed)
+            habits.candid = day.candid
             seen = Watching(habits, site.facts.ladder, group.rate_factor, viewer.top, "", rng)
         asked = time.monotonic()
         self.rec.note("ask", ask=name, front=front, wait_us=group.setup_timeout, group=viewer.group)
--- a/ponddoor/standins/segments.py
+++ b/ponddoor/standins/segments.py
@@ -27,6 +27,7 @@
     lie: str
     access_kb: float
     malformed: float
+    candid: bool = False
 
     @classmethod
     def drawn(
@@ -132,6 +133,8 @@
             made["rtp"] = round(self.habits.access_kb * 8)
         if self.buffer.starved:
             made["bs"], self.buffer.starved = True, False
+        if self.habits.candid:
+            return made
         if self.habits.lie == "tenfold" and "mtp" in made:
             made["mtp"] *= 10
         if self.habits.lie == "starved":
