--- a/ponddoor/front/hinting.py
+++ b/ponddoor/front/hinting.py
@@ -59,6 +59,13 @@
         return read
 
     def _told(self, now: int, sess: str, values: Values, age: int, origin: str) -> bool:
+        self._register(now, sess)
+        means = self.intake.told(now, sess, values, age, origin)
+        if means is not None:
+            self.apply(lambda at: self.engine.player_hint(at, sess, means))
+        return means is not None
+
+    def _register(self, now: int, sess: str) -> None:
         held = self.engine.find(sess)
         if held is None or held.phase is not Phase.PLAYING:
             self.intake.over(sess)
@@ -69,18 +76,17 @@
             tenant = tenants[held.ask.tenant].name if tenants else ""
             viewer = str(held.ask.viewer) if held.ask.viewer else ""
             self.intake.playing(now, sess, viewer, tenant, held.server, rate)
-        means = self.intake.told(now, sess, values, age, origin)
-        if means is not None:
-            self.apply(lambda at: self.engine.player_hint(at, sess, means))
-        return means is not None
 
     def over(self, sess: str) -> None:
         self.intake.over(sess)
 
     # From servers
 
-    def passed_on(self, server: int, sess: str, headers: dict[str, str], gets_kb: float, age: int) -> None:
-        """What a server saw on a segment request: the player's hints, and the rate at which it took them."""
+    def passed_on(
+        self, server: int, sess: str, headers: dict[str, str], dynamic: str, gets_kb: float, age: int
+    ) -> None:
+        """What a server saw on a segment request: the player's hints, the rate at which it took the segment,
+        and in its own CMSD what it could have given."""
         held = self.engine.find(sess)
         if held is None or held.server != server:
             self.intake.count("dropped other-server")
@@ -89,7 +95,11 @@
         read = cmcd.read_headers(headers)
         self.intake.lost(read.lost)
         if gets_kb > 0:
-            self.intake.took(now - age, sess, gets_kb)
+            self._register(now, sess)
+            hops, lost = cmsd.read_dynamic(dynamic)
+            self.intake.lost(lost.lost)
+            offered = hops[-1].values.get("etp", 0) if hops else 0
+            self.intake.took(now - age, sess, gets_kb, offered * KB_PER_KBIT)
         if read.values:
             self._told(now, sess, read.values, age, "passed-on")
 
--- a/ponddoor/front/servers.py
+++ b/ponddoor/front/servers.py
@@ -286,7 +286,7 @@
             case "delivered":
                 hinting.measured(number, got.value)
             case "hints":
-                hinting.passed_on(number, got.sess, got.cmcd, got.value, age)
+                hinting.passed_on(number, got.sess, got.cmcd, got.cmsd.get("dynamic", ""), got.value, age)
             case "cmsd":
                 hinting.server_said(number, got.cmsd.get("dynamic", ""), got.cmsd.get("static", ""), age)
             case _:
--- a/ponddoor/hints/intake.py
+++ b/ponddoor/hints/intake.py
@@ -10,7 +10,7 @@
 believed less."""
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ponddoor.hints.cmcd import one_of
@@ -27,6 +27,7 @@
 MEASURED_FOR = 4 * SECOND  # so long a measured share says how things are
 SHORT = 0.9  # a share under which delivery counts as short
 LESS = 0.7  # of what is delivered, that a player may say it gets
+OWN = 0.8  # of what a server could give, under which what is taken shows the player's own limit
 DEEP = 5 * SECOND  # who has so much buffered does not starve
 SETTLED = 2 * SECOND  # after a change of rung or a start, shares say little
 DURESS_MAY_LEAD = 5 * SECOND  # so long a server may be in duress before its share falls
@@ -42,7 +43,8 @@
     server: int
     rate_kb: float
     since: int
-    gets_kb: float | None = None  # what its server saw it take, and when
+    gets_kb: float | None = None  # what its server saw it take, could have given, and when
+    offered_kb: float = 0.0
     gets_at: int = -(1 << 60)
     last: int = -(1 << 60)
     means: Means | None = None
@@ -138,8 +140,23 @@
         if not self._believed(held.viewer, held.tenant):
             return None
         self.count(f"taken {origin}")
+        if means.throughput_kb is not None and not self._own_limit(now, held, means.throughput_kb):
+            self.count("throughput is the server's")
+            means = replace(means, throughput_kb=None)
         return means
 
+    def _own_limit(self, now: int, held: Seen, throughput_kb: float) -> bool:
+        """Whether a throughput is the player's own limit, and not what its server gave it.
+
+        Guards against a bound that only repeats how full a link is: a session there would never be raised
+        again. It may harm where a server does not say what it could give: then a player's limit shows
+        once it gets less than its rung while the share is full."""
+        if held.gets_kb is not None and now - held.gets_at <= MEASURED_FOR and held.offered_kb > 0:
+            return held.gets_kb < OWN * held.offered_kb
+        server = self.servers.get(held.server)
+        full = server is not None and now - server.at <= MEASURED_FOR and server.share >= 0.98
+        return full and throughput_kb < held.rate_kb
+
     def _believed(self, viewer: str, tenant: str) -> bool:
         for source in _sources(viewer, tenant):
             if not self.trust.believed(source):
@@ -199,11 +216,11 @@
         if share < SHORT:
             held.short_at = now
 
-    def took(self, now: int, sess: str, rate_kb: float) -> None:
-        """What a server saw a session take, in kB a second while it fetched."""
+    def took(self, now: int, sess: str, rate_kb: float, offered_kb: float = 0.0) -> None:
+        """What a server saw a session take, and could have given, in kB a second while it fetched."""
         held = self.sessions.get(sess)
         if held is not None:
-            held.gets_kb, held.gets_at = rate_kb, now
+            held.gets_kb, held.offered_kb, held.gets_at = rate_kb, offered_kb, now
 
     def gone(self, server: int) -> None:
         self.servers.pop(server, None)
--- a/ponddoor/rehearse/pairs.py
+++ b/ponddoor/rehearse/pairs.py
@@ -74,7 +74,9 @@
 
 
 def plotted(results: list[Path], picture: Path) -> str:
-    """A picture of all pairs, with hints less without (or lies less truth), and the medians as a table. Raises ValueError."""
+    """A picture of all pairs, with hints less without (or lies less truth), and a table of medians.
+
+    Raises ValueError."""
     import matplotlib
 
     matplotlib.use("Agg")
--- a/ponddoor/standins/media.py
+++ b/ponddoor/standins/media.py
@@ -300,7 +300,9 @@
         held = self.notes.get(stream.setup.front)
         if self.site.hints and held is not None and held[1].qsize() < 1000:
             carried = {name: text for name, text in request.headers.items() if name.startswith("cmcd-")}
-            held[1].put_nowait({"note": "hints", "sess": sess, "cmcd": carried, "value": rate / takes})
+            dynamic = cmsd.write_dynamic([self.hop(rate * speed)])
+            held[1].put_nowait({"note": "hints", "sess": sess, "cmcd": carried, "value": rate / takes,
+                                "cmsd": {"dynamic": dynamic}})  # fmt: skip
         fixed = {"br": round(rate * 8), "d": 1000, "ot": "v", "st": "v", "ht": round(takes * 1000)}
         headers = (("Content-Type", "video/mp4"), (cmsd.STATIC, cmsd.write_static(fixed)),
                    (cmsd.DYNAMIC, cmsd.write_dynamic([self.hop(rate * speed)])))  # fmt: skip
