--- a/tests/raft/test_raft.py
+++ b/tests/raft/test_raft.py
@@ -203,7 +203,7 @@
     )
     over = (Entry(2, 3, Kind.VALUE, b"y"),)
     held = Snapshot(2, 1, THREE, b"s", (("c", 3, 2),))
-    writes = [
+    writes: list[WriteVote | WriteEntries | WriteSnapshot] = [
         WriteVote(1, 2, 1),
         WriteEntries(2, entries),
         WriteEntries(3, over),
