--- a/ponddoor/config/machine.py
+++ b/ponddoor/config/machine.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import msgspec
+import xxhash
 
 from ponddoor.settings.sexpr import NOWHERE, Atom, Listing, Node, SettingsError, parse, word, write
 from ponddoor.settings.site import Site, check
@@ -25,6 +26,7 @@
 MOST_KEYS = 20_000
 MOST_TEXT = 200_000  # characters of one item
 MOST_HISTORY = 1000
+MOST_IDENTS = 1000
 
 
 class MalformedError(Exception):
@@ -41,6 +43,7 @@
     sets: dict[str, str] = {}
     drops: list[str] = []
     needs: dict[str, int] = {}
+    ident: str = ""  # of a change that may be sent again: the second one is answered as the first
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +97,7 @@
     items: dict[str, Item] = field(default_factory=dict)
     history: deque[Version] = field(default_factory=lambda: deque(maxlen=MOST_HISTORY))
     site: Site | None = None
+    idents: dict[str, tuple[int, bytes]] = field(default_factory=dict)  # ident: its version, what was sent
 
     def tried(self, change: Change) -> Outcome:
         """What a change would do now: a dry run, and the check before it is proposed."""
@@ -105,9 +109,17 @@
             change = unpacked(data)
         except MalformedError as problem:
             return Outcome(0, "malformed", (str(problem),))
+        known = self.idents.get(change.ident) if change.ident else None
+        if known is not None:
+            same = known[1] == _digest(change)
+            return Outcome(known[0], "repeated") if same else Outcome(0, "ident-used-otherwise")
         outcome, items, site = self._work_out(change)
         if not outcome.version:
             return outcome
+        if change.ident:
+            self.idents[change.ident] = (outcome.version, _digest(change))
+            if len(self.idents) > MOST_IDENTS:
+                del self.idents[next(iter(self.idents))]
         touched = sorted({*change.sets, *change.drops})
         steps = tuple(
             Step(key, self._text(self.items, key), self._text(items, key))
@@ -209,7 +221,9 @@
         """All of it, for a snapshot."""
         items = {key: [one.text, one.version, one.place] for key, one in sorted(self.items.items())}
         history = [msgspec.to_builtins(version) for version in self.history]
-        return msgspec.msgpack.encode({"number": self.number, "items": items, "history": history})
+        idents = {ident: list(held) for ident, held in self.idents.items()}
+        whole = {"number": self.number, "items": items, "history": history, "idents": idents}
+        return msgspec.msgpack.encode(whole)
 
     def restore(self, data: bytes) -> None:
         """Take the place of all that was applied. Raises MalformedError."""
@@ -217,11 +231,18 @@
             raw: dict[str, Any] = msgspec.msgpack.decode(data, type=dict[str, Any])
             items = {k: Item(str(text), int(at), int(place)) for k, (text, at, place) in raw["items"].items()}
             history = msgspec.convert(raw["history"], list[Version])
+            idents = {ident: (int(at), bytes(digest)) for ident, (at, digest) in raw["idents"].items()}
             site = check([assembled(items)], "<configuration>", self.folder) if items else None
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError, SettingsError) as problem:
             raise MalformedError(f"a snapshot that can't be read: {problem}") from None
         self.number, self.items, self.site = int(raw["number"]), items, site
-        self.history = deque(history, maxlen=MOST_HISTORY)
+        self.history, self.idents = deque(history, maxlen=MOST_HISTORY), idents
+
+
+def _digest(change: Change) -> bytes:
+    """What two sendings of one change have in common: all but the moment."""
+    same = msgspec.structs.replace(change, when_us=0)
+    return xxhash.xxh3_128_digest(msgspec.msgpack.encode(same))
 
 
 def packed(change: Change) -> bytes:
--- a/ponddoor/raft/core.py
+++ b/ponddoor/raft/core.py
@@ -808,7 +808,9 @@
             return "more-than-one"
         for member in sorted(members.voters - self.members.voters):
             progress = self.progress.get(member)
-            if progress is None or progress.match + self.limits.caught_up < self.last_index:
+            if progress is None or not progress.match:
+                return "not-caught-up"
+            if progress.match + self.limits.caught_up < self.last_index:
                 return "not-caught-up"
         return ""
 
