--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -17,6 +17,8 @@
 import msgspec
 import structlog
 
+from ponddoor.config.commands import config as config_commands
+from ponddoor.config.commands import raft as raft_commands
 from ponddoor.settings.sexpr import SettingsError
 
 
@@ -610,5 +612,9 @@
         click.echo(made(main, {}, "ponddoor", "_PONDDOOR_COMPLETE").source())
 
 
+main.add_command(config_commands)
+main.add_command(raft_commands)
+
+
 if __name__ == "__main__":
     main()
