--- a/ponddoor/front/seating.py
+++ b/ponddoor/front/seating.py
@@ -92,6 +92,16 @@
             self.noted("seat-back", front=self.me, seat=seat, why="given-back")
         self._run(effects)
 
+    def look(self, token: Token) -> dict[str, Any]:
+        """What a token is worth now: its newest generation, and how long the seat still runs."""
+        held = self.core.share((token.tenant, token.entitlement)).seats.get(token.seat)
+        left = 0 if held is None else max(0, held.expires - self.clock())
+        return {
+            "tenant": token.tenant, "entitlement": token.entitlement, "session": token.sess,
+            "generation": token.generation, "newest": held.generation if held is not None and left else 0,
+            "runs": left > 0, "expires_in_ms": left / 1000,
+        }  # fmt: skip
+
     def token(self, got: Granted) -> str:
         """The signed token of a grant; its time is told by the wall clock."""
         expires = wall() + got.expires - self.clock()
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -95,6 +95,8 @@
                 return await self._renew(decoded(request.body, SeatAsk))
             case "POST", ("seats", "return"):
                 return self._return_seat(decoded(request.body, SeatAsk))
+            case "POST", ("seats", "look"):
+                return self._look(decoded(request.body, SeatAsk))
             case "GET", ("seats",):
                 return Reply(200, {"seats": self._seating().shown()})
             case _, ("sessions",) | ("sessions", _) | ("sessions", _, "events" | "hints"):
@@ -288,6 +290,12 @@
             raise self._refusal(got)
         return Reply(200, {"token": self._seating().token(got), "generation": got.generation})
 
+    def _look(self, ask: SeatAsk) -> Reply:
+        token = self._opened(ask.token)
+        if token.viewer != ask.viewer:
+            raise HttpError(403, "not-yours", "the token is of another viewer")
+        return Reply(200, self._seating().look(token))
+
     def _return_seat(self, ask: SeatAsk) -> Reply:
         token = self._opened(ask.token)
         self._seating().give_back((token.tenant, token.entitlement), token.seat, ask.viewer)
--- a/tests/front/test_hinting.py
+++ b/tests/front/test_hinting.py
@@ -74,9 +74,7 @@
         async def report(text: bytes, kind: str = cmcd.REPORTS, of: object = sess) -> Answer:
             return await pool.request("POST", f"/sessions/{of}/hints", text, 3.0, kind=kind)
 
-        batch = cmcd.write_reports(
-            [{"e": "t", "ts": 9_000, "tb": 900}, {"e": "ps", "ts": 5_000, "tb": 500}]
-        )
+        batch = cmcd.write_reports([{"e": "t", "ts": 9_000, "tb": 900}, {"e": "ps", "ts": 5_000, "tb": 500}])
         got = await report(batch)
         assert (
             got.json() == {"taken": 1} and said(got)["mb"] == 7200
--- a/tests/front/test_seating.py
+++ b/tests/front/test_seating.py
@@ -51,6 +51,33 @@
     in_world(live, audited=False, kept=tmp_path / "k", seats=seats(1, "1s", "2s"))
 
 
+def test_a_token_can_be_looked_at(in_world: Run, tmp_path: Path) -> None:
+    async def live(world: World) -> None:
+        await past_silence(world)
+        held = (await watch(world, "a")).json()
+
+        async def look(viewer: str = "a", me: int = 0) -> Answer:
+            return await world.call("POST", "/seats/look", me, {"token": held["token"], "viewer": viewer})
+
+        seen: Any = (await look()).json()
+        assert (seen["session"], seen["generation"], seen["newest"], seen["runs"]) == (
+            held["session"],
+            1,
+            1,
+            True,
+        )
+        assert 0 < seen["expires_in_ms"] <= 5000
+        await world.call("POST", "/seats/renew", 0, {"token": held["token"], "viewer": "a"})
+        assert (await look()).json()["newest"] == 2
+        assert (await look("thief")).json()["error"] == "not-yours"
+        assert (await look(me=1)).status == 307
+        await world.call("POST", "/seats/return", 0, {"token": held["token"], "viewer": "a"})
+        gone: Any = (await look()).json()
+        assert (gone["runs"], gone["newest"], gone["expires_in_ms"]) == (False, 0, 0)
+
+    in_world(live, audited=False, kept=tmp_path / "k", fronts=2, seats=seats(4))
+
+
 def test_renewals_and_thieves(in_world: Run, tmp_path: Path) -> None:
     async def live(world: World) -> None:
         await past_silence(world)
--- a/tests/hints/test_intake.py
+++ b/tests/hints/test_intake.py
@@ -58,6 +58,17 @@
     assert desk.told(age=-2 * SECOND, mtp=900) is None and desk.count("dropped from-the-future") == 1
 
 
+def test_hints_that_come_five_seconds_late_count_as_old_and_give_way_to_fresh_ones(desk: Desk) -> None:
+    late = desk.told(age=5 * SECOND, tb=800)
+    assert late is not None and late.taken == desk.now - 5 * SECOND
+    desk.later(1)
+    assert desk.told(tb=900) == Means(desk.now, top_kb=112.5)
+    desk.later(1)
+    assert desk.told(age=5 * SECOND, tb=800) is None  # it was said before the one that counts
+    hint = desk.said(age=5 * SECOND, du=True)
+    assert hint is not None and hint.taken == desk.now - 5 * SECOND
+
+
 def test_hints_of_nobody_and_of_another_session_are_dropped(desk: Desk) -> None:
     assert desk.told(sess="y", mtp=800) is None
     assert desk.told(origin="passed-on", sid="other", mtp=800) is None
