--- a/ponddoor/front/hinting.py
+++ b/ponddoor/front/hinting.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ponddoor.front.effects import Effect
+from ponddoor.front.effects import Ask, Effect
 from ponddoor.front.engine import Engine, Held, Phase
 from ponddoor.hints import cmcd, cmsd
 from ponddoor.hints.fields import Read, Values
@@ -30,14 +30,12 @@
 
     # From players
 
-    def on_request(
-        self, request: Request, body: dict[str, Any] | None, viewer: str, tenant: str
-    ) -> Means | None:
+    def on_request(self, request: Request, body: dict[str, Any] | None, ask: Ask) -> Means | None:
         """The hints on a request for a session."""
         read = self._read(request, body)
         if not read.values:
             return None
-        return self.intake.asked(self.clock(), viewer, tenant, read.values)
+        return self.intake.asked(self.clock(), *self._source(ask), read.values)
 
     def report(self, sess: str, request: Request) -> int:
         """A player's reports on its session; returns how many were taken. Raises HttpError 415."""
@@ -72,10 +70,12 @@
         else:
             group = self.site.facts.groups[held.ask.service_group]
             rate = self.site.facts.ladder.rate_kb[held.rung] * group.rate_factor
-            tenants = self.site.facts.tenants
-            tenant = tenants[held.ask.tenant].name if tenants else ""
-            viewer = str(held.ask.viewer) if held.ask.viewer else ""
-            self.intake.playing(now, sess, viewer, tenant, held.server, rate)
+            self.intake.playing(now, sess, *self._source(held.ask), held.server, rate)
+
+    def _source(self, ask: Ask) -> tuple[str, str]:
+        """The viewer and the tenant by which a session's hints are judged, empty where none is named."""
+        tenants = self.site.facts.tenants
+        return str(ask.viewer) if ask.viewer else "", tenants[ask.tenant].name if tenants else ""
 
     def over(self, sess: str) -> None:
         self.intake.over(sess)
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -189,7 +189,7 @@
         held: Held | None = None
         refused: list[Answer] = []
         hinting = self.hinting
-        means = hinting.on_request(request, body.cmcd, body.viewer, body.tenant) if hinting else None
+        means = hinting.on_request(request, body.cmcd, ask) if hinting else None
 
         def take(now: int) -> list[Effect]:
             nonlocal held
