A front node on the platform: its messages as another way in and out of the same engine

Change: ponddoor/node (start, shells for viewers, servers, the notice board and words; codecs free of I/O), over front/engine, runtime/driver and decide.py, which is not changed. front/pump.py is the clock, the effects in order and the one timer that FrontProcess had; platform/facts.py the reading of facts that simhost/codec had. The roster drops servers that are gone. Engine: sessions handed over, notes on one session, descriptions passed on.

--- a/ponddoor/front/effects.py
+++ b/ponddoor/front/effects.py
@@ -18,17 +18,20 @@
     viewer: int = 0
     again: bool = False
     moved: bool = False
+    description: str = ""  # passed on to the server as it is
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The one final answer: `kind` is playing, busy, torn-down or left; `why` names a limit of the front."""
+    """The one final answer: `kind` is playing, busy, torn-down or left; `why` names a limit of the front,
+    `passed` is what the server gave for the viewer."""
 
     kind: str
     server: int = -1
     rung: int = 0
     come_back: int = 0
     why: str = ""
+    passed: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -125,7 +125,7 @@
             if held.ask != ask:
                 raise RepeatError("the key was used with another request")
             return held, []
-        refusal = self.gate.refusal(now, self.in_hand, self.held, len(self._repeats) if repeat else 0)
+        refusal = self.gate.refusal(now, self.in_hand, self.held, len(self._repeats) if repeat else -1)
         if refusal:
             self.counts.add(self.counts.answers, f"limit {refusal}")
             come_back = self.facts.permissions.max_come_back // 2
@@ -135,11 +135,18 @@
         if repeat is not None:
             self._repeats[repeat] = held
         self.in_hand += 1
-        request = ev.SessionRequest(
-            held.req_id, ask.service_group, ask.tenant, ask.viewer, number_of(ask.title), ask.wait,
-            ask.length, ask.home, ask.span, ask.top, ask.moved, ask.again, means,
-        )  # fmt: skip
-        return held, self._feed(now, request, held)
+        return held, self._feed(now, self._request_event(held, means), held)
+
+    def handed_over(self, now: int, sess: str, ask: Ask, server: int) -> list[Effect]:
+        """A session that plays already; one that is held already stays as it is."""
+        if sess in self._held or self.held >= self.gate.limits.held:
+            return []
+        held = Held(
+            sess, next(self._req_ids), ask, now, None, Phase.PLAYING, Answer("playing", server), 0, server
+        )
+        self._held[sess] = self._by_req[held.req_id] = held
+        self._at_server.setdefault(server, {})[sess] = held
+        return self._feed(now, ev.HandedOver(self._request_event(held, None), server), held)
 
     def left(self, now: int, sess: str) -> list[Effect]:
         """The viewer is done: a waiting request is given up, a session that plays ends."""
@@ -165,8 +172,9 @@
         result: ev.Result | None,
         report: dict[str, float],
         asked: dict[str, float],
+        passed: str = "",
     ) -> list[Effect]:
-        """The outcome of a SETUP; `result` is None where the stream started."""
+        """The outcome of a SETUP; `result` is None where the stream started; the viewer gets `passed`."""
         held = self._held.get(sess)
         if held is None or not held.out or held.attempt != attempt:
             # Guards against answers after the timeout or the cancel, and against a second one: a stream that
@@ -181,7 +189,7 @@
             return out + self._feed(now, self._ended_event(now, held, result, False, report), held)
         held.phase = Phase.PLAYING
         self._at_server.setdefault(held.server, {})[sess] = held
-        out = self._answer(now, held, Answer("playing", held.server, held.rung))
+        out = self._answer(now, held, Answer("playing", held.server, held.rung, passed=passed))
         lag = now - held.sent_at
         out += self._feed(now, ev.Started(held.req_id, held.attempt, held.server, lag), held)
         for name, kind in (("link", ev.NoteKind.LINK_ASKED), ("uplink", ev.NoteKind.UPLINK_ASKED)):
@@ -212,6 +220,15 @@
             return self._feed(now, ev.Note(held.req_id, kind, value, server), held)
         return []
 
+    def note_on(self, now: int, sess: str, kind: ev.NoteKind, value: float) -> list[Effect]:
+        """A server's note on one session; of one that does not play it says nothing any more."""
+        held = self._held.get(sess)
+        if held is None or held.phase is not Phase.PLAYING:
+            return []
+        if kind is ev.NoteKind.RUNG:
+            held.rung = round(value)
+        return self._feed(now, ev.Note(held.req_id, kind, value, held.server), held)
+
     def player_hint(self, now: int, sess: str, means: ev.Means) -> list[Effect]:
         """What a player that plays can take; of one that does not it says nothing any more."""
         held = self._held.get(sess)
@@ -349,6 +366,13 @@
                     *self._end_playing(now, held, "viewer-gone"),
                 ]
 
+    def _request_event(self, held: Held, means: ev.Means | None) -> ev.SessionRequest:
+        ask = held.ask
+        return ev.SessionRequest(
+            held.req_id, ask.service_group, ask.tenant, ask.viewer, number_of(ask.title), ask.wait,
+            ask.length, ask.home, ask.span, ask.top, ask.moved, ask.again, means,
+        )  # fmt: skip
+
     def _setup_late(self, now: int, held: Held | None, attempt: int) -> list[Effect]:
         if held is None or not held.out or held.attempt != attempt:
             return []
--- a/ponddoor/front/limits.py
+++ b/ponddoor/front/limits.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ponddoor.settings.site import Limits
+from ponddoor.settings.limits import Limits
 
 SAMPLE = 50_000  # the loop is sampled so often, in microseconds
 
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -4,7 +4,6 @@
 import contextlib
 import secrets
 import signal
-import time
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -20,6 +19,7 @@
 from ponddoor.front.limits import SAMPLE, Gate, LagMeter
 from ponddoor.front.listing import ListKeeper
 from ponddoor.front.metrics import Metrics, Sample
+from ponddoor.front.pump import SECOND, Pump, clock
 from ponddoor.front.roster import Roster
 from ponddoor.front.sealed import Seal
 from ponddoor.front.seating import Seating
@@ -31,21 +31,16 @@
 from ponddoor.interface.facts import SiteFacts
 from ponddoor.runtime.driver import Decisions
 from ponddoor.seats.core import Seats, Timing
+from ponddoor.settings.limits import Limits
 from ponddoor.settings.sexpr import SettingsError
-from ponddoor.settings.site import Limits, Site, load
+from ponddoor.settings.site import Site, load
 from ponddoor.web.server import Bounds, Server
 from ponddoor.web.timing import within
 
-SECOND = 1_000_000
 log = structlog.get_logger("front")
 Deciding = Callable[[SiteFacts, int], Decisions]
 
 
-def clock() -> int:
-    """The front's own clock: monotonic, whole microseconds."""
-    return time.monotonic_ns() // 1000
-
-
 def bounds_of(limits: Limits) -> Bounds:
     return Bounds(
         limits.connections, limits.per_address, limits.header_bytes, limits.body_bytes,
@@ -64,6 +59,8 @@
         self.decisions = deciding(facts, now)
         self.gate = Gate(site.limits, LagMeter(now + SAMPLE))
         self.engine = Engine(self.decisions, facts, self.gate)
+        self._pump = Pump(self.engine, self._carry_out)
+        self.apply = self._pump.apply
         self.tracer = Tracer(trace, facts, now) if trace is not None else None
         self.engine.traced = self.tracer.fed if self.tracer is not None else None
         self.metrics = Metrics(self._samples)
@@ -85,28 +82,11 @@
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
         self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
         self.acting = Acting()
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at: int | None = None
-        self._applying = False
-        self._queue: list[Effect] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = asyncio.Event()
         self.port = 0
 
-    # The one way into the engine
-
-    def apply(self, call: Callable[[int], list[Effect]]) -> None:
-        """Call the engine at the clock, carry out what it wants in order, and set the timer anew."""
-        self._queue += call(clock())
-        if self._applying:
-            return
-        self._applying = True
-        try:
-            while self._queue:
-                self._carry_out(self._queue.pop(0))
-        finally:
-            self._applying = False
-        self._set_timer()
+    # What the engine wants
 
     def _carry_out(self, effect: Effect) -> None:
         match effect:
@@ -127,19 +107,6 @@
             case fx.Push():
                 self.viewers.carry_out(effect)
 
-    def _set_timer(self) -> None:
-        due = self.engine.next_due
-        if due is None or (self._timer_at is not None and self._timer_at <= due):
-            return  # one that comes earlier than it must finds nothing due and is set anew
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = due
-        self._timer = asyncio.get_running_loop().call_later(max(due - clock(), 0) / SECOND, self._due)
-
-    def _due(self) -> None:
-        self._timer_at, self._timer = None, None
-        self.apply(self.engine.due)
-
     def _heard(self, peer: int, payload: bytes) -> None:
         if self.seating is not None and self.seating.heard(peer, payload):
             return
@@ -254,8 +221,7 @@
         await self.web.close()
         await self.metrics_web.close()
         await asyncio.sleep(0)  # closed sockets leave the loop in its next round
-        if self._timer is not None:
-            self._timer.cancel()
+        self._pump.close()
         if self.tracer is not None:
             self.engine.traced = None
             self.tracer.close()
@@ -267,8 +233,7 @@
         """End as a killed process does: sockets close, nobody is told (tests)."""
         for task in [*self._tasks, *self.servers.tasks]:
             task.cancel()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._pump.close()
 
     # What metrics show
 
--- a/ponddoor/front/roster.py
+++ b/ponddoor/front/roster.py
@@ -63,15 +63,23 @@
             return None
         if message.since is not None and (not same or message.since != self.version):
             raise GapError(f"changes since {message.since}, the version in hand is {self.version}")
-        rows = {entry.server: row for entry in message.servers if (row := self._row(entry)) is not None}
-        usable = {entry.server: entry for entry in message.servers if entry.server in rows}
+        named = [self._whole(entry) for entry in message.servers]
+        rows = {entry.server: row for entry in named if (row := self._row(entry)) is not None}
+        usable = {entry.server: entry for entry in named if entry.server in rows}
         self.list_id, self.version = message.list_id, message.version
         if message.since is None:
             self.entries = usable
             return ev.NewsScope.FULL, tuple(rows.values())
         self.entries |= usable
+        for entry in [one for one in usable.values() if one.state == "gone"]:
+            del self.entries[entry.server]  # guards against a list that grows with every server that ever was
         return ev.NewsScope.CHANGES, tuple(rows.values())
 
+    def _whole(self, entry: Entry) -> Entry:
+        """Of a server that is gone the list may tell no more than that."""
+        held = self.entries.get(entry.server)
+        return msgspec.structs.replace(held, state="gone") if held and entry.state == "gone" else entry
+
     def _row(self, entry: Entry) -> ev.ServerRow | None:
         host, _, port = entry.address.rpartition(":")
         known = entry.zone in self.zones and entry.kind in self.kinds and entry.state in STATES
--- /dev/null
+++ b/ponddoor/node/__main__.py
@@ -0,0 +1,20 @@
+"""`python -m ponddoor.node`: one node on the platform, in the foreground."""
+
+import os
+import signal
+import sys
+
+_EARLY: list[int] = []
+
+
+def main() -> int:
+    """Serve; 2 if what the node was told can't be used, 1 if an address can't be had."""
+    for number in (signal.SIGHUP, signal.SIGTERM):  # before anything slow: a signal must not end the start
+        signal.signal(number, lambda got, _: _EARLY.append(got))
+    from ponddoor.node.serving import serve
+
+    return serve(os.environ, _EARLY)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ponddoor/node/process.py
@@ -0,0 +1,144 @@
+"""One node: the engine, its shells on the platform's messages, the clock, and the signals."""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import structlog
+
+from ponddoor.decide import Front
+from ponddoor.front import effects as fx
+from ponddoor.front.effects import Effect
+from ponddoor.front.engine import Engine
+from ponddoor.front.limits import Gate, LagMeter
+from ponddoor.front.pump import SECOND, Pump, clock
+from ponddoor.front.roster import Entry, Roster
+from ponddoor.node.board import Board
+from ponddoor.node.servers import Servers
+from ponddoor.node.start import Place, StartError, read
+from ponddoor.node.viewers import Viewers
+from ponddoor.node.words import Words
+from ponddoor.settings.limits import Limits
+
+LOOK = SECOND // 4
+SAY = 5 * SECOND
+LAST = 900_000  # us after SIGTERM, until which new requests may come
+IN_HAND, HELD = 2000, 20_000  # sessions that wait, and all of them
+IDLE = 20 * SECOND  # a connection to a server that nothing depends on is closed; servers close them later
+SPARE = 64  # descriptors kept for everything but viewers and servers
+log = structlog.get_logger("node")
+
+
+class Node:
+    """Assembles a node; `run` until it is told to end."""
+
+    def __init__(self, place: Place) -> None:
+        self.place, facts, now = place, place.facts, clock()
+        limits = Limits(
+            in_hand=IN_HAND, held=HELD, connections=0, per_address=0, header_bytes=0, body_bytes=0,
+            header_time=0, idle_time=0, write_time=0, loop_lag=1 << 60, repeats=0, repeat_time=0, followers=0,
+            drain_time=0,
+        )  # fmt: skip
+        self.engine = Engine(Front(facts, now), facts, Gate(limits, LagMeter(1 << 60)))
+        self.pump = Pump(self.engine, self._carry_out)
+        groups = tuple(group.name for group in facts.groups)
+        apply = self.pump.apply
+        self.servers = Servers(self.engine, apply, groups, facts.permissions.connect_timeout)
+        self.viewers = Viewers(self.engine, apply, self.servers.attend, groups, 0)
+        roster = Roster(place.zones, place.kinds, facts.plant.cells, now - time.time_ns() // 1000)
+        self.board = Board(roster, self.engine, apply, self._learned)
+        self.words = Words(place, lambda peer, data: apply(lambda at: self.engine.word(at, peer, data)))
+        self._told_to_end: int | None = None
+        self._most_lag = 0
+
+    def _learned(self, entries: dict[int, Entry]) -> None:
+        self.servers.learn(entries)
+        self.viewers.most = max(16, self.place.sockets - SPARE - 2 * len(self.servers.links))
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case fx.SendSetup() | fx.SendTeardown() | fx.SendRung() | fx.SendProbe() | fx.CloseIdle():
+                self.servers.carry_out(effect)
+            case fx.Reply() | fx.Push():
+                self.viewers.carry_out(effect)
+            case fx.SendWord(peer, payload):
+                self.words.send(peer, payload)
+            case fx.Say(level, event, sess, detail):
+                getattr(log, level)(event, session=sess, detail=detail)
+            case fx.WatchList() | fx.FetchList():
+                pass  # the board tells unasked
+
+    # Signals
+
+    def reload(self, path: Path) -> None:
+        """Follow the board that the file names now. A file that can't be used changes nothing."""
+        try:
+            board = read(path).board
+        except StartError as problem:
+            log.error("reload-refused", why=str(problem))
+            return
+        log.info("reloaded", board=board)
+        if board != self.board.address:
+            self.board.follow(board)
+
+    def end(self) -> None:
+        """What still comes is taken and answered; then the node ends."""
+        if self._told_to_end is None:
+            self._told_to_end = clock()
+            log.info("told-to-end", in_hand=self.engine.in_hand, held=self.engine.held)
+
+    async def run(self, path: Path) -> None:
+        """Serve until SIGTERM and nothing is owed. Raises OSError where an address can't be had."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reload, path)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.end)
+        await self.words.start()
+        self.board.begin(self.place)
+        await self.viewers.start(*self.place.listen)
+        self.viewers.ready = True
+        log.info("node-started", name=self.place.name, me=self.place.facts.me, memory_kb=_memory())
+        due, say = clock() + LOOK, clock() + SAY
+        while not self._done(clock()):
+            await asyncio.sleep(max(due - clock(), 0) / SECOND)
+            now = clock()
+            self._most_lag, due = max(self._most_lag, now - due), max(due + LOOK, now)
+            self.servers.look(now, IDLE)
+            self.viewers.look(now)
+            if now >= say:
+                say = now + SAY
+                self._say()
+        await self._close()
+
+    def _done(self, now: int) -> bool:
+        if self._told_to_end is None:
+            return False
+        longest = max(group.setup_timeout for group in self.place.facts.groups)
+        since = now - self._told_to_end
+        return since > LAST and (not (self.engine.in_hand or self.viewers.owed) or since > longest + LAST)
+
+    def _say(self) -> None:
+        counts, viewers, servers = self.engine.counts, self.viewers, self.servers
+        log.info(
+            "state", in_hand=self.engine.in_hand, held=self.engine.held, viewers=len(viewers.wires),
+            servers=len(servers.links), owed=len(viewers.owed), lag_us=self._most_lag, memory_kb=_memory(),
+            faults=counts.faults, answers=counts.answers, setups=counts.setups, stray=counts.stray,
+            viewers_seen=viewers.counts, servers_seen=servers.counts, words=self.words.told,
+            words_lost=self.words.lost, board_breaks=self.board.breaks,
+        )  # fmt: skip
+        self._most_lag = 0
+
+    async def _close(self) -> None:
+        self.pump.close()
+        self.board.close()
+        self.words.close()
+        await self.viewers.close()
+        self.servers.close()
+        self._say()
+        log.info("node-ended")
+
+
+def _memory() -> int:
+    """What of the process is in memory, in kB."""
+    return int(Path("/proc/self/statm").read_bytes().split()[1]) * 4
--- /dev/null
+++ b/ponddoor/node/servers.py
@@ -0,0 +1,404 @@
+"""The shell towards servers on the platform: one connection each, which carries every SETUP there.
+
+What a connection's end means is told to the engine: refused, nothing ran and no session is left there;
+broken, its SETUPs are lost and no session that plays; silent for long, the machine is taken to be gone."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from ponddoor.front import effects as fx
+from ponddoor.front.effects import Effect
+from ponddoor.front.engine import Engine
+from ponddoor.front.pump import SECOND, clock
+from ponddoor.front.roster import Entry
+from ponddoor.interface import events as ev
+from ponddoor.node import server_codec as codec
+from ponddoor.node.lines import Lines, UnreadableError
+from ponddoor.web.timing import within
+
+QUIET = 2 * SECOND  # a server that we depend on and that says nothing so long is asked for a sign of life
+GONE = 4_500_000  # and without one so long it is gone: sessions must be released 8 s after their end
+HALF_A_LINE = SECOND // 4  # a line that takes longer than this to end does not end
+WAITING = 1000  # messages that wait for one connection
+OWED = 1000  # releases that a server out of reach is owed
+BUFFERED = 1 << 18  # bytes that a server may leave unread
+log = structlog.get_logger("servers")
+Apply = Callable[[Callable[[int], list[Effect]]], None]
+Item = fx.SendSetup | fx.SendTeardown | fx.SendRung | fx.SendProbe
+
+
+class _Wire(asyncio.Protocol):
+    """One connection. `setups` are out on it, `given_up` those an answer may still cross."""
+
+    def __init__(self, link: "_Link") -> None:
+        self.link, self.lines = link, Lines(codec.MOST)
+        self.transport: asyncio.Transport | None = None
+        self.setups: dict[str, int] = {}
+        self.given_up: dict[str, int] = {}
+        self.half_since: int | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        now = self.link.heard_at = clock()
+        try:
+            for line in self.lines.feed(data):
+                if self.link.wire is self:
+                    self.link.take(self, line)
+        except UnreadableError as problem:
+            self.link.servers.count("spoilt")
+            self.link.broke(self, f"spoilt: {problem}")
+        self.half_since = (self.half_since or now) if self.lines.partial else None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.link.broke(self, f"closed: {exc}")
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+
+
+@dataclass(slots=True)
+class _Link:
+    """What a front holds towards one server."""
+
+    servers: "Servers"
+    number: int
+    entry: Entry
+    wire: _Wire | None = None
+    connecting: asyncio.Task[None] | None = None
+    waiting: list[Item] = field(default_factory=list)
+    owed: dict[str, None] = field(default_factory=dict)
+    tests: dict[str, tuple[int, asyncio.TimerHandle]] = field(default_factory=dict)
+    heard_at: int = 0
+    used_at: int = 0
+    sign_asked_at: int = 0
+
+    def say(self, item: Item) -> None:
+        """Write a message, or keep it until the connection is there."""
+        self.used_at = clock()
+        if self.wire is not None:
+            self._write(self.wire, item)
+        elif len(self.waiting) < WAITING:
+            self.waiting.append(item)
+            self.connect()
+        else:
+            self.servers.count("too-many-waiting")
+            self.servers.never_sent(item, ev.Result.MOOT)
+
+    def connect(self) -> None:
+        if self.wire is None and self.connecting is None:
+            self.connecting = asyncio.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        host, _, port = self.entry.address.rpartition(":")
+        wire, limit = _Wire(self), self.servers.connect_timeout / SECOND
+        try:
+            await within(limit, asyncio.get_running_loop().create_connection(lambda: wire, host, int(port)))
+        except (OSError, TimeoutError) as problem:
+            self.connecting = None
+            self._unreached(isinstance(problem, ConnectionRefusedError))
+            return
+        self.connecting = None
+        if wire.transport is None or wire.transport.is_closing():
+            self._unreached(False)
+            return
+        self.wire, self.heard_at = wire, clock()
+        owed, self.owed = self.owed, {}
+        for sess in owed:
+            wire.write(codec.release(sess))
+        waiting, self.waiting = self.waiting, []
+        for item in waiting:
+            self.say(item)
+
+    def _unreached(self, refused: bool) -> None:
+        """No connection came up: nothing that waited for it ran. Refused, the process is dead."""
+        waiting, self.waiting = self.waiting, []
+        if refused:
+            self.owed.clear()
+            self.servers.lose(self)
+        for item in waiting:
+            if isinstance(item, fx.SendTeardown) and not refused:
+                self.owe(item.sess)
+            else:
+                self.servers.never_sent(item, ev.Result.CONNECT_FAILED)
+
+    def owe(self, sess: str) -> None:
+        """A release that can't be sent now goes out first on the next connection."""
+        if len(self.owed) < OWED:
+            self.owed[sess] = None
+        else:
+            self.servers.count("too-many-owed")
+
+    def _write(self, wire: _Wire, item: Item) -> None:
+        match item:
+            case fx.SendSetup(sess, attempt, _, ask, rung, timeout):
+                wire.setups[sess] = attempt
+                wire.write(codec.setup(sess, ask, self.servers.groups[ask.service_group], rung, timeout))
+            case fx.SendTeardown(sess, attempt):
+                if wire.setups.get(sess) == attempt:
+                    del wire.setups[sess]
+                    wire.given_up[sess] = attempt
+                    if len(wire.given_up) > OWED:
+                        del wire.given_up[next(iter(wire.given_up))]
+                    wire.write(codec.give_up(sess))
+                else:
+                    wire.write(codec.release(sess))
+            case fx.SendRung(sess, _, _, rung):
+                wire.write(codec.rung(sess, rung))
+            case fx.SendProbe():
+                sess = self.servers.new_id()
+                limit = asyncio.get_running_loop().call_later(
+                    self.servers.connect_timeout / SECOND, self._test_late, sess
+                )
+                self.tests[sess] = (clock(), limit)
+                wire.write(codec.test(sess, True))
+        if wire.transport is not None and wire.transport.get_write_buffer_size() > BUFFERED:
+            self.broke(wire, "does not read")
+
+    def withdraw(self, sess: str, attempt: int) -> bool:
+        """Take back a SETUP that has not gone out yet."""
+        kept = [
+            one
+            for one in self.waiting
+            if not (isinstance(one, fx.SendSetup) and (one.sess, one.attempt) == (sess, attempt))
+        ]
+        found = len(kept) < len(self.waiting)
+        self.waiting = kept
+        return found
+
+    def take(self, wire: _Wire, line: bytes) -> None:
+        """A line has come. What it says of sessions we do not know, or twice, is of no interest."""
+        match codec.read(line):
+            case codec.Stands(sess, passed):
+                attempt = wire.setups.pop(sess, None)
+                if attempt is None:
+                    attempt = wire.given_up.pop(sess, None)
+                if attempt is not None:
+                    self.servers.answered(sess, attempt, self.number, None, {}, passed)
+            case codec.Ended(sess, before, after, report):
+                attempt = wire.setups.pop(sess, None)
+                held = self.servers.engine.find(sess)
+                if attempt is not None:
+                    self.servers.answered(sess, attempt, self.number, before, report)
+                elif (
+                    wire.given_up.pop(sess, None) is None and held is not None and held.server == self.number
+                ):
+                    number = held.attempt
+                    self.servers.apply(lambda now: self.servers.engine.stream_ended(now, sess, number, after))
+            case codec.Tested(sess, well, report):
+                if sess in self.tests:
+                    began, limit = self.tests.pop(sess)
+                    limit.cancel()
+                    self.servers.probed(
+                        self.number, clock() - began, ev.Result.SERVED if well else ev.Result.ERROR, report
+                    )
+            case codec.Noted(sess, kind, value):
+                held = self.servers.engine.find(sess)
+                if held is not None and held.server == self.number:
+                    self.servers.apply(lambda now: self.servers.engine.note_on(now, sess, kind, value))
+
+    def _test_late(self, sess: str) -> None:
+        if sess in self.tests:
+            began, _ = self.tests.pop(sess)
+            self.servers.probed(self.number, clock() - began, ev.Result.TIMEOUT, {})
+
+    def broke(self, wire: _Wire, why: str) -> None:
+        """The connection is of no use any more: its SETUPs are lost, sessions that play are not."""
+        if wire.transport is not None:
+            wire.transport.abort()
+        if self.wire is not wire:
+            return
+        self.wire = None
+        setups, wire.setups = wire.setups, {}
+        tests, self.tests = self.tests, {}
+        log.info(
+            "connection-broke", server=f"{self.number:08x}", why=why, setups=len(setups), tests=len(tests)
+        )
+        for sess, attempt in setups.items():
+            self.servers.answered(sess, attempt, self.number, ev.Result.RESET, {})
+        for began, limit in tests.values():
+            limit.cancel()
+            self.servers.probed(self.number, clock() - began, ev.Result.RESET, {})
+        if self.servers.engine.playing_at(self.number):
+            if self.entry.state == "gone":
+                self.servers.lose(self)
+            else:
+                self.connect()
+
+    def look(self, now: int, idle: int) -> None:
+        """What time alone brings: half lines, silence, idle connections, connections that are wanted."""
+        wire, needed = self.wire, bool(self.servers.engine.playing_at(self.number))
+        if wire is None:
+            if needed or self.owed:
+                self.connect()
+            if needed and now - self.heard_at > GONE:
+                self._silent()
+            return
+        needed = needed or bool(wire.setups)
+        if wire.half_since is not None and now - wire.half_since > HALF_A_LINE:
+            self.servers.count("half-a-line")
+            self.broke(wire, "half a line")
+        elif needed and now - self.heard_at > GONE and now - self.sign_asked_at < GONE:
+            self.broke(wire, "silent")
+            self._silent()
+        elif needed and now - max(self.heard_at, self.sign_asked_at) > QUIET:
+            self.sign_asked_at = now
+            wire.write(codec.test(self.servers.new_id(), False))
+        elif not needed and not self.tests and now - self.used_at > idle:
+            self.broke(wire, "idle")
+
+    def _silent(self) -> None:
+        """A machine that gives no sign: what plays there is over, and owed a release."""
+        for held in self.servers.engine.playing_at(self.number):
+            self.owe(held.sess)
+        self.servers.lose(self)
+
+    def close(self) -> None:
+        wire, self.wire = self.wire, None
+        if wire is not None and wire.transport is not None:
+            wire.transport.abort()
+        if self.connecting is not None:
+            self.connecting.cancel()
+        for _, limit in self.tests.values():
+            limit.cancel()
+
+
+@dataclass(slots=True)
+class Servers:
+    """All servers of one front. `apply` calls the engine at the clock and carries out its effects."""
+
+    engine: Engine
+    apply: Apply
+    groups: tuple[str, ...]
+    connect_timeout: int
+    links: dict[int, _Link] = field(default_factory=dict)
+    counts: dict[str, int] = field(default_factory=dict)
+    _ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def new_id(self) -> str:
+        """An id for a message that belongs to no session."""
+        return f"{next(self._ids):016x}"
+
+    def learn(self, entries: dict[int, Entry]) -> None:
+        """The list in hand has changed."""
+        for number, entry in entries.items():
+            link = self.links.get(number)
+            if link is None:
+                self.links[number] = _Link(self, number, entry, heard_at=clock())
+                continue
+            if (link.entry.address, link.entry.started_us) != (entry.address, entry.started_us):
+                self.lose(link)  # another process: what played there is over
+                self._fail(link)
+                link.close()
+                self.links[number] = _Link(self, number, entry, heard_at=clock())
+            link.entry = entry
+        for number in [number for number in self.links if number not in entries]:
+            link = self.links[number]
+            link.entry = _gone(link.entry)
+            if link.wire is None:
+                self.lose(link)
+            self._let_go(link)
+
+    def _let_go(self, link: _Link) -> None:
+        """A server that has gone is forgotten once nothing of ours is left there."""
+        busy = (
+            self.engine.playing_at(link.number)
+            or link.waiting
+            or (link.wire is not None and link.wire.setups)
+        )
+        if link.entry.state == "gone" and not busy:
+            self._fail(link)
+            link.close()
+            self.links.pop(link.number, None)
+
+    def _fail(self, link: _Link) -> None:
+        if link.wire is not None:
+            link.broke(link.wire, "gone")
+        waiting, link.waiting = link.waiting, []
+        for item in waiting:
+            self.never_sent(item, ev.Result.CONNECT_FAILED)
+
+    def carry_out(self, effect: Effect) -> None:
+        match effect:
+            case fx.SendSetup() | fx.SendRung() | fx.SendProbe():
+                link = self.links.get(effect.server)
+                if link is None:
+                    self.never_sent(effect, ev.Result.MOOT)
+                else:
+                    link.say(effect)
+            case fx.SendTeardown(sess, attempt, server):
+                link = self.links.get(server)
+                if link is not None and not link.withdraw(sess, attempt):
+                    link.say(effect)
+            case fx.CloseIdle(server):
+                link = self.links.get(server)
+                if link is not None and link.wire is not None and not link.wire.setups:
+                    link.broke(link.wire, "let go")
+            case _:
+                raise TypeError(f"{effect} is not for servers")
+
+    def never_sent(self, item: Item, why: ev.Result) -> None:
+        match item:
+            case fx.SendSetup(sess, attempt, server):
+                self.answered(sess, attempt, server, why, {})
+            case fx.SendProbe(server):
+                self.probed(server, 0, why, {})
+
+    def answered(self, sess: str, attempt: int, server: int, result: ev.Result | None,
+                 report: dict[str, float], passed: str = "") -> None:  # fmt: skip
+        self.apply(lambda now: self.engine.setup_answered(
+            now, sess, attempt, server, result, report, {}, passed))  # fmt: skip
+
+    def probed(self, server: int, lag: int, result: ev.Result, report: dict[str, float]) -> None:
+        self.apply(lambda now: self.engine.probed(now, server, lag, result, report))
+
+    def lose(self, link: _Link) -> None:
+        """What plays at a server is over."""
+        if self.engine.playing_at(link.number):
+            log.info(
+                "sessions-lost",
+                server=f"{link.number:08x}",
+                sessions=len(self.engine.playing_at(link.number)),
+            )
+            self.apply(lambda now: self.engine.server_lost(now, link.number))
+
+    def attend(self, server: int) -> None:
+        """Sessions play there from before our start: what the server says of them needs a connection."""
+        link = self.links.get(server)
+        if link is None:
+            self.apply(lambda now: self.engine.server_lost(now, server))
+        else:
+            link.connect()
+
+    def look(self, now: int, idle: int) -> None:
+        """Called every half a second or so."""
+        for link in list(self.links.values()):
+            link.look(now, idle)
+            self._let_go(link)
+
+    def close(self) -> None:
+        for link in self.links.values():
+            link.close()
+
+
+def _gone(entry: Entry) -> Entry:
+    return Entry(
+        entry.server,
+        entry.address,
+        entry.zone,
+        entry.kind,
+        entry.cell,
+        "gone",
+        entry.weight,
+        entry.started_us,
+    )
--- /dev/null
+++ b/ponddoor/node/serving.py
@@ -0,0 +1,38 @@
+"""From the environment to a node that serves, with its log on standard error."""
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Mapping
+
+import structlog
+
+from ponddoor.node.process import Node
+from ponddoor.node.start import StartError, told
+
+
+def serve(environment: Mapping[str, str], early: list[int]) -> int:
+    """The exit status; `early` are signals that came before the loop had its handlers."""
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.make_filtering_bound_logger(20),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )  # fmt: skip
+    try:
+        path, place = told(environment)
+        node = Node(place)
+    except StartError as problem:
+        print(f"ponddoor.node: {problem}", file=sys.stderr)
+        return 2
+    if signal.SIGTERM in early:
+        node.end()
+    gc.collect()
+    gc.freeze()
+    try:
+        asyncio.run(node.run(path))
+    except OSError as problem:
+        print(f"ponddoor.node: {problem}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/ponddoor/node/viewers.py
@@ -0,0 +1,277 @@
+"""The shell towards viewers on the platform: binary messages on any number of connections.
+
+A set-up is answered on its connection and given up with it; a session that plays belongs to none."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from ponddoor.front import effects as fx
+from ponddoor.front.effects import Answer, Ask, Effect
+from ponddoor.front.engine import Engine
+from ponddoor.front.pump import SECOND, clock
+from ponddoor.node import viewer_codec as codec
+from ponddoor.node.board_codec import number_of
+
+SILENT = 2 * SECOND  # a connection that has brought nothing of use so long after it opened is closed
+HALF = 3 * SECOND // 2  # so is one that does not end a message it has begun
+OWED = 4096  # releases that wait for a connection from viewers
+OWED_TIME = 30 * SECOND
+SAID = 20  # lines about requests that can't be used
+BUFFERED = 1 << 18  # bytes that a viewer may leave unread
+log = structlog.get_logger("viewers")
+
+
+class _Wire(asyncio.Protocol):
+    """One connection of viewers. `proven` once something of use came."""
+
+    def __init__(self, viewers: "Viewers") -> None:
+        self.viewers, self.reader = viewers, codec.Reader()
+        self.transport: asyncio.Transport | None = None
+        self.waiting: dict[str, None] = {}
+        self.opened = self.used = clock()
+        self.proven = self.trusted = False
+        self.half_since: int | None = None
+
+    @property
+    def open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.viewers.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        messages, why = self.reader.feed(data)
+        for message in messages:
+            if not self.open:
+                return
+            self.viewers.take(self, message)
+        now = clock()
+        if why:
+            self.viewers.close_wire(self, "unreadable")
+        self.half_since = (self.half_since or now) if self.reader.partial else None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.viewers.closed(self)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is None or not self.open:
+            return
+        self.transport.write(data)
+        if self.transport.get_write_buffer_size() > BUFFERED:
+            self.viewers.count("does-not-read")
+            self.transport.abort()
+
+
+@dataclass(slots=True)
+class Viewers:
+    """All viewers of one front. At most `most` connections; `attend` is told where sessions play."""
+
+    engine: Engine
+    apply: Callable[[Callable[[int], list[Effect]]], None]
+    attend: Callable[[int], None]
+    groups: tuple[str, ...]
+    most: int
+    ready: bool = False
+    wires: dict[_Wire, None] = field(default_factory=dict)
+    waiting: dict[str, _Wire] = field(default_factory=dict)
+    standing: dict[str, _Wire] = field(default_factory=dict)
+    owed: deque[tuple[int, bytes]] = field(default_factory=deque)
+    counts: dict[str, int] = field(default_factory=dict)
+    _server: asyncio.Server | None = None
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen. Raises OSError where the address can't be had."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Wire(self), host, port, backlog=1024)
+
+    # Connections
+
+    def opened(self, wire: _Wire) -> None:
+        """Guards against crowds of connections: an idle one makes room, else the new one ends."""
+        if len(self.wires) >= self.most:
+            idle = [one for one in self.wires if not one.waiting]
+            if not idle:
+                self.close_wire(wire, "too-many-connections")
+                return
+            used = set(map(id, self.standing.values()))
+            self.close_wire(min(idle, key=lambda one: (one.proven, id(one) in used, one.used)), "made-room")
+        self.wires[wire] = None
+
+    def close_wire(self, wire: _Wire, why: str) -> None:
+        self.count(why)
+        self.wires.pop(wire, None)
+        if wire.transport is not None:
+            wire.transport.close()
+            if wire.transport.get_write_buffer_size():
+                asyncio.get_running_loop().call_later(1.0, wire.transport.abort)
+        self._give_up(wire)
+
+    def closed(self, wire: _Wire) -> None:
+        self.wires.pop(wire, None)
+        self._give_up(wire)
+
+    def _give_up(self, wire: _Wire) -> None:
+        """Set-ups end with their connection, sessions that play do not."""
+        waiting, wire.waiting = wire.waiting, {}
+        for sess in waiting:
+            self._left(sess)
+
+    def _left(self, sess: str) -> None:
+        wire = self.waiting.pop(sess, None)
+        if wire is not None:
+            wire.waiting.pop(sess, None)
+        self.standing.pop(sess, None)
+        self.apply(lambda now: self.engine.left(now, sess))
+
+    # Messages
+
+    def take(self, wire: _Wire, message: codec.Message) -> None:
+        wire.used = clock()
+        match message:
+            case codec.Asked():
+                self._asked(wire, message)
+            case codec.Unusable(sess, why):
+                self._unusable(wire, sess, why)
+            case codec.Ended(sess):
+                if sess in self.waiting or sess in self.standing:
+                    wire.proven = True
+                    self._left(sess)
+            case codec.Tested(sess):
+                wire.proven = True
+                wire.write(codec.tested(sess, self.ready))
+
+    def _asked(self, wire: _Wire, asked: codec.Asked) -> None:
+        plant, ladder = self.engine.facts.plant, self.engine.facts.ladder
+        usable = (
+            asked.group in self.groups
+            and asked.home < plant.cells
+            and asked.span <= plant.cells
+            and asked.top < len(ladder.rate_kb)
+        )
+        if not usable:
+            self._unusable(wire, asked.sess, "out of range")
+            return
+        ask = Ask(
+            asked.title,
+            self.groups.index(asked.group),
+            0,
+            asked.home,
+            asked.span,
+            asked.top,
+            asked.wait,
+            asked.length,
+            asked.viewer,
+            asked.again,
+            False,
+            asked.description,
+        )
+        sess, known = asked.sess, self.engine.find(asked.sess) is not None
+        wire.proven = True
+        if asked.at:
+            if not known:
+                server = number_of(asked.at)
+                self.standing[sess] = wire
+                self.apply(lambda now: self.engine.handed_over(now, sess, ask, server))
+                self.attend(server)
+            return
+        if known:
+            self._again(wire, sess)
+            return
+        self.waiting[sess] = wire
+        wire.waiting[sess] = None
+        self.apply(lambda now: self.engine.request(now, sess, ask, None)[1])
+
+    def _again(self, wire: _Wire, sess: str) -> None:
+        """Guards against an id used twice: the session that has it, if another's, is left as it is."""
+        self.count("id-used-twice")
+        if self.waiting.get(sess) is wire:
+            self._left(sess)
+            wire.write(codec.failed(sess))
+        elif wire.waiting:
+            wire.write(codec.failed(sess))
+        else:
+            self.close_wire(wire, "closed-for-id")
+
+    def _unusable(self, wire: _Wire, sess: str, why: str) -> None:
+        self.count("unusable")
+        if self.counts["unusable"] <= SAID:
+            log.info("unusable", session=sess, why=why)
+        if self.engine.find(sess) is not None:
+            self._again(wire, sess)
+        else:
+            wire.write(codec.failed(sess))
+
+    # What the engine wants
+
+    def carry_out(self, effect: fx.Reply | fx.Push) -> None:
+        match effect:
+            case fx.Reply(sess, answer):
+                self._reply(sess, answer)
+            case fx.Push(sess, "ended", why):
+                wire = self.standing.pop(sess, None)
+                if wire is not None and why != "viewer-gone":
+                    self._release(wire, codec.over(sess, why == "lost"))
+            case fx.Push(sess, "moved"):
+                wire = self.standing.pop(sess, None)
+                if wire is not None:
+                    self._release(wire, codec.moved(sess))
+
+    def _reply(self, sess: str, answer: Answer) -> None:
+        wire = self.waiting.pop(sess, None)
+        if wire is None:
+            return
+        wire.waiting.pop(sess, None)
+        match answer.kind:
+            case "playing":
+                wire.trusted = True
+                self.standing[sess] = wire
+                wire.write(codec.stands(sess, answer.passed))
+            case "busy":
+                wire.write(codec.busy(sess, answer.come_back))
+            case "torn-down":
+                wire.write(codec.failed(sess))
+
+    def _release(self, wire: _Wire, message: bytes) -> None:
+        """On the session's own connection, else on one that sessions came by, else on the next that opens."""
+        if not wire.open:
+            wire = next((one for one in reversed(self.wires) if one.trusted and one.open), wire)
+        if wire.open:
+            wire.write(message)
+        elif len(self.owed) < OWED:
+            self.owed.append((clock(), message))
+        else:
+            self.count("too-many-owed")
+
+    def look(self, now: int) -> None:
+        """Called every quarter of a second or so."""
+        for wire in list(self.wires):
+            if wire.half_since is not None and now - wire.half_since > HALF:
+                self.close_wire(wire, "half-a-message")
+            elif not wire.proven and now - wire.opened > SILENT:
+                self.close_wire(wire, "silent")
+        proven = next((one for one in reversed(self.wires) if one.proven and one.open), None)
+        while self.owed and (proven is not None or now - self.owed[0][0] > OWED_TIME):
+            _, message = self.owed.popleft()
+            if proven is not None:
+                proven.write(message)
+
+    async def close(self) -> None:
+        """End every connection once what was written to it has left."""
+        if self._server is not None:
+            self._server.close()
+        for wire in list(self.wires):
+            if wire.transport is not None:
+                wire.transport.close()
+        for _ in range(20):
+            if not any(w.transport is not None and w.transport.get_write_buffer_size() for w in self.wires):
+                return
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/ponddoor/platform/facts.py
@@ -0,0 +1,89 @@
+"""The platform's settings, a JSON object, as what a front is told at its start. Its words live only here."""
+
+import json
+import math
+from typing import Any
+
+from ponddoor.interface import facts as fx
+
+
+class MalformedError(Exception):
+    """The input does not follow the wire."""
+
+
+_EFFECTS = {"repeatable": fx.Effect.SAFE, "by_key": fx.Effect.KEYED, "once": fx.Effect.UNSAFE}
+_REPORTING = {"inline": fx.Reporting.INLINE, "on_probe": fx.Reporting.ON_PROBE, "off": fx.Reporting.OFF}
+_FIELDS = {"rif": "streams", "q": "waiting", "busy": "util", "lat_ms": "setup_ms", "rate": "setups_per_s",
+           "fail_rate": "failed_per_s", "x0": "link_asked", "x1": "uplink_asked"}
+
+
+def micros(ms: float) -> int:
+    """The wire's milliseconds as whole microseconds."""
+    if not math.isfinite(ms):
+        raise MalformedError(f"a time of {ms}")
+    return round(ms * 1000)
+
+
+def report_word(name: str) -> str:
+    """What we call a value of a load report."""
+    return _FIELDS.get(name, name)
+
+
+def site_facts(seed: int, text: bytes) -> tuple[fx.SiteFacts, tuple[str, ...]]:
+    """The settings as facts, and the names of the values in a load report. Raises MalformedError."""
+    try:
+        return _facts(seed, json.loads(text))
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as problem:
+        raise MalformedError(f"unusable settings: {problem!r}") from problem
+
+
+def list_names(text: bytes) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """The zones and the kinds of server by their numbers. Raises MalformedError."""
+    try:
+        raw = json.loads(text)
+        return tuple(map(str, raw["localities"])), tuple(map(str, raw["skus"]))
+    except (ValueError, KeyError, TypeError) as problem:
+        raise MalformedError(f"unusable settings: {problem!r}") from problem
+
+
+def _facts(seed: int, raw: dict[str, Any]) -> tuple[fx.SiteFacts, tuple[str, ...]]:
+    fam, safety, allow, prices = raw["specifics"], raw["safety"], raw["permissions"], raw["prices"]
+    groups = tuple(
+        fx.ServiceGroup(
+            name=lane["name"], start_target=micros(lane["aim"]), setup_timeout=micros(lane["deadline"]),
+            utility=lane["value"], effect=_EFFECTS[lane["semantics"]],
+            scope=fx.Scope(lane.get("group", "all")), memory=micros(lane.get("memorySpan", 0)),
+            floor=fam["floorByClass"][i], top=fam["classTop"][i], seats=fam["classSeats"][i],
+            live=fam["live"][i], rate_factor=fam["rateFactor"][i])
+        for i, lane in enumerate(raw["lanes"]))
+    names = tuple(map(report_word, raw["reporting"]["fields"]))
+    spare = safety.get("spareAttempts")
+    share = safety.get("resendRatio")
+    limited = bool(safety.get("ratioSpan")) and (spare is not None or share is not None)
+    facts = fx.SiteFacts(
+        me=raw["me"], fronts=raw["balancers"], zone=raw["zone"], seed=seed,
+        asked_discovery=raw["discovery"] == "on_request", reporting=_REPORTING[raw["reporting"]["how"]],
+        report_fields=names, over_share_utility=raw.get("overShareWorth", 1.0), groups=groups,
+        tenants=tuple(fx.Tenant(unit["name"], unit["quotaPerS"], unit["share"])
+                      for unit in raw.get("accounts", ())),
+        ladder=fx.Ladder(tuple(fam["rungKb"]), tuple(fam["ladderWorth"]), fam["changeCostsS"],
+                         fam["shortfallCost"], fam.get("join", 1.0)),
+        plant=fx.Plant(
+            cells=fam["positions"], racks=fam["groups"], kb_per_weight=fam["kbPerWeight"],
+            uplink_kb=fam["rackKb"], streams=tuple(fam["kindStreams"]), refuse_at=fam.get("guard", 0.0),
+            note_delay=micros(fam.get("toldLate", 0)), note_every=micros(fam.get("tell", 0))),
+        rules=fx.Rules(
+            cold=micros(safety["cold"]), cold_from=safety["coldFrom"],
+            drain_grace=micros(safety["drainGrace"]), fall_multiple=safety["fallMultiple"],
+            fall=micros(safety["fall"]), answer_grace=micros(safety["graceToAnswer"]),
+            ask_every=micros(safety.get("askEvery", 0)),
+            spare_setups=int(spare or 0) if limited else None, resend_ratio=share or 0.0,
+            resend_span=micros(safety.get("ratioSpan", 0))),
+        permissions=fx.Permissions(
+            probes=allow["probes"], messages=allow["mayTell"], cancel=allow["cancelling"],
+            max_attempts=allow["maxAttempts"], come_back=allow["retryAfter"],
+            max_come_back=micros(allow["maxRetryAfter"]),
+            connect_timeout=micros(allow["connectTimeout"])),
+        prices=fx.Prices(cross_zone=prices["crossZone"], probe=prices["probe"], message=prices["peer"],
+                         move=prices["moves"]))
+    return facts, names
--- a/ponddoor/settings/site.py
+++ b/ponddoor/settings/site.py
@@ -9,6 +9,7 @@
 
 from ponddoor.interface import facts as fx
 from ponddoor.settings.check import Form, top_form
+from ponddoor.settings.limits import Limits
 from ponddoor.settings.sexpr import Node, Problem, SettingsError, parse, read
 
 Address = tuple[str, int]
@@ -34,26 +35,6 @@
         return self.listed.get(title, self.unlisted)
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """What one front takes at most. Times in microseconds, sizes in bytes."""
-
-    in_hand: int
-    held: int
-    connections: int
-    per_address: int
-    header_bytes: int
-    body_bytes: int
-    header_time: int
-    idle_time: int
-    write_time: int
-    loop_lag: int
-    repeats: int
-    repeat_time: int
-    followers: int
-    drain_time: int
-
-
 @dataclass(frozen=True, slots=True)
 class ServerSide:
     """How a front reaches media servers."""
--- a/ponddoor/simhost/__main__.py
+++ b/ponddoor/simhost/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from ponddoor.simhost.codec import MalformedError
+from ponddoor.platform.facts import MalformedError
 from ponddoor.simhost.host import serve
 
 
--- a/ponddoor/simhost/host.py
+++ b/ponddoor/simhost/host.py
@@ -5,6 +5,7 @@
 
 from ponddoor.decide import Front
 from ponddoor.interface.events import Event
+from ponddoor.platform.facts import MalformedError, micros
 from ponddoor.runtime.driver import Driver
 from ponddoor.simhost import codec
 
@@ -17,12 +18,12 @@
     drivers: dict[int, Driver] = {}
     while header := source.read(_HEADER.size):
         if len(header) < _HEADER.size:
-            raise codec.MalformedError("a batch's header is cut short")
+            raise MalformedError("a batch's header is cut short")
         size, clock, count = _HEADER.unpack(header)
         body = source.read(size)
         if len(body) < size:
-            raise codec.MalformedError(f"a batch of {size} bytes ends after {len(body)}")
-        now, replies = codec.micros(clock), []
+            raise MalformedError(f"a batch of {size} bytes ends after {len(body)}")
+        now, replies = micros(clock), []
         for front, event in reader.batch(body, count):
             replies.append(_handle(drivers, front, now, event))
         sink.write(codec.frame(b"".join(replies)))
@@ -39,9 +40,9 @@
             drivers[front] = Driver(Front(event.facts, now))
             return b""
         if front not in drivers:
-            raise codec.MalformedError(f"an event for instance {front}, which is not running")
+            raise MalformedError(f"an event for instance {front}, which is not running")
         return codec.encode(front, drivers[front].handle(now, event))
-    except codec.MalformedError:
+    except MalformedError:
         raise
     except Exception as problem:  # whatever the decisions raise is theirs: the wire has a word for it
         return codec.bail_out(front, f"{type(problem).__name__}: {problem}")
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ponddoor.simhost.codec import MalformedError
+from ponddoor.platform.facts import MalformedError
 from ponddoor.simhost.host import serve
 
 FACTS: dict[str, Any] = {
