An end is passed on where the session was given up before at the same server

Servers never answer a give-up, so an attempt stayed in servers.py _Wire.given_up; 2 of 5 sessions given up were set up again at the same server, and the end of the second attempt was then taken for the first's (take, case Ended).

--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -137,8 +137,11 @@
             self.servers.count("too-many-owed")
 
     def _write(self, wire: _Wire, item: Item) -> None:
+        log.debug("to-server", server=self.number, item=item)
         match item:
             case fx.SendSetup(sess, attempt, _, ask, rung, timeout):
+                # Guards against an end taken for that of an attempt given up here before, and not passed on.
+                wire.given_up.pop(sess, None)
                 wire.setups[sess] = attempt
                 wire.write(codec.setup(sess, ask, self.servers.groups[ask.service_group], rung, timeout))
             case fx.SendTeardown(sess, attempt):
@@ -175,7 +178,9 @@
 
     def take(self, wire: _Wire, line: bytes) -> None:
         """A line has come. What it says of sessions we do not know, or twice, is of no interest."""
-        match codec.read(line):
+        said = codec.read(line)
+        log.debug("server-says", server=self.number, said=said)
+        match said:
             case codec.Stands(sess, passed):
                 attempt = wire.setups.pop(sess, None)
                 if attempt is None:
--- a/ponddoor/node/serving.py
+++ b/ponddoor/node/serving.py
@@ -14,10 +14,11 @@
 
 def serve(environment: Mapping[str, str], early: list[int]) -> int:
     """The exit status; `early` are signals that came before the loop had its handlers."""
+    level = 10 if environment.get("PONDDOOR_LOG") == "debug" else 20
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer()],
-        wrapper_class=structlog.make_filtering_bound_logger(20),
+                    structlog.processors.JSONRenderer(default=repr)],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )  # fmt: skip
     try:
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -136,6 +136,7 @@
 
     def take(self, wire: _Wire, message: codec.Message) -> None:
         wire.used = clock()
+        log.debug("viewer-says", wire=id(wire), said=message)
         match message:
             case codec.Asked():
                 self._asked(wire, message)
@@ -213,6 +214,7 @@
     # What the engine wants
 
     def carry_out(self, effect: fx.Reply | fx.Push) -> None:
+        log.debug("to-viewer", effect=effect)
         match effect:
             case fx.Reply(sess, answer):
                 self._reply(sess, answer)
