--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -98,6 +98,7 @@
         self.board.begin(self.place)
         await self.viewers.start(*self.place.listen)
         self.viewers.ready = True
+        log.debug("facts", facts=self.place.facts, limits=self.place.sockets)
         log.info("node-started", name=self.place.name, me=self.place.facts.me, memory_kb=_memory())
         due, say = clock() + LOOK, clock() + SAY
         while not self._done(clock()):
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -1,8 +1,8 @@
 """One node on loopback under a scenario: viewers, servers and the notice board are played line by line.
 
-A line is `WHO DOES WHAT ...`. Sessions are small numbers; `v` and `w` name connections of viewers, `b` is the
-board, every other letter a server, bound to the first one that a line finds it at. `hears` and `gets` wait for
-the very next message; `hears nothing` asks for a test and expects its answer next."""
+A line is `WHO DOES WHAT ...`. Sessions are small numbers; `v` and `w` name viewers' connections, `b` the
+board, every other letter a server, bound to the first one that a line finds it at. `hears` and `gets` wait
+for the very next message; `hears nothing` asks for a test and expects its answer next."""
 
 import asyncio
 import contextlib
