A newcomer is told all, a burst probes once, a slow set-up is waited for, crowds evict less

Causes: decide.py telling told all each eighth time only, so the restarted front's account was not whole for 3 s and inquire probed two holders for each arrival (609 in that second); patience gave up at 153 ms while a set-up took 110 ms in the median, everywhere at once. node/viewers.py opened ranked a crowd that only sends tests (350 a second) before idle connections that sessions came by, and a new connection before all others. Change: who speaks after long silence is answered with all; a holder is probed once in a third of a second for arrivals; three times the usual set-up is waited for; who is closed first. Told to end, a node lets sessions play on.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -60,6 +60,7 @@
         self.sessions: dict[int, Sess] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.lengths: list[int] = []
+        self.lags: list[int] = []                   # how long the last set-ups took
         self.arrivals: list[int] = []               # when the last requests came
         self.taken: list[int] = []                  # requests within the budget's span
         self.resent: list[int] = []                 # further SETUPs within it
@@ -69,6 +70,7 @@
         self.hubs = [hub for hub in tells if hub != facts.me]
         self.asks = bool(self.hubs) and facts.me >= HUBS
         self.hub, self.answered, self.deaf, self.watching = facts.me % HUBS, now, False, False
+        self.newcomer = False                       # a front has spoken that we had not heard for long
         self.outlook, self.reckoned, self.usual_load = False, LONG_AGO, 0.0
         self.viewed, self.whole_since = LONG_AGO, now
         self.resize_every, self.tell_every = self.beats()
@@ -99,6 +101,7 @@
                 since = self.now - self.facts.rules.resend_span
                 self.taken = [*(at for at in self.taken if at > since), self.now]
             case ev.Started():
+                self.lags = [*self.lags[-29:], event.lag]
                 self.judge(self.servers[event.server], True)
             case ev.Ended():
                 self.learn_end(event)
@@ -219,6 +222,7 @@
             if word.whole:
                 for server in [s for s in self.servers.values() if s.peers.pop(message.peer, 0.0)]:
                     self.book(server)
+            self.newcomer |= word.whole and self.heard.get(message.peer, LONG_AGO) <= recent
             if word.whole or self.heard.get(message.peer, LONG_AGO) > recent:
                 self.heard[message.peer] = self.now  # long unheard, more than the last changes is missing
             for rate in [rate for rate in word.rates if rate.server in self.servers]:
@@ -526,12 +530,15 @@
         self.close(sess)
 
     def patience(self, sess: Sess) -> int:
-        """A set-up timeout that leaves time for another holder before the start target, if it can."""
+        """A set-up timeout that leaves time for another holder before the start target, if it can.
+
+        Guards against giving up everywhere what is only slow: three times the usual is waited for."""
         left = sess.deadline - self.now
         if sess.group.effect is Effect.UNSAFE or len(sess.attempts) >= self.facts.permissions.max_attempts:
             return left
         target = sess.deadline - sess.req.time_left + sess.group.start_target
-        return min(left, max((target - self.now) * 45 // 100, sess.group.start_target // 5))
+        usual = sorted(self.lags)[len(self.lags) // 2] if self.lags else 0
+        return min(left, max((target - self.now) * 45 // 100, sess.group.start_target // 5, 3 * usual))
 
     def commit(self, sess: Sess, server: Server) -> None:
         """A SETUP goes out: the account, the seats, the pace and the budget know it at once."""
@@ -615,9 +622,12 @@
                     if not self.barred(sess, s) and self.rested_until(s) <= self.now]
         near = [s for s in open_now if s.row.zone == self.facts.zone] or open_now
         first = self.chance.draw(max(len(near), 1))
-        for server in (near[first:] + near[:first])[:2]:
-            yield act.Probe(server.row.server)
-        yield act.Wait(until)
+        two = (near[first:] + near[:first])[:2]
+        for server in two:
+            if server.inquired <= self.now - REPORT_AGE:  # guards against a burst that asks the same twice
+                server.inquired = self.now
+                yield act.Probe(server.row.server)
+        yield act.Wait(min(until, max((s.inquired + ASK_WAIT for s in two), default=self.now)))
 
     def ask(self, question: words.Word, until: int) -> Script:
         """Ask a hub and wait a little; one that does not answer is given up for the next, without a wait."""
@@ -681,7 +691,7 @@
     def telling(self) -> Script:
         yield act.Wait(self.now + SECOND // 10)  # the sessions handed over are in by then
         for turn in itertools.count():
-            whole = turn % ALL_EVERY == 0
+            whole, self.newcomer = self.newcomer or turn % ALL_EVERY == 0, False  # who begins knows nothing
             yield from self.tell([s for s in self.servers.values() if s.heard or s.felt
                                   or s.said != s.own() or (whole and s.sessions)], whole)
             yield act.Wait(self.now + self.tell_every)
--- a/ponddoor/front/acting.py
+++ b/ponddoor/front/acting.py
@@ -23,6 +23,19 @@
         (front.now, front.viewed, front.outlook, front.whole_since, front.reckoned, front.usual_load) = kept
 
 
+def account(front: Front, now: int) -> list[tuple[str, int, int, int, int, float]]:
+    """What a front believes of each server that has not gone: its id, sessions held there, kB a second that
+    these ask, that all ask and that are idle, and for how many seconds it rests."""
+    with looking(front, now):
+        rows = [s for s in front.servers.values() if s.row.state is not ServerState.GONE]
+        idle = front.idles(rows, 1.0)
+        return [
+            (f"{s.row.server:08x}", len(s.sessions), round(s.own()), round(front.asked(s)),
+             round(idle[s.row.server]), max(front.rested_until(s) - now, 0) / 1e6)
+            for s in rows
+        ]  # fmt: skip
+
+
 @dataclass(slots=True)
 class Acting:
     """What acted when last looked: words such as `rest 17`."""
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -9,6 +9,7 @@
 
 from ponddoor.decide import Front
 from ponddoor.front import effects as fx
+from ponddoor.front.acting import account
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
 from ponddoor.front.limits import Gate, LagMeter
@@ -24,6 +25,7 @@
 LOOK = SECOND // 4
 SAY = 5 * SECOND
 LAST = 900_000  # us after SIGTERM, until which new requests may come
+STAY = 60 * SECOND  # and until which sessions, that end with it, may play on; the platform kills it sooner
 IN_HAND, HELD = 2000, 20_000  # sessions that wait, and all of them
 IDLE = 20 * SECOND  # a connection to a server that nothing depends on is closed; servers close them later
 SPARE = 64  # descriptors kept for everything but viewers and servers
@@ -33,14 +35,17 @@
 class Node:
     """Assembles a node; `run` until it is told to end."""
 
-    def __init__(self, place: Place) -> None:
+    def __init__(self, place: Place, watched: bool = False) -> None:
+        """With `watched` the log tells what is believed of each server, at each look."""
+        self.watched = watched
         self.place, facts, now = place, place.facts, clock()
         limits = Limits(
             in_hand=IN_HAND, held=HELD, connections=0, per_address=0, header_bytes=0, body_bytes=0,
             header_time=0, idle_time=0, write_time=0, loop_lag=1 << 60, repeats=0, repeat_time=0, followers=0,
             drain_time=0,
         )  # fmt: skip
-        self.engine = Engine(Front(facts, now), facts, Gate(limits, LagMeter(1 << 60)))
+        self.front = Front(facts, now)
+        self.engine = Engine(self.front, facts, Gate(limits, LagMeter(1 << 60)))
         self.pump = Pump(self.engine, self._carry_out)
         groups = tuple(group.name for group in facts.groups)
         apply = self.pump.apply
@@ -107,6 +112,8 @@
             self._most_lag, due = max(self._most_lag, now - due), max(due + LOOK, now)
             self.servers.look(now, IDLE)
             self.viewers.look(now)
+            if self.watched:
+                log.debug("account", rows=account(self.front, now))
             if now >= say:
                 say = now + SAY
                 self._say()
@@ -115,9 +122,8 @@
     def _done(self, now: int) -> bool:
         if self._told_to_end is None:
             return False
-        longest = max(group.setup_timeout for group in self.place.facts.groups)
         since = now - self._told_to_end
-        return since > LAST and (not (self.engine.in_hand or self.viewers.owed) or since > longest + LAST)
+        return since > LAST and (not (self.engine.held or self.viewers.owed) or since > STAY)
 
     def _say(self) -> None:
         counts, viewers, servers = self.engine.counts, self.viewers, self.servers
--- a/ponddoor/node/serving.py
+++ b/ponddoor/node/serving.py
@@ -23,7 +23,7 @@
     )  # fmt: skip
     try:
         path, place = told(environment)
-        node = Node(place)
+        node = Node(place, watched=level == 10)
     except StartError as problem:
         print(f"ponddoor.node: {problem}", file=sys.stderr)
         return 2
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -17,6 +17,7 @@
 from ponddoor.node.board_codec import number_of
 
 SILENT = 2 * SECOND  # a connection that has brought nothing of use so long after it opened is closed
+FRESH = SECOND // 4  # so long a new connection has to bring something before it makes room for others
 HALF = 3 * SECOND // 2  # so is one that does not end a message it has begun
 OWED = 4096  # releases that wait for a connection from viewers
 OWED_TIME = 30 * SECOND
@@ -43,6 +44,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        log.debug("opened", wire=id(self), here=len(self.viewers.wires))
         self.viewers.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -102,12 +104,26 @@
             if not idle:
                 self.close_wire(wire, "too-many-connections")
                 return
-            used = set(map(id, self.standing.values()))
-            self.close_wire(min(idle, key=lambda one: (one.proven, id(one) in used, one.used)), "made-room")
+            # One just opened is about to ask: closed for the next, a burst would end all but its last.
+            used, fresh = set(map(id, self.standing.values())), clock() - FRESH
+            rank = {
+                one: (not one.proven and one.opened > fresh, one.trusted, id(one) in used, one.used)
+                for one in idle
+            }
+            self.close_wire(min(idle, key=rank.__getitem__), "made-room")
         self.wires[wire] = None
 
     def close_wire(self, wire: _Wire, why: str) -> None:
         self.count(why)
+        log.debug(
+            "closing",
+            wire=id(wire),
+            why=why,
+            age=clock() - wire.opened,
+            proven=wire.proven,
+            trusted=wire.trusted,
+            waiting=len(wire.waiting),
+        )
         self.wires.pop(wire, None)
         if wire.transport is not None:
             wire.transport.close()
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -57,6 +57,7 @@
     notes: list[tuple[int, float]] = field(default_factory=list)  # (when, share delivered)
     peers: dict[int, float] = field(default_factory=dict)   # what other fronts last said to ask
     sent: int = LONG_AGO
+    inquired: int = LONG_AGO                # when it was last probed for an arrival
     heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
     felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
     said: float = 0.0                       # our rate there as last told
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -184,7 +184,7 @@
             return ev.Probed(int(plain[0]), 1000, result, options)
         req_id, (server, attempt) = int(plain[0]), self.sent[plain[0]]
         if what == "started":
-            return ev.Started(req_id, attempt, server, 100_000)
+            return ev.Started(req_id, attempt, server, options.get("lag", 100_000))
         if what == "left":
             return ev.ViewerLeft(req_id)
         if what == "note":
