Learning of links and blame of servers held against what the sockets carry

Causes, in decide.py: learn_end judged a server for each error, also of requests that no server can use (218 SETUPs of bad clients); gives divided known_at just after a loss by a report from before it (a tenth of the link learned), and learn_shortage took what a few new sessions asked for all that the uplink gives, regained 2% a second from there. Excluded: stale words of other fronts (theirs fell with the loss), the list (the new processes were known within 1 s). Change: what two servers fail alike rests none; nothing is learned while what is known changes fast around the report; a shortage leaves a quarter of the told uplink.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -34,10 +34,12 @@
 ARRIVALS = 60             # of which the moments are kept
 PAYS = 5.0                # a change of rung must earn its cost so many times over
 REPORT_AGE = SECOND // 3  # how old a report is taken to be when it comes
+STEADY = 0.7              # of the most known around a report, that must have been known all the time
 MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
 PROBE_POINTS = 0.01       # of service, that probing may cost
 NEAR = 0.5                # of the most idle, with which a holder of the own zone is taken
 REGAIN = 0.02             # of an uplink seen short, that is tried again each second
+LEAST = 0.25              # of a told uplink, that a shortage can leave
 TELL_EVERY = 2            # start targets
 ALL_EVERY = 8             # so many tellings, all is told and not only what changed
 HUBS = 3                  # fronts that are told of all sessions: the first by number
@@ -152,6 +154,11 @@
             server.lost = self.now
         if event.result is Result.FULL and self.facts.plant.refuse_at:
             self.load(server.link, self.now, max(self.facts.plant.refuse_at, 1.0))
+        elif event.result is Result.ERROR and (blamed := [self.servers[at] for at, _, end in sess.attempts
+                                                          if end is Result.ERROR and at != event.server]):
+            for other in blamed:  # guards against a request that no server can use: two say so, none rests
+                bad = [i for i, (_, well) in enumerate(other.ends) if not well]
+                other.ends = [end for i, end in enumerate(other.ends) if i not in bad[-1:]]
         elif event.result not in (Result.SERVED, Result.CANCELLED, Result.MOOT):
             self.judge(server, False)
         sess.attempts[event.attempt] = (*sess.attempts[event.attempt][:2], event.result)
@@ -196,8 +203,8 @@
         full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m.link))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
             self.load(server.link, taken, 1 / max(mild, 0.1))
-        elif "uplink_asked" not in self.facts.report_fields:
-            rack = self.rack(server)
+        elif ("uplink_asked" not in self.facts.report_fields
+              and self.steady(rack := self.rack(server), taken)):
             asked = rack.known_at(taken) if self.whole() else sum(map(self.asked, self.mates(server)))
             rack.short = (taken, asked * max(*short, 0.1))
 
@@ -330,16 +337,24 @@
         stops = math.inf if "link_asked" in self.facts.report_fields else 0.9
         seen = sorted(min(link.known_at(taken) / ratio, math.inf if ratio < stops else link.kb)
                       for taken, ratio in link.loads
-                      if ratio > 0.25 and taken > self.whole_since) if self.whole() else []
+                      if ratio > 0.25 and taken > self.whole_since and self.steady(link, taken)
+                      ) if self.whole() else []
         if seen:
             return min(max(seen[len(seen) // 2], link.kb * 0.1), link.kb * 1.6)
         return link.kb * min(1.0, least + (1 - least) * (self.now - server.started()) / cold)
 
+    def steady(self, pipe: Pipe, taken: int) -> bool:
+        """Guards against learning what a pipe gives from a report whose age is only guessed, while what is
+        known to be asked changes fast: after a loss a tenth would be learned. It may harm in a long rise."""
+        known = [pipe.known_at(taken + shift) for shift in (-REPORT_AGE, 0, REPORT_AGE)]
+        return min(known) >= STEADY * max(known)
+
     def gives_rack(self, rack: Pipe, total: float) -> float:
         """An uplink as told or, once short, as the shortage showed; while nobody is short, a little more."""
         since, uplink = rack.short or (self.born, rack.kb)
         if "uplink_asked" in self.facts.report_fields:
             return rack.kb
+        uplink = max(uplink, rack.kb * LEAST)
         return min(uplink * (1 + REGAIN * (self.now - since) / SECOND), max(uplink, rack.kb, total * 1.1))
 
     def gain(self, sess: Sess, rung: int) -> float:
