--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -586,7 +586,7 @@
         return [script() for want, script in wanted if want]
 
     def resizing(self) -> Script:
-        yield act.Wait(self.now + self.tell_every // 2 + self.resize_every * self.facts.me // max(1, self.facts.fronts))
+        yield act.Wait(self.now + SECOND + self.resize_every * self.facts.me // max(1, self.facts.fronts))
         while True:
             next_time = self.now + self.resize_every
             if self.sessions:
