--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from ponddoor.node import board as node_board
 from ponddoor.node import process as node_process
 from ponddoor.node import servers as node_servers
 from ponddoor.node import viewers as node_viewers
@@ -26,6 +27,7 @@
 
 PATIENCE = 5.0
 TIMES = {
+    "silence": (node_board, "SILENCE"),
     "gone": (node_servers, "GONE"),
     "quiet": (node_servers, "QUIET"),
     "silent": (node_viewers, "SILENT"),
@@ -141,7 +143,7 @@
     def given(self, *words: str) -> None:
         for name, _, value in (word.partition("=") for word in words):
             if name in TIMES:
-                self.patch.setattr(*TIMES[name], int(value))
+                self.patch.setattr(*TIMES[name], json.loads(value))
             elif name in ("servers", "sockets"):
                 setattr(self, name, int(value))
             else:
@@ -269,6 +271,7 @@
             "waiting": node.engine.in_hand,
             "servers": len(node.servers.links),
             "viewers": len(node.viewers.wires),
+            "listed": len(node.board.roster.entries),
             "version": node.board.roster.version,
             "standing": len(node.viewers.standing),
             "asked": len(node.viewers.waiting),
