One alias of the pump's way in, dead names out, the link's replacement read once

Found on reading the whole change: the type of Pump.apply was written five times (now front/pump.py Apply, also for front/servers and front/listing); node/servers copied an entry field by field where msgspec.structs.replace does it, and made a link in two places of learn; viewer_codec had constants nobody used and the same numbers in its match; node/board held a table that nothing filled; two docstrings named what is not there. Behaviour is as it was.

--- a/ponddoor/front/listing.py
+++ b/ponddoor/front/listing.py
@@ -10,8 +10,8 @@
 import msgspec
 import structlog
 
-from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
+from ponddoor.front.pump import Apply
 from ponddoor.front.roster import Entry, GapError, ListMessage, Roster, decode
 from ponddoor.interface import events as ev
 from ponddoor.settings.site import Site
@@ -29,7 +29,7 @@
     me: int
     roster: Roster
     engine: Engine
-    apply: Callable[[Callable[[int], list[Effect]]], None]
+    apply: Apply
     learned: Callable[[dict[int, Entry]], None]
     kept: Path | None
     reachable: bool = False
--- a/ponddoor/front/pump.py
+++ b/ponddoor/front/pump.py
@@ -9,6 +9,7 @@
 from ponddoor.front.engine import Engine
 
 SECOND = 1_000_000
+Apply = Callable[[Callable[[int], list[Effect]]], None]  # `Pump.apply`, as the shells know it
 
 
 def clock() -> int:
--- a/ponddoor/front/servers.py
+++ b/ponddoor/front/servers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +15,7 @@
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
 from ponddoor.front.hinting import Hinting
+from ponddoor.front.pump import Apply
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.settings.site import Site
@@ -58,8 +59,6 @@
     age_ms: float = 0.0
 
 
-Apply = Callable[[Callable[[int], list[Effect]]], None]
-
 
 @dataclass(slots=True)
 class _Link:
--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import structlog
 
-from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
+from ponddoor.front.pump import Apply
 from ponddoor.front.roster import Entry, GapError, Roster
 from ponddoor.interface import events as ev
 from ponddoor.node import board_codec
@@ -28,12 +28,11 @@
 
     roster: Roster
     engine: Engine
-    apply: Callable[[Callable[[int], list[Effect]]], None]
+    apply: Apply
     learned: Callable[[dict[int, Entry]], None]
     address: Address = ("", 0)
     breaks: int = 0
     _following: asyncio.Task[None] | None = None
-    _started: set[asyncio.Task[None]] = field(default_factory=set)
 
     def begin(self, place: Place) -> None:
         """The list of the start, then what follows."""
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -5,15 +5,15 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
 import structlog
 
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
-from ponddoor.front.pump import SECOND, clock
+from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.node import server_codec as codec
@@ -27,7 +27,6 @@
 OWED = 1000  # releases that a server out of reach is owed
 BUFFERED = 1 << 18  # bytes that a server may leave unread
 log = structlog.get_logger("servers")
-Apply = Callable[[Callable[[int], list[Effect]]], None]
 Item = fx.SendSetup | fx.SendTeardown | fx.SendRung | fx.SendProbe
 
 
@@ -298,18 +297,21 @@
         """The list in hand has changed."""
         for number, entry in entries.items():
             link = self.links.get(number)
-            if link is None:
-                self.links[number] = _Link(self, number, entry, heard_at=clock())
-                continue
-            if (link.entry.address, link.entry.started_us) != (entry.address, entry.started_us):
+            if link is not None and (link.entry.address, link.entry.started_us) != (
+                entry.address,
+                entry.started_us,
+            ):
                 self.lose(link)  # another process: what played there is over
                 self._fail(link)
                 link.close()
+                link = None
+            if link is None:
                 self.links[number] = _Link(self, number, entry, heard_at=clock())
-            link.entry = entry
+            else:
+                link.entry = entry
         for number in [number for number in self.links if number not in entries]:
             link = self.links[number]
-            link.entry = _gone(link.entry)
+            link.entry = msgspec.structs.replace(link.entry, state="gone")
             if link.wire is None:
                 self.lose(link)
             self._let_go(link)
@@ -386,7 +388,7 @@
             link.connect()
 
     def look(self, now: int, idle: int) -> None:
-        """Called every half a second or so."""
+        """Called every quarter of a second or so."""
         for link in list(self.links.values()):
             link.look(now, idle)
             self._let_go(link)
@@ -394,16 +396,3 @@
     def close(self) -> None:
         for link in self.links.values():
             link.close()
-
-
-def _gone(entry: Entry) -> Entry:
-    return Entry(
-        entry.server,
-        entry.address,
-        entry.zone,
-        entry.kind,
-        entry.cell,
-        "gone",
-        entry.weight,
-        entry.started_us,
-    )
--- a/ponddoor/node/viewer_codec.py
+++ b/ponddoor/node/viewer_codec.py
@@ -12,22 +12,11 @@
 MOST = 16_384  # bytes of a message
 _LONGEST_WAIT = 3_600_000.0  # ms
 _HEAD, _PARAMETER = struct.Struct(">HBQ"), struct.Struct(">BH")
-_ASK, _PROGRESS, _ANSWER, _RELEASE, _HEARD, _NOTE, _MOVE, _TEST, _TESTED, _RUNG = (
-    1,
-    6,
-    9,
-    12,
-    16,
-    44,
-    51,
-    52,
-    53,
-    60,
-)
+_ASK, _PROGRESS, _ANSWER, _RELEASE, _HEARD, _NOTE, _MOVE, _TEST, _TESTED = 1, 6, 9, 12, 16, 44, 51, 52, 53
 _FREE = frozenset((_PROGRESS, _HEARD, _NOTE, _TESTED))  # from viewers these mean nothing
 _GROUP, _WAIT, _AGAIN, _TITLE, _MORE, _COME_BACK, _LENGTH, _CAUSE, _DESCRIPTION = (
     129, 130, 132, 133, 134, 135, 139, 143, 144)  # fmt: skip
-_GIVEN_UP, _BUSY, _LOST, _FAILED, _OVER = 16, 34, 41, 47, 16
+_OVER, _BUSY, _LOST, _FAILED = 16, 34, 41, 47
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +64,7 @@
 
 @dataclass(slots=True)
 class Reader:
-    """Decodes one connection's bytes. `full` bounds what is kept to one message."""
+    """Decodes one connection's bytes; keeps no more than one message."""
 
     _rest: bytearray = field(default_factory=bytearray)
 
@@ -120,13 +109,12 @@
             raise UnreadableError(f"parameter {code}: {size} bytes told, {len(message) - at} there")
         parameters[code] = message[at : at + size]
         at += size
-    match kind:
-        case 1:
-            return _asked(sess, parameters)
-        case 12:
-            return Ended(sess)
-        case 52:
-            return Tested(sess)
+    if kind == _ASK:
+        return _asked(sess, parameters)
+    if kind == _RELEASE:
+        return Ended(sess)
+    if kind == _TEST:
+        return Tested(sess)
     if kind not in _FREE:
         raise UnreadableError(f"a message of type {kind}")
     return None
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -10,15 +10,15 @@
 import structlog
 
 from ponddoor.front import effects as fx
-from ponddoor.front.effects import Answer, Ask, Effect
+from ponddoor.front.effects import Answer, Ask
 from ponddoor.front.engine import Engine
-from ponddoor.front.pump import SECOND, clock
+from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.node import viewer_codec as codec
 from ponddoor.node.board_codec import number_of
 
 SILENT = 2 * SECOND  # a connection that has brought nothing of use so long after it opened is closed
-FRESH = SECOND // 4  # so long a new connection has to bring something before it makes room for others
 HALF = 3 * SECOND // 2  # so is one that does not end a message it has begun
+FRESH = SECOND // 4  # so long a new connection has to bring something before it makes room for others
 OWED = 4096  # releases that wait for a connection from viewers
 OWED_TIME = 30 * SECOND
 SAID = 20  # lines about requests that can't be used
@@ -75,7 +75,7 @@
     """All viewers of one front. At most `most` connections; `attend` is told where sessions play."""
 
     engine: Engine
-    apply: Callable[[Callable[[int], list[Effect]]], None]
+    apply: Apply
     attend: Callable[[int], None]
     groups: tuple[str, ...]
     most: int
