Our part of an uplink's idle; probes only for reports; raises by chance where many contend

In idles the part of a front was taken of a link's idle but not of its rack's: all fronts raised by the whole rest of an uplink. Probes: at sites that report in answers a probe tells only that a process runs, 2.7 a session were paid for nothing. Raises: with 130 fronts a tenth of the idle is under one step, so nobody raised; links stood at 0.4 with rungs at 0.6.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -32,7 +32,7 @@
 HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
 RESIZE_EVERY = 5          # start targets
 ARRIVALS = 60             # of which the moments are kept
-PAYS = 5.0                # a change of rung must earn its cost so many times over
+PAYS = 1.5                # a change of rung must earn its cost so many times over
 REPORT_AGE = SECOND // 3  # how old a report is taken to be when it comes
 STEADY = 0.7              # of the most known around a report, that must have been known all the time
 MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
@@ -76,6 +76,8 @@
         self.outlook, self.reckoned, self.usual_load = False, LONG_AGO, 0.0
         self.viewed, self.whole_since = LONG_AGO, now
         self.resize_every, self.tell_every = self.beats()
+        # A probe of a server that reports in answers tells no load, only that it runs: it is not worth its price
+        self.told_by_probes = facts.permissions.probes and facts.reporting is Reporting.ON_PROBE
         self.parts = [max(part, 1 / facts.fronts) for part in PARTS]
 
     def beats(self) -> tuple[int, int]:
@@ -179,6 +181,7 @@
                 sess.rung = round(note.value)
                 self.book(server)
             case ev.NoteKind.LINK_ASKED:
+                server.reported = note.value
                 self.load(server.link, taken, note.value)
             case ev.NoteKind.UPLINK_ASKED:
                 self.load(self.rack(server), taken, note.value)
@@ -197,6 +200,10 @@
             server.link.loads = [(at, ratio) for at, ratio in server.link.loads if ratio < 1 or at > taken]
         if mild >= 0.98 or len(server.notes) < 2:
             return
+        rack = self.rack(server)
+        if ("uplink_asked" in self.facts.report_fields and self.fresh(rack) and rack.loads[-1][1] >= 0.97
+                and server.reported < min(rack.loads[-1][1], 0.97)):
+            return self.load(rack, taken, max(1 / max(mild, 0.1), rack.loads[-1][1]))
         played = [m for m in self.mates(server) if m.sessions or any(m.peers.values())]
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
@@ -204,7 +211,7 @@
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
             self.load(server.link, taken, 1 / max(mild, 0.1))
         elif ("uplink_asked" not in self.facts.report_fields
-              and self.steady(rack := self.rack(server), taken)):
+              and self.steady(rack, taken)):
             asked = rack.known_at(taken) if self.whole() else sum(map(self.asked, self.mates(server)))
             rack.short = (taken, asked * max(*short, 0.1))
 
@@ -214,7 +221,7 @@
             if "link_asked" not in report and ratio >= 0.99 and server.notes and server.notes[-1][1] < 0.98:
                 ratio = 1 / max(server.notes[-1][1], 0.1)  # util stops at full: the notes tell how far over
             self.load(server.link, taken, ratio)
-            server.heard = (taken, ratio)
+            server.heard, server.reported = (taken, ratio), ratio
         if "uplink_asked" in report:
             self.load(self.rack(server), taken, report["uplink_asked"])
 
@@ -320,7 +327,7 @@
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
                 blind = 0 if whole else 1 if self.fresh(self.servers[at].link) else 2
-                ours = min(room * (part or self.parts[blind]), spare * room / positive) if room > 0 else room
+                ours = min(room, spare * room / positive) * (part or self.parts[blind]) if room > 0 else room
                 found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
             room = server.told[1] - server.own()
@@ -580,8 +587,7 @@
             self.sessions.pop(sess.req.req_id, None)
 
     def upkeep(self) -> Iterable[Script]:
-        probes = self.facts.permissions.probes and self.facts.reporting is not Reporting.OFF
-        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch), (probes, self.probing),
+        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch), (self.told_by_probes, self.probing),
                   (self.hubs, self.telling), (self.hubs and not self.asks, self.answering)]
         return [script() for want, script in wanted if want]
 
@@ -603,6 +609,8 @@
         contend = min(self.facts.fronts, max(CROWD, asked / max(own, 1.0)))  # fronts that raise there with us
         room = self.idles([server], 1 / contend)[server.row.server]
         room *= own / max(asked, own) if room < 0 else 1
+        if room > 0 and contend > CROWD:  # a part under a step would never be taken: some take a larger one
+            room *= contend / CROWD if self.chance.draw(1000) * contend < CROWD * 1000 else 0
         spent = sum(s.rate(s.rung) for s in mine)
         mine.sort(key=self.starving)  # of like gain they have the last step up, and the first down
         want = zip(mine, self.size(mine, spent + room, [self.usable(s) for s in mine]), strict=True)
@@ -631,7 +639,7 @@
         It covers hubs that are gone, and messages that are lost. It may harm where answers are slow."""
         req, until = sess.req, min(self.now + ASK_WAIT, sess.deadline)
         yield from self.ask(words.AskHolders(req.home, req.span, self.facts.zone), until)
-        if self.whole() or not self.facts.permissions.probes or (self.asks and not self.deaf):
+        if self.whole() or not self.told_by_probes or (self.asks and not self.deaf):
             return
         open_now = [s for s in self.servers.values()
                     if not self.barred(sess, s) and self.rested_until(s) <= self.now]
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -60,6 +60,7 @@
     inquired: int = LONG_AGO                # when it was last probed for an arrival
     heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
     felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
+    reported: float = 0.0                   # the link as last reported, whatever the notes of short delivery say
     said: float = 0.0                       # our rate there as last told
     told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a hub's word: when, idle and asked, without ours
     ours: float | None = None               # the sum of our sessions' rates, while it holds
