--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -309,11 +309,13 @@
     def hinted(self, server: Server) -> bool:
         return server.told[0] > self.now - self.tell_every
 
-    def idles(self, servers: list[Server], part: float) -> dict[int, float]:
+    def idles(self, servers: list[Server], part: float | None = None) -> dict[int, float]:
         """Told link less headroom and what is asked, capped by its share of its rack's idle uplink.
 
-        Every front sees the same idle at once, so we take but our `part` of the link's and the uplink's."""
+        Every front sees the same idle at once, so we take but our `part` of the link's; an arrival's part
+        is less where the load is guessed from others."""
         found: dict[int, float] = {}
+        whole = self.whole()
         for number in sorted({s.row.cell % len(self.racks) for s in servers}):
             rack, mates = self.racks[number], self.by_rack[number]
             asked = {s.row.server: self.asked(s) for s in mates}
@@ -324,11 +326,12 @@
             spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
-                ours = min(room, spare * room / positive) * part if room > 0 else room
+                blind = 0 if whole else 1 if self.fresh(self.servers[at].link) else 2
+                ours = min(room, spare * room / positive) * (part or self.parts[blind]) if room > 0 else room
                 found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
             room = server.told[1] - server.own()
-            found[server.row.server] = room * part if room > 0 else room
+            found[server.row.server] = room * (part or self.parts[0]) if room > 0 else room
         return {s.row.server: found.get(s.row.server, 0.0) for s in servers}
 
     def mates(self, server: Server) -> list[Server]:
@@ -415,7 +418,7 @@
         fit = ([s for s in fit if all(s.row.server != at for at, _, _ in sess.attempts)] or fit
                or [min(open_now, key=lambda s: (self.rested_until(s), s.row.server))])
         fit = list(filter(self.hinted, fit)) or fit
-        idle = self.idles(fit, 1.0)
+        idle = self.idles(fit)
         first = self.chance.draw(len(fit))  # fronts that see alike must not all take the same of equals
         by_idle = sorted(fit[first:] + fit[:first], key=lambda s: -idle[s.row.server])
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
@@ -425,17 +428,12 @@
             playing = [s for s in self.sessions.values() if s.began is not None]
             if sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
                 return None  # few could be cut to make room: one more costs the others more than it earns
-        ours = {s.row.server: idle[s.row.server] * self.part(s) for s in fit}
-        pooled = sum(max(0.0, kb) for kb in ours.values())
+        pooled = sum(max(0.0, kb) for kb in idle.values())
         sess.rung = self.size([sess], pooled, [self.usable(sess)])[0]
-        while sess.rung > sess.group.floor and sess.rate(sess.rung) > ours[best.row.server]:
+        while sess.rung > sess.group.floor and sess.rate(sess.rung) > idle[best.row.server]:
             sess.rung = self.size([sess], pooled, [sess.rung - 1])[0]
         return best
 
-    def part(self, server: Server) -> float:
-        """Of a holder's idle that an arrival may take: less, where the load is guessed from others."""
-        return self.parts[0 if self.whole() or self.hinted(server) else 1 if self.fresh(server.link) else 2]
-
     # The guard: every SETUP passes here, at the moment it is sent
 
     def barred(self, sess: Sess, server: Server, paced: bool = True) -> bool:
