--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -327,7 +327,7 @@
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
                 blind = 0 if whole else 1 if self.fresh(self.servers[at].link) else 2
-                ours = min(room, spare * room / positive) * (part or self.parts[blind]) if room > 0 else room
+                ours = min(room * (part or self.parts[blind]), spare * room / positive * (part or 1)) if room > 0 else room
                 found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
             room = server.told[1] - server.own()
