Holders ordered by fixed parts, an arrival's rung bounded by the arrivals that meet there

What others take before the account knows is the fleet's arrivals at one holder (our own times the fronts over the servers) in the age of a report (note delay and half the interval, both told).

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -44,7 +44,8 @@
 ALL_EVERY = 8             # so many tellings, all is told and not only what changed
 HUBS = 3                  # fronts that are told of all sessions: the first by number
 ASK_WAIT = SECOND // 12   # how long an answer of a hub or a probe is waited for
-MEET = 1.0
+# Of a holder's idle an arrival takes: where all that is asked is known, where a report came, and on a guess
+PARTS = (0.5, 0.34, 0.25)
 COLD_USE = 0.4            # of a cold server's pace, that the fronts expect to use together
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
 MEANS_AGE = 8 * SECOND     # how long a player's word on what it can take counts
@@ -75,6 +76,7 @@
         self.outlook, self.reckoned, self.usual_load = False, LONG_AGO, 0.0
         self.viewed, self.whole_since = LONG_AGO, now
         self.resize_every, self.tell_every = self.beats()
+        self.parts = [max(part, 1 / facts.fronts) for part in PARTS]
         # A probe of a server that reports in answers tells no load, only that it runs: it is not worth its price
         self.told_by_probes = facts.permissions.probes and facts.reporting is Reporting.ON_PROBE
 
@@ -313,7 +315,7 @@
         Every front sees the same idle at once, so we take but our `part` of the link's; an arrival's part
         is less where the load is guessed from others."""
         found: dict[int, float] = {}
-        mine = self.arrivals_part()
+        whole = self.whole()
         for number in sorted({s.row.cell % len(self.racks) for s in servers}):
             rack, mates = self.racks[number], self.by_rack[number]
             asked = {s.row.server: self.asked(s) for s in mates}
@@ -324,11 +326,12 @@
             spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
             positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
             for at, room in rooms.items():
-                ours = min(room, spare * room / positive) * (part or mine) if room > 0 else room
+                blind = 0 if whole else 1 if self.fresh(self.servers[at].link) else 2
+                ours = min(room * (part or self.parts[blind]), spare * room / positive * (part or 1)) if room > 0 else room
                 found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
             room = server.told[1] - server.own()
-            found[server.row.server] = room * (part or mine) if room > 0 else room
+            found[server.row.server] = room * (part or self.parts[0]) if room > 0 else room
         return {s.row.server: found.get(s.row.server, 0.0) for s in servers}
 
     def arrivals_part(self) -> float:
@@ -337,7 +340,7 @@
         ready = sum(s.row.state is ServerState.READY for s in self.servers.values())
         age = ASK_WAIT if self.whole() or self.asks else facts.plant.note_delay + facts.plant.note_every // 2
         meet = self.arrival_rate(10 * SECOND) * facts.fronts / max(ready, 1) * age / SECOND
-        return 1 / (1 + MEET * min(meet, (facts.fronts - 1)))
+        return 1 / (1 + min(meet, (facts.fronts - 1)))
 
     def mates(self, server: Server) -> list[Server]:
         return self.by_rack[server.row.cell % len(self.racks)]
@@ -435,7 +438,8 @@
                 return None  # few could be cut to make room: one more costs the others more than it earns
         pooled = sum(max(0.0, kb) for kb in idle.values())
         sess.rung = self.size([sess], pooled, [self.usable(sess)])[0]
-        while sess.rung > sess.group.floor and sess.rate(sess.rung) > idle[best.row.server]:
+        most = min(idle[best.row.server], self.idles([best], self.arrivals_part())[best.row.server])
+        while sess.rung > sess.group.floor and sess.rate(sess.rung) > most:
             sess.rung = self.size([sess], pooled, [sess.rung - 1])[0]
         return best
 
