A hub's account by rack and in sums; a gone server that is answered for is over

A gone server whose address a new one took was held as alive for good, as something answered there; it is over after a second now (servers.look).

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -51,6 +51,7 @@
 MEANS_AGE = 8 * SECOND     # how long a player's word on what it can take counts
 TAKES = 0.9               # of the throughput that a player measured, that a rung may use
 REST = SECOND             # a failing server's first rest; doubled with each further failure
+Standing = tuple[dict[int, float], float, float, dict[int, float], float]
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
@@ -76,8 +77,10 @@
         self.outlook, self.reckoned, self.usual_load = False, LONG_AGO, 0.0
         self.viewed, self.whole_since = LONG_AGO, now
         self.resize_every, self.tell_every = self.beats()
+        self.stood: dict[int, tuple[list[tuple[int, float]], int, Standing]] = {}
+        self.lasts = ASK_WAIT // 4 if self.hubs and not self.asks else 0
         self.parts = [max(part, 1 / facts.fronts) for part in PARTS]
-        # A probe of a server that reports in answers tells no load, only that it runs: it is not worth its price
+        # A probe of a server that reports in answers tells no load: it is not worth its price
         self.told_by_probes = facts.permissions.probes and facts.reporting is Reporting.ON_PROBE
 
     def beats(self) -> tuple[int, int]:
@@ -203,15 +206,15 @@
         rack = self.rack(server)
         if ("uplink_asked" in self.facts.report_fields and self.fresh(rack) and rack.loads[-1][1] >= 0.97
                 and server.reported < min(rack.loads[-1][1], 0.97)):
-            return self.load(rack, taken, max(1 / max(mild, 0.1), rack.loads[-1][1]))
+            self.load(rack, taken, max(1 / max(mild, 0.1), rack.loads[-1][1]))
+            return
         played = [m for m in self.mates(server) if m.sessions or any(m.peers.values())]
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m.link))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
             self.load(server.link, taken, 1 / max(mild, 0.1))
-        elif ("uplink_asked" not in self.facts.report_fields
-              and self.steady(rack, taken)):
+        elif "uplink_asked" not in self.facts.report_fields and self.steady(rack, taken):
             asked = rack.known_at(taken) if self.whole() else sum(map(self.asked, self.mates(server)))
             rack.short = (taken, asked * max(*short, 0.1))
 
@@ -234,14 +237,13 @@
                     server.told = (self.now, room.idle + room.theirs, room.asked - room.theirs)
         elif isinstance(word, words.Telling):
             if word.whole:
-                for server in [s for s in self.servers.values() if s.peers.pop(message.peer, 0.0)]:
-                    self.book(server)
+                self.forget(message.peer)
             self.newcomer |= word.whole and self.heard.get(message.peer, LONG_AGO) <= recent
             if word.whole or self.heard.get(message.peer, LONG_AGO) > recent:
                 self.heard[message.peer] = self.now  # long unheard, more than the last changes is missing
             for rate in [rate for rate in word.rates if rate.server in self.servers]:
                 server = self.servers[rate.server]
-                server.peers[message.peer] = rate.kb
+                server.hear(message.peer, rate.kb)
                 self.book(server)
                 if rate.share and (not server.notes or server.notes[-1][0] < self.now - rate.share.age):
                     self.learn_shortage(server, self.now - rate.share.age, rate.share.figure)
@@ -249,6 +251,11 @@
                 if rate.load and (not server.link.loads or server.link.loads[-1][0] < taken):
                     self.load(server.link, taken, rate.load.figure)
 
+    def forget(self, peer: int) -> None:
+        for server in [s for s in self.servers.values() if s.peers.get(peer)]:
+            server.hear(peer, 0.0)
+            self.book(server)
+
     def rack(self, server: Server) -> Pipe:
         return self.racks[server.row.cell % len(self.racks)]
 
@@ -266,15 +273,13 @@
     def book(self, server: Server) -> None:
         """What we know to be asked of a link and of its rack's uplink has changed."""
         server.changed()
-        recent = self.now - 4 * self.tell_every
-        heard = sum(kb for peer, kb in server.peers.items() if self.heard.get(peer, 0) > recent)
-        server.link.known = [*server.link.known[-39:], (self.now, server.own() + heard)]
+        server.link.known = [*server.link.known[-39:], (self.now, server.own() + server.theirs)]
         rack, in_all = self.rack(server), sum(s.link.known[-1][1] for s in self.mates(server))
         rack.known = [*rack.known[-99:], (self.now, in_all)]
 
     def whole(self) -> bool:
         """Whether most fronts' rates are known, so that all that is asked is."""
-        if self.viewed != self.now:
+        if self.viewed <= self.now - SECOND // 20:  # hubs of 200 fronts are asked a thousand times a second
             heard = sum(when > self.now - 4 * self.tell_every for when in self.heard.values())
             whole = self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1)
             self.whole_since = self.now if whole and not self.outlook else self.whole_since
@@ -314,34 +319,47 @@
 
         Every front sees the same idle at once, so we take but our `part` of the link's; an arrival's part
         is less where the load is guessed from others."""
-        found: dict[int, float] = {}
-        whole = self.whole()
-        for number in sorted({s.row.cell % len(self.racks) for s in servers}):
-            rack, mates = self.racks[number], self.by_rack[number]
-            asked = {s.row.server: self.asked(s) for s in mates}
-            rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
-            total = in_all = sum(asked.values())
-            if "uplink_asked" in self.facts.report_fields and self.fresh(rack):
-                total = self.unknown(rack) + rack.known[-1][1]
-            spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
-            positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
-            for at, room in rooms.items():
-                blind = 0 if whole else 1 if self.fresh(self.servers[at].link) else 2
-                ours = min(room * (part or self.parts[blind]), spare * room / positive * (part or 1)) if room > 0 else room
-                found[at] = ours if spare >= 0 else min(room, spare * asked[at] / max(in_all, 1.0))
+        found, whole = dict[int, float](), self.whole()
+        for server in servers:
+            at, link = server.row.server, server.link
+            rooms, spare, positive, asked, in_all = self.standing(server.row.cell % len(self.racks))
+            room, blind = rooms.get(at, 0.0), 0 if whole else 1 if self.fresh(link) else 2
+            share = min(room * (part or self.parts[blind]), spare * room / positive * (part or 1))
+            ours = share if room > 0 else room
+            found[at] = ours if spare >= 0 else min(room, spare * asked.get(at, 0.0) / max(in_all, 1.0))
         for server in filter(self.hinted, servers):
             room = server.told[1] - server.own()
             found[server.row.server] = room * (part or self.parts[0]) if room > 0 else room
-        return {s.row.server: found.get(s.row.server, 0.0) for s in servers}
+        return found
+
+    def standing(self, number: int) -> Standing:
+        """A rack's links and uplink: each link's room, the uplink's spare, and what is asked of them.
+
+        Kept until what we know of the rack changes, a hub's for a little: most of its time goes here."""
+        rack, mates = self.racks[number], self.by_rack[number]
+        if (held := self.stood.get(number)) and held[0] is rack.known and self.now - held[1] < self.lasts:
+            return held[2]
+        asked = {s.row.server: self.asked(s) for s in mates}
+        rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
+        total = in_all = sum(asked.values())
+        if "uplink_asked" in self.facts.report_fields and self.fresh(rack):
+            total = self.unknown(rack) + rack.known[-1][1]
+        spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
+        positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
+        stands = rooms, spare, positive, asked, in_all
+        self.stood[number] = (rack.known, self.now, stands)
+        return stands
 
     def arrivals_part(self) -> float:
         """Of a holder's idle that an arrival takes: as many others come there before the account knows."""
         facts = self.facts
-        ready = sum(s.row.state is ServerState.READY for s in self.servers.values())
         age = ASK_WAIT if self.whole() or self.asks else facts.plant.note_delay + facts.plant.note_every // 2
-        meet = self.arrival_rate(10 * SECOND) * facts.fronts / max(ready, 1) * age / SECOND
+        meet = self.arrival_rate(10 * SECOND) * facts.fronts / max(len(self.ready()), 1) * age / SECOND
         return 1 / (1 + min(meet, (facts.fronts - 1)))
 
+    def ready(self) -> list[Server]:
+        return [s for s in self.servers.values() if s.row.state is ServerState.READY]
+
     def mates(self, server: Server) -> list[Server]:
         return self.by_rack[server.row.cell % len(self.racks)]
 
@@ -596,8 +614,9 @@
             self.sessions.pop(sess.req.req_id, None)
 
     def upkeep(self) -> Iterable[Script]:
-        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch), (self.told_by_probes, self.probing),
-                  (self.hubs, self.telling), (self.hubs and not self.asks, self.answering)]
+        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch),
+                  (self.told_by_probes, self.probing), (self.hubs, self.telling),
+                  (self.hubs and not self.asks, self.answering)]
         return [script() for want, script in wanted if want]
 
     def resizing(self) -> Script:
@@ -677,13 +696,12 @@
         while True:
             got = yield act.Listen(None)
             word = words.unpack(got.payload) if isinstance(got, ev.PeerMessage) and self.whole() else None
-            ready = [s for s in self.servers.values() if s.row.state is ServerState.READY]
             match got, word:
                 case ev.PeerMessage(), words.AskOurs():
-                    about = [s for s in ready if s.peers.get(got.peer)]
+                    about = [s for s in self.ready() if s.peers.get(got.peer)]
                     idle = self.idles(about, 1.0)
                 case ev.PeerMessage(), words.AskHolders(home, span, zone):
-                    about = [s for s in ready if self.rested_until(s) <= self.now
+                    about = [s for s in self.ready() if self.rested_until(s) <= self.now
                              and (s.row.cell - home) % self.facts.plant.cells < span]
                     idle = self.idles(about, 1.0)
                     about.sort(key=lambda s: -idle[s.row.server] * (1.0 if s.row.zone == zone else NEAR))
@@ -699,7 +717,7 @@
     def probing(self) -> Script:
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
         for turn in itertools.count(1):
-            ready = [s for s in self.servers.values() if s.row.state is ServerState.READY]
+            ready = self.ready()
             if ready and not self.deaf:
                 first = len(ready) * self.facts.me // self.facts.fronts
                 yield act.Probe(ready[(first + turn) % len(ready)].row.server)
@@ -723,6 +741,9 @@
     def telling(self) -> Script:
         yield act.Wait(self.now + SECOND // 10)  # the sessions handed over are in by then
         for turn in itertools.count():
+            for peer in [peer for peer, at in self.heard.items() if at <= self.now - 4 * self.tell_every]:
+                self.forget(peer)  # what it asked is known no longer
+                del self.heard[peer]
             whole, self.newcomer = self.newcomer or turn % ALL_EVERY == 0, False  # who begins knows nothing
             yield from self.tell([s for s in self.servers.values() if s.heard or s.felt
                                   or s.said != s.own() or (whole and s.sessions)], whole)
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -22,6 +22,7 @@
 
 QUIET = 2 * SECOND  # a server that we depend on and that says nothing so long is asked for a sign of life
 GONE = 4_500_000  # and without one so long it is gone: sessions must be released 8 s after their end
+TAKEN = SECOND  # a server that is told gone so long and is answered for has lost its address to a new one
 HALF_A_LINE = SECOND // 4  # a line that takes longer than this to end does not end
 WAITING = 1000  # messages that wait for one connection
 OWED = 1000  # releases that a server out of reach is owed
@@ -78,6 +79,7 @@
     heard_at: int = 0
     used_at: int = 0
     sign_asked_at: int = 0
+    gone_since: int | None = None
 
     def say(self, item: Item) -> None:
         """Write a message, or keep it until the connection is there."""
@@ -245,6 +247,12 @@
             if needed and now - self.heard_at > GONE:
                 self._silent()
             return
+        if needed and self.entry.state == "gone":
+            # Guards against a new server that took the address: it answers for the one that has gone.
+            self.gone_since = self.gone_since or now
+            if now - self.gone_since > TAKEN:
+                self.broke(wire, "gone, and something answers there")
+                return
         needed = needed or bool(wire.setups)
         if wire.half_since is not None and now - wire.half_since > HALF_A_LINE:
             self.servers.count("half-a-line")
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -56,11 +56,12 @@
     ends: list[tuple[int, bool]] = field(default_factory=list)    # (when, whether it went well)
     notes: list[tuple[int, float]] = field(default_factory=list)  # (when, share delivered)
     peers: dict[int, float] = field(default_factory=dict)   # what other fronts last said to ask
+    theirs: float = 0.0                                      # and the sum of it
     sent: int = LONG_AGO
     inquired: int = LONG_AGO                # when it was last probed for an arrival
     heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
     felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
-    reported: float = 0.0                   # the link as last reported, whatever the notes of short delivery say
+    reported: float = 0.0                   # the link as last reported, whatever short notes say
     said: float = 0.0                       # our rate there as last told
     told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a hub's word: when, idle and asked, without ours
     ours: float | None = None               # the sum of our sessions' rates, while it holds
@@ -81,6 +82,14 @@
             self.ours = total
         return self.ours
 
+    def hear(self, peer: int, kb: float) -> None:
+        """What a front says to ask of it now."""
+        self.theirs += kb - self.peers.get(peer, 0.0)
+        self.peers[peer] = kb
+        if not kb:
+            del self.peers[peer]
+            self.theirs = self.theirs if self.peers else 0.0
+
     def changed(self) -> None:
         """Its sessions or their rungs are others now: what they ask is summed anew."""
         self.ours = None
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -30,6 +30,7 @@
     "silence": (node_board, "SILENCE"),
     "gone": (node_servers, "GONE"),
     "quiet": (node_servers, "QUIET"),
+    "taken": (node_servers, "TAKEN"),
     "silent": (node_viewers, "SILENT"),
     "half": (node_viewers, "HALF"),
     "half_a_line": (node_servers, "HALF_A_LINE"),
