What a session has left from time played over ends; a change of rung pays 1.5 times

Now all time played over all ends (halved after 60 ends). With that a change has to pay 1.5 times, not 3.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -32,7 +32,8 @@
 HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
 RESIZE_EVERY = 5          # start targets
 ARRIVALS = 60             # of which the moments are kept
-PAYS = 3.0                # a change of rung must earn its cost so many times over
+PAYS = 1.5                # a change of rung must earn its cost so many times over
+LENGTHS = 60              # ended sessions, after which what was learned of their lengths counts half
 REPORT_AGE = SECOND // 3  # how old a report is taken to be when it comes
 STEADY = 0.7              # of the most known around a report, that must have been known all the time
 MISSING = 4 * SECOND      # without a report for so long, short-delivery notes stand in
@@ -62,7 +63,7 @@
         self.racks = [Pipe(facts.plant.uplink_kb) for _ in range(max(1, facts.plant.racks))]
         self.sessions: dict[int, Sess] = {}
         self.seats: dict[tuple[int, int], int] = {}
-        self.lengths: list[int] = []
+        self.played, self.over = 0, 0               # how long sessions played in all, and how many ended
         self.lags: list[int] = []                   # how long the last set-ups took
         self.arrivals: list[int] = []               # when the last requests came
         self.taken: list[int] = []                  # requests within the budget's span
@@ -168,7 +169,7 @@
             self.judge(server, False)
         sess.attempts[event.attempt] = (*sess.attempts[event.attempt][:2], event.result)
         if event.result is Result.SERVED and sess.began is not None:
-            self.lengths = [*self.lengths[-29:], self.now - sess.began]
+            self.over += 1
         self.release(sess)
         if sess.over:
             self.close(sess)
@@ -628,6 +629,9 @@
             for server in [s for s in self.servers.values() if s.sessions]:
                 yield from self.resize(server)
             yield act.Wait(next_time)
+            self.played += self.resize_every * sum(s.began is not None for s in self.sessions.values())
+            if self.over > LENGTHS:
+                self.played, self.over = self.played // 2, self.over // 2
 
     def resize(self, server: Server) -> Script:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
@@ -653,10 +657,11 @@
         self.book(server)
 
     def earns(self, sess: Sess, rung: int) -> float:
-        """What a change of rung earns over the time the session is likely to have left, less its cost."""
+        """What a change of rung earns over the time the session is likely to have left, less its cost.
+
+        That is the time played in all over the ends seen: those that end first, early on, are the short ones."""
         ladder, played, hint = self.facts.ladder, self.now - (sess.began or self.now), sess.req.length_hint
-        longer = sorted(length for length in self.lengths if length > played)
-        left = longer[len(longer) // 2] - played if longer else max(played, self.resize_every)
+        left = max(self.played // (self.over + 1), self.resize_every)
         left = left if hint is None else max(hint - played, 0)
         more = ladder.utility[rung] - ladder.utility[sess.rung]
         return sess.group.utility * (more * left / SECOND - PAYS * ladder.switch_cost_s)
