The floor comes before small screens; a sign of life after four seconds, gone after 6.5

Test rule_floor_over_small_screens fails before. The protocol wants viewers told within 8 s of a session's end: gone after 6.5 s, asked at 4 s.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -399,7 +399,7 @@
 
     def size(self, sessions: list[Sess], budget: float, caps: list[int]) -> list[int]:
         """The design's loop: all at the lowest rung, then a step for whoever gains most utility per rate."""
-        rungs = [min(sess.group.floor, sess.top) for sess in sessions]
+        rungs = [sess.group.floor for sess in sessions]  # also of who can use less: the terms come first
         budget -= sum(sess.rate(rung) for sess, rung in zip(sessions, rungs, strict=True))
         steps = [(-self.gain(sess, rung + 1), i)
                  for i, (sess, rung) in enumerate(zip(sessions, rungs, strict=True)) if rung < caps[i]]
@@ -659,7 +659,7 @@
     def earns(self, sess: Sess, rung: int) -> float:
         """What a change of rung earns over the time the session is likely to have left, less its cost.
 
-        That is the time played in all over the ends seen: those that end first, early on, are the short ones."""
+        That is all time played over the ends seen: those that end first, early on, are the short ones."""
         ladder, played, hint = self.facts.ladder, self.now - (sess.began or self.now), sess.req.length_hint
         left = max(self.played // (self.over + 1), self.resize_every)
         left = left if hint is None else max(hint - played, 0)
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -20,8 +20,8 @@
 from ponddoor.node.lines import Lines, UnreadableError
 from ponddoor.web.timing import within
 
-QUIET = 2 * SECOND  # a server that we depend on and that says nothing so long is asked for a sign of life
-GONE = 4_500_000  # and without one so long it is gone: sessions must be released 8 s after their end
+QUIET = 4 * SECOND  # a server that we depend on and that is silent so long is asked for a sign of life
+GONE = 6_500_000  # and without one so long it is gone: sessions must be released 8 s after their end
 TAKEN = SECOND  # a server that is told gone so long and is answered for has lost its address to a new one
 HALF_A_LINE = SECOND // 4  # a line that takes longer than this to end does not end
 WAITING = 1000  # messages that wait for one connection
