Impossible terms of a group end the start: floor, seats, effect

Need: a front told of a floor above the ladder or of an unknown effect would break a term or serve nobody; the start ended with a KeyError's text or not at all. Change: platform/facts says in one line which group and why (exit status 2), for the node and the adapter alike; our own settings checked floor and effect before. Test: test_terms_that_nobody_can_keep, four cases, none of which ended with these words before.

--- a/ponddoor/platform/facts.py
+++ b/ponddoor/platform/facts.py
@@ -46,16 +46,33 @@
         raise MalformedError(f"unusable settings: {problem!r}") from problem
 
 
+def _effect(word: str) -> fx.Effect:
+    if word not in _EFFECTS:
+        raise MalformedError(f"an effect of {word!r}; there are {', '.join(_EFFECTS)}")
+    return _EFFECTS[word]
+
+
+def _possible(group: fx.ServiceGroup, rungs: int) -> None:
+    """Guards against terms that no session can keep: a front with them would break one or serve nobody."""
+    most = min(group.top, rungs - 1)
+    if not 0 <= group.floor <= most:
+        raise MalformedError(f"group {group.name}: floor {group.floor}, its highest rung is {most}")
+    if group.seats < 0:
+        raise MalformedError(f"group {group.name}: {group.seats} seats; 0 means that they are not counted")
+
+
 def _facts(seed: int, raw: dict[str, Any]) -> tuple[fx.SiteFacts, tuple[str, ...]]:
     fam, safety, allow, prices = raw["specifics"], raw["safety"], raw["permissions"], raw["prices"]
     groups = tuple(
         fx.ServiceGroup(
             name=lane["name"], start_target=micros(lane["aim"]), setup_timeout=micros(lane["deadline"]),
-            utility=lane["value"], effect=_EFFECTS[lane["semantics"]],
+            utility=lane["value"], effect=_effect(lane["semantics"]),
             scope=fx.Scope(lane.get("group", "all")), memory=micros(lane.get("memorySpan", 0)),
             floor=fam["floorByClass"][i], top=fam["classTop"][i], seats=fam["classSeats"][i],
             live=fam["live"][i], rate_factor=fam["rateFactor"][i])
         for i, lane in enumerate(raw["lanes"]))
+    for group in groups:
+        _possible(group, len(fam["rungKb"]))
     names = tuple(map(report_word, raw["reporting"]["fields"]))
     spare = safety.get("spareAttempts")
     share = safety.get("resendRatio")
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -82,6 +82,25 @@
     assert process.returncode == 2 and said.count("\n") == 1 and said.startswith("ponddoor.node: "), said
 
 
+@pytest.mark.parametrize(
+    ("part", "terms", "words"),
+    [
+        ("specifics", {"floorByClass": [9]}, "group talks: floor 9"),
+        ("specifics", {"floorByClass": [-1]}, "group talks: floor -1"),
+        ("specifics", {"classSeats": [-1]}, "group talks: -1 seats"),
+        ("lanes", {"semantics": "twice"}, "an effect of 'twice'"),
+    ],
+)
+def test_terms_that_nobody_can_keep(
+    tmp_path: Path, part: str, terms: dict[str, object], words: str
+) -> None:
+    settings = deepcopy(FACTS) | {"localities": ["north"], "skus": ["box"]}
+    (settings[part][0] if part == "lanes" else settings[part]).update(terms)
+    process = start(told(tmp_path, settings=settings))
+    _, said = process.communicate(timeout=20)
+    assert process.returncode == 2 and said.count("\n") == 1 and words in said, said
+
+
 def test_a_missing_variable_and_a_missing_file(tmp_path: Path) -> None:
     environment = told(tmp_path)
     for wrong in (
