A rack's standing is reckoned once for a look at its servers, not once for each

Cause: read in the whole change: idles asked standing for each server; only hubs keep it, so every other front reckoned a rack again for each of its servers, on every placement. Once for each rack now; the same figures, the same actions.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -321,9 +321,11 @@
         Every front sees the same idle at once, so we take but our `part` of the link's; an arrival's part
         is less where the load is guessed from others."""
         found, whole = dict[int, float](), self.whole()
+        numbers = {s.row.server: s.row.cell % len(self.racks) for s in servers}
+        stands = {number: self.standing(number) for number in set(numbers.values())}
         for server in servers:
             at, link = server.row.server, server.link
-            rooms, spare, positive, asked, in_all = self.standing(server.row.cell % len(self.racks))
+            rooms, spare, positive, asked, in_all = stands[numbers[at]]
             room, blind = rooms.get(at, 0.0), 0 if whole else 1 if self.fresh(link) else 2
             share = min(room * (part or self.parts[blind]), spare * room / positive * (part or 1))
             ours = share if room > 0 else room
