Tries at the list are spread over the fleet and bounded in an outage

Seen: 200 nodes reached the board within 0.7 s of a start; a board that turned them away got 2.0 tries a node a second in step for ever (node/board.py: 0.05 s doubled to 0.5 s, no chance in it; front/listing.py: a fixed retry). Losses are told apart (refused, late, silent, broken, turned away with a time). A list has further addresses; a kept list that is cut off, damaged or of another layout is told apart, a whole one with its age. Measured in virtual time (tests/front/test_coming.py): 20 to 5000 fronts, peak over mean at most 3 in 10 and 100 ms.

--- a/ponddoor/front/listing.py
+++ b/ponddoor/front/listing.py
@@ -10,14 +10,16 @@
 import msgspec
 import structlog
 
+from ponddoor.front.coming import Coming, Loss
 from ponddoor.front.engine import Engine
-from ponddoor.front.pump import Apply
-from ponddoor.front.roster import Entry, GapError, ListMessage, Roster, decode
+from ponddoor.front.pump import SECOND, Apply, clock
+from ponddoor.front.roster import Entry, GapError, Kept, ListMessage, Roster, decode
+from ponddoor.front.words import wall
 from ponddoor.interface import events as ev
 from ponddoor.settings.site import Site
-from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
+from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool, TurnedAwayError
 
-SECOND = 1_000_000
+CONNECT = 1.0  # s
 log = structlog.get_logger("list")
 
 
@@ -32,19 +34,27 @@
     apply: Apply
     learned: Callable[[dict[int, Entry]], None]
     kept: Path | None
+    coming: Coming
     reachable: bool = False
     failures: int = 0
+    _due: int = 0
+    _turn: int = 0
     _watching: asyncio.Task[None] | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def begin(self) -> None:
-        """The list that was kept, or none; then the news, where it is pushed."""
-        kept = self.kept.read_bytes() if self.kept is not None and self.kept.exists() else b""
-        if kept and not self.roster.restore(kept):
-            log.warning("kept-list-damaged", file=str(self.kept))
+        """The list that was kept, however old, or none; then the news, where it is pushed."""
+        data = self.kept.read_bytes() if self.kept is not None and self.kept.exists() else b""
+        found, written = self.roster.restore(data)
+        if found is Kept.WHOLE:
+            age = max(wall() - written, 0) // SECOND if written else None
+            log.info("list-at-hand", servers=len(self.roster.entries), age_s=age, version=self.roster.version)
+        elif found is not Kept.NONE:
+            log.warning("kept-list-not-taken", why=found.value, file=str(self.kept))
         rows = self.roster.rows()
         self.learned(self.roster.entries)
         self.apply(lambda now: self.engine.news(now, ev.NewsScope.CACHED, rows))
+        self._due = self.coming.start(clock())
         if not self.site.facts.asked_discovery:
             self.watch(True)
 
@@ -61,39 +71,55 @@
         task.add_done_callback(self._tasks.discard)
 
     def _pool(self) -> Pool:
-        host, port = self.site.listing.address
-        return Pool(host, port, 4, 1.0, 5.0, most_body=50_000_000)
+        """Guards against one address that is slow or half dead: each failure turns to the next."""
+        addresses = (self.site.listing.address, *self.site.listing.others)
+        host, port = addresses[(self.me + self._turn) % len(addresses)]
+        return Pool(host, port, 4, CONNECT / len(addresses), 5.0, most_body=50_000_000)
 
     async def _watch(self) -> None:
         """Where the list is pushed it is asked for again and again; where it is asked, the decisions ask."""
         once = self.site.facts.asked_discovery
-        silence, retry = self.site.listing.silence / SECOND, self.site.listing.retry / SECOND
         while True:
-            pool = self._pool()
-            path = f"/watch?front={self.me}&list={self.roster.list_id}&version={self.roster.version}"
-            try:
-                async for line in pool.lines(path, silence, 50_000_000):
-                    message = decode(line)
-                    if not self.reachable:
-                        self.reachable = True
-                        log.info("list-reached", version=message.version)
-                    self._take(message)
-            except GapError as problem:
-                log.info("list-gap", why=str(problem))
-                self.roster.list_id, self.roster.version = "", 0
-                if not once:
-                    continue
-            except (BrokenError, LateError, NotSentError, msgspec.MsgspecError) as problem:
-                self.failures += 1
-                if self.reachable:
-                    self.reachable = False
-                    log.warning("list-out-of-reach", why=str(problem), version=self.roster.version)
-            finally:
-                pool.close()
+            await asyncio.sleep(max(self._due - clock(), 0) / SECOND)
+            how, gone, stay_away, why = await self._follow()
+            now = clock()
+            self._due = self.coming.lost(now, how, gone, stay_away)
+            self._turn += 1
+            if self.reachable or self.failures == 0:
+                log.warning("list-out-of-reach", how=how.value, why=why, version=self.roster.version,
+                            again_in_ms=(self._due - now) // 1000)  # fmt: skip
+            self.reachable, self.failures = False, self.failures + 1
             if once:
                 self.apply(lambda now: self.engine.news(now, ev.NewsScope.FAILED, ()))
                 return
-            await asyncio.sleep(retry)
+
+    async def _follow(self) -> tuple[Loss, int, int, str]:
+        """Follow the list until it ends: how, how long ago, how long it asks to stay away, and why."""
+        pool, silence = self._pool(), self.site.listing.silence
+        path = f"/watch?front={self.me}&list={self.roster.list_id}&version={self.roster.version}"
+        try:
+            async for line in pool.lines(path, silence / SECOND, 50_000_000):
+                message = decode(line)
+                if not self.reachable:
+                    self.reachable = True
+                    log.info("list-reached", version=message.version, tries=self.coming.tries)
+                self._take(message)
+                self.coming.heard(clock())
+        except GapError as problem:
+            log.info("list-gap", why=str(problem))
+            self.roster.list_id, self.roster.version = "", 0
+            return Loss.BROKEN, 0, 0, str(problem)
+        except TurnedAwayError as problem:
+            return Loss.TURNED_AWAY, 0, int(problem.stay_away * SECOND), str(problem)
+        except LateError as problem:
+            return Loss.SILENT, silence, 0, str(problem)
+        except NotSentError as problem:
+            return Loss.REFUSED if problem.refused else Loss.LATE, 0, 0, str(problem)
+        except (BrokenError, msgspec.MsgspecError) as problem:
+            return Loss.BROKEN, 0, 0, str(problem)
+        finally:
+            pool.close()
+        return Loss.BROKEN, 0, 0, "ended"
 
     async def _fetch(self) -> None:
         pool = self._pool()
@@ -124,7 +150,7 @@
         beside = self.kept.with_suffix(".new")
         try:
             with beside.open("wb") as file:
-                file.write(self.roster.to_bytes())
+                file.write(self.roster.to_bytes(wall()))
                 file.flush()
                 os.fsync(file.fileno())
             beside.replace(self.kept)
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -13,6 +13,7 @@
 from ponddoor.decide import Front
 from ponddoor.front import effects as fx
 from ponddoor.front.acting import Acting, looking
+from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
 from ponddoor.front.hinting import Hinting
@@ -68,7 +69,8 @@
         offset = now - wall()
         roster = Roster(site.zones, site.kinds, facts.plant.cells, offset)
         self.servers = Servers(site, me, secrets.randbits(48), self.engine, self.apply)
-        self.listing = ListKeeper(site, me, roster, self.engine, self.apply, self.servers.learn, kept)
+        coming = Coming(me, facts.fronts, facts.rules.drain_grace, facts.seed, site.listing.retry)
+        self.listing = ListKeeper(site, me, roster, self.engine, self.apply, self.servers.learn, kept, coming)
         seal = Seal(site.words.key, me, len(site.fronts), site.words.age)
         self.words = WordSocket(site, me, seal, self._heard)
         self.viewers = Viewers(site, self.engine, self.apply, self._address, self.metrics.answered)
--- a/ponddoor/front/roster.py
+++ b/ponddoor/front/roster.py
@@ -1,6 +1,7 @@
 """The server list as a front holds it, free of I/O: versions in order, gaps, what is kept on disk."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 import msgspec
 import xxhash
@@ -33,6 +34,23 @@
     beat: bool = False
 
 
+class Kept(Enum):
+    """What a front finds on disk at its start."""
+
+    NONE = "none"
+    WHOLE = "whole"
+    CUT_OFF = "cut-off"
+    DAMAGED = "damaged"
+    OTHER_GENERATION = "other-generation"
+
+
+class _Head(msgspec.Struct, frozen=True):
+    checksum: str
+    size: int
+    generation: str
+    written: int
+
+
 class GapError(Exception):
     """A message does not follow the version in hand: all of the list must be asked for."""
 
@@ -97,22 +115,33 @@
     def rows(self) -> tuple[ev.ServerRow, ...]:
         return tuple(row for entry in self.entries.values() if (row := self._row(entry)) is not None)
 
-    def to_bytes(self) -> bytes:
-        """What is kept on disk: a checksum, and the list as one whole message."""
-        message = ListMessage(self.list_id, self.version, list(self.entries.values()))
-        body = msgspec.json.encode(message)
-        return xxhash.xxh64_hexdigest(body).encode() + b"\n" + body
-
-    def restore(self, data: bytes) -> bool:
-        """Take back what was kept; False where it is damaged, and then nothing changes."""
-        checksum, _, body = data.partition(b"\n")
-        if xxhash.xxh64_hexdigest(body).encode() != checksum:
-            return False
+    def to_bytes(self, written: int = 0) -> bytes:
+        """What is kept on disk: a head, then the list as one message. `written` by the wall clock, us."""
+        body = msgspec.json.encode(ListMessage(self.list_id, self.version, list(self.entries.values())))
+        head = _Head(xxhash.xxh64_hexdigest(body), len(body), self._generation(), written)
+        return msgspec.json.encode(head) + b"\n" + body
+
+    def restore(self, data: bytes) -> tuple[Kept, int]:
+        """Take back what was kept, and when it was written; what is not whole or not ours changes nothing."""
+        first, _, body = data.partition(b"\n")
+        if not first:
+            return Kept.NONE, 0
         try:
+            head = msgspec.json.decode(first, type=_Head)
+            if len(body) < head.size:
+                return Kept.CUT_OFF, head.written
+            if xxhash.xxh64_hexdigest(body) != head.checksum:
+                return Kept.DAMAGED, head.written
+            if head.generation != self._generation():
+                return Kept.OTHER_GENERATION, head.written
             self.take(msgspec.json.decode(body, type=ListMessage))
         except (msgspec.MsgspecError, GapError):
-            return False
-        return True
+            return Kept.DAMAGED, 0
+        return Kept.WHOLE, head.written
+
+    def _generation(self) -> str:
+        """What the numbers in a list stand for: a list kept under another layout would be read wrong."""
+        return xxhash.xxh64_hexdigest(repr((self.zones, self.kinds, self.cells)).encode())
 
 
 def decode(line: bytes) -> ListMessage:
--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -7,8 +7,9 @@
 
 import structlog
 
+from ponddoor.front.coming import Coming, Loss
 from ponddoor.front.engine import Engine
-from ponddoor.front.pump import Apply
+from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.front.roster import Entry, GapError, Roster
 from ponddoor.interface import events as ev
 from ponddoor.node import board_codec
@@ -18,7 +19,6 @@
 
 SILENCE = 2.4  # s: the last number comes each second
 CONNECT = 1.0  # s
-RETRY = (0.05, 0.5)  # s between tries, doubled from the first to the last
 log = structlog.get_logger("board")
 
 
@@ -30,6 +30,7 @@
     engine: Engine
     apply: Apply
     learned: Callable[[dict[int, Entry]], None]
+    coming: Coming
     address: Address = ("", 0)
     breaks: int = 0
     _following: asyncio.Task[None] | None = None
@@ -41,36 +42,47 @@
         self.learned(self.roster.entries)
         rows = self.roster.rows()
         self.apply(lambda now: self.engine.news(now, ev.NewsScope.CACHED, rows))
-        self.follow(place.board)
+        self._follow_from(place.board, self.coming.start(clock()))
 
     def follow(self, address: Address) -> None:
-        """Follow the board at this address from the last number in hand."""
+        """Follow the board at this address from the last number in hand, as all nodes are told to at once."""
+        self._follow_from(address, self.coming.moved(clock()))
+
+    def _follow_from(self, address: Address, due: int) -> None:
         self.close()
         self.address = address
-        self._following = asyncio.create_task(self._follow(address))
+        self._following = asyncio.create_task(self._follow(address, due))
 
-    async def _follow(self, address: Address) -> None:
-        wait = RETRY[0]
+    async def _follow(self, address: Address, due: int) -> None:
         while True:
-            since, why = self.roster.version, "ended"
-            try:
-                await self._watch(address)
-            except (OSError, TimeoutError, GapError, UnreadableError) as problem:
-                why = f"{type(problem).__name__} {problem}"
+            await asyncio.sleep(max(due - clock(), 0) / SECOND)
+            how, why = await self._watch(address)
+            now = clock()
+            due = self.coming.lost(now, how, int(SILENCE * SECOND) if how is Loss.SILENT else 0)
             self.breaks += 1
-            log.info("board-broke", why=why, last=self.roster.version)
-            wait = RETRY[0] if self.roster.version != since else min(wait * 2, RETRY[1])
-            await asyncio.sleep(wait)
+            log.info("board-broke", how=how.value, why=why, last=self.roster.version, tries=self.coming.tries,
+                     again_in_ms=(due - now) // 1000)  # fmt: skip
 
-    async def _watch(self, address: Address) -> None:
-        """Raises what ends it: a break, a silence, a line that can't be read, a number left out."""
-        reader, writer = await within(CONNECT, asyncio.open_connection(*address))
+    async def _watch(self, address: Address) -> tuple[Loss, str]:
+        """Follow until it ends: how, and in words."""
+        try:
+            reader, writer = await within(CONNECT, asyncio.open_connection(*address))
+        except TimeoutError:
+            return Loss.LATE, f"no connection in {CONNECT:g} s"
+        except OSError as problem:
+            return Loss.REFUSED, str(problem)
         try:
             writer.write(board_codec.watch(self.roster.version))
             lines = Lines(board_codec.MOST)
             while data := await within(SILENCE, reader.read(65_536)):
                 for line in lines.feed(data):
                     self._take(line)
+                    self.coming.heard(clock())
+            return Loss.BROKEN, "ended"
+        except TimeoutError:
+            return Loss.SILENT, f"nothing in {SILENCE:g} s"
+        except (OSError, GapError, UnreadableError) as problem:
+            return Loss.BROKEN, f"{type(problem).__name__} {problem}"
         finally:
             writer.close()
             with contextlib.suppress(OSError):
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -10,6 +10,7 @@
 from ponddoor.decide import Front
 from ponddoor.front import effects as fx
 from ponddoor.front.acting import account
+from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
 from ponddoor.front.limits import Gate, LagMeter
@@ -52,7 +53,8 @@
         self.servers = Servers(self.engine, apply, groups, facts.permissions.connect_timeout)
         self.viewers = Viewers(self.engine, apply, self.servers.attend, groups, 0)
         roster = Roster(place.zones, place.kinds, facts.plant.cells, now - time.time_ns() // 1000)
-        self.board = Board(roster, self.engine, apply, self._learned)
+        coming = Coming(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
+        self.board = Board(roster, self.engine, apply, self._learned, coming)
         self.words = Words(place, lambda peer, data: apply(lambda at: self.engine.word(at, peer, data)))
         self._told_to_end: int | None = None
         self._most_lag = 0
@@ -132,7 +134,7 @@
             servers=len(servers.links), owed=len(viewers.owed), lag_us=self._most_lag, memory_kb=_memory(),
             faults=counts.faults, answers=counts.answers, setups=counts.setups, stray=counts.stray,
             viewers_seen=viewers.counts, servers_seen=servers.counts, words=self.words.told,
-            words_lost=self.words.lost, board_breaks=self.board.breaks,
+            words_lost=self.words.lost, board_breaks=self.board.breaks, board_losses=self.board.coming.losses,
         )  # fmt: skip
         self._most_lag = 0
 
--- a/ponddoor/settings/site.py
+++ b/ponddoor/settings/site.py
@@ -48,11 +48,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ListSide:
-    """How a front reaches the server list."""
+    """How a front reaches the server list. `others` are further addresses of the same list."""
 
     address: Address
     retry: int
     silence: int
+    others: tuple[Address, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -425,7 +426,10 @@
         return False, ListSide(("127.0.0.1", 0), SECOND, 3 * SECOND)
     asked = held.choice("mode", ["push", "ask"], "push") == "ask"
     side = ListSide(
-        held.address("address"), held.time("retry", SECOND, 1000), held.time("silence", 3 * SECOND, 100_000)
+        held.address("address"),
+        held.time("retry", SECOND, 1000),
+        held.time("silence", 3 * SECOND, 100_000),
+        tuple(other.address("address") for other in held.many("other")),
     )
     held.done()
     return asked, side
--- a/ponddoor/web/client.py
+++ b/ponddoor/web/client.py
@@ -10,20 +10,29 @@
 import msgspec
 
 _READ = 65_536
+MOST_AWAY = 60.0  # s: a longer Retry-After is not heeded whole
 
 
 class NotSentError(Exception):
     """Nothing was sent: no connection could be had. `why` says whether the pool or the network refused."""
 
-    def __init__(self, why: str, pool_full: bool = False) -> None:
+    def __init__(self, why: str, pool_full: bool = False, refused: bool = False) -> None:
         super().__init__(why)
-        self.pool_full = pool_full
+        self.pool_full, self.refused = pool_full, refused
 
 
 class BrokenError(Exception):
     """The connection was lost, or what came back is no HTTP, after the request may have been read."""
 
 
+class TurnedAwayError(BrokenError):
+    """An answer that is no stream: its status, and the seconds that its Retry-After asks to stay away."""
+
+    def __init__(self, status: int, stay_away: float) -> None:
+        super().__init__(f"status {status}")
+        self.stay_away = stay_away
+
+
 class LateError(Exception):
     """No whole answer within the time."""
 
@@ -184,7 +193,8 @@
                 await wire.send("GET", path, f"{self.host}:{self.port}", b"", ())
                 head = await wire.head()
             if head.status_code != 200:
-                raise BrokenError(f"status {head.status_code}")
+                told = _headers(head).get("retry-after", "")
+                raise TurnedAwayError(head.status_code, min(int(told), MOST_AWAY) if told.isdigit() else 0.0)
             text = b""
             while True:
                 async with asyncio.timeout(silence):
@@ -225,7 +235,7 @@
         except TimeoutError:
             raise NotSentError(f"no connection in {self.connect_time:g} s") from None
         except OSError as problem:
-            raise NotSentError(str(problem)) from None
+            raise NotSentError(str(problem), refused=isinstance(problem, ConnectionRefusedError)) from None
         finally:
             self._opening -= 1
         wire = _Wire(reader, writer, h11.Connection(h11.CLIENT))
--- /dev/null
+++ b/tests/front/test_coming.py
@@ -0,0 +1,104 @@
+"""Coming to the list: the core alone, for whole fleets in virtual time."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+
+from ponddoor.front.coming import LEAST, MOVED, Coming, Loss
+
+SECOND = 1_000_000
+GRACE = SECOND // 2
+
+
+def fleet(fronts: int) -> list[Coming]:
+    return [Coming(me, fronts, GRACE, seed=1000 + me) for me in range(fronts)]
+
+
+def peak(moments: list[int], span: int) -> int:
+    """The most tries in any `span` microseconds that begin at a try."""
+    moments, most, first = sorted(moments), 0, 0
+    for last, at in enumerate(moments):
+        while moments[first] <= at - span:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def outage(fronts: int, lasts: int) -> tuple[list[int], list[int]]:
+    """Every try while the list is down from the start, and the first one of each front after it is back."""
+    each = fleet(fronts)
+    due = [(front.start(0), front.me) for front in each]
+    heapq.heapify(due)
+    tries, back = list[int](), list[int]()
+    while due:
+        at, me = heapq.heappop(due)
+        if at >= lasts:
+            back.append(at - lasts)
+            continue
+        tries.append(at)
+        heapq.heappush(due, (each[me].lost(at, Loss.REFUSED), me))
+    return tries, back
+
+
+@pytest.mark.parametrize("fronts", [20, 100, 300, 1000, 5000])
+@pytest.mark.parametrize("how", ["start", "moved", "break", "silence"])
+def test_a_spread_is_even(fronts: int, how: str) -> None:
+    begin: dict[str, Callable[[Coming], int]] = {
+        "start": lambda front: front.start(0),
+        "moved": lambda front: front.moved(0),
+        "break": lambda front: front.lost(0, Loss.BROKEN),
+        "silence": lambda front: front.lost(0, Loss.SILENT, 2_400_000),
+    }
+    limits = {"start": GRACE, "moved": MOVED, "break": 2 * SECOND, "silence": 1_600_000}
+    moments = [begin[how](front) for front in fleet(fronts)]
+    assert max(moments) <= limits[how] // 2  # a second try fits before what is told counts
+    span = max(moments) - min(moments)
+    for window in (10_000, 100_000):
+        if span > window:
+            assert peak(moments, window) <= max(3 * fronts * window / span, 2)
+
+
+@pytest.mark.parametrize("fronts", [20, 200, 300, 1000, 5000])
+def test_a_long_outage_costs_a_bounded_number_of_tries(fronts: int) -> None:
+    minute = 60 * SECOND
+    tries, back = outage(fronts, 5 * minute)
+    late = [at for at in tries if at >= 60 * SECOND]
+    assert len(late) / 240 <= min(0.2 * fronts, 40)
+    assert peak(late, SECOND) <= 3 * max(40, 0.2 * fronts) and len(back) == fronts
+
+
+def test_what_the_rules_leave_is_used() -> None:
+    """News of a list that is back counts 4 s after it was lost: nobody waits longer for a try before."""
+    for front in fleet(200):
+        at, last = front.start(0), 0
+        while at < MOVED:
+            assert at - last <= MOVED // 3 + LEAST
+            last, at = at, front.lost(at, Loss.REFUSED)
+
+
+def test_hearing_from_it_ends_the_growth() -> None:
+    front = fleet(200)[199]
+    at = front.start(0)
+    for _ in range(12):
+        at = front.lost(at, Loss.LATE)
+    assert front.tries == 12
+    front.heard(at)
+    assert front.lost(at, Loss.BROKEN) - at <= 2 * SECOND // 3 + LEAST
+
+
+def test_who_is_told_when_to_come_back_comes_no_sooner_and_not_in_step() -> None:
+    told = [front.lost(0, Loss.TURNED_AWAY, 0, 5 * SECOND) for front in fleet(40)]
+    again = [front.lost(at, Loss.TURNED_AWAY, 0, 5 * SECOND) - at for front, at in
+             zip(fleet(40), told, strict=True)]  # fmt: skip
+    assert min(told) >= 5 * SECOND and min(again) >= 5 * SECOND
+    assert max(Counter(at // 10_000 for at in told).values()) <= 3
+
+
+def test_losses_are_told_apart() -> None:
+    front = fleet(3)[0]
+    front.start(0)
+    for how in Loss:
+        front.lost(0, how)
+    assert front.losses == {how.value: 1 for how in Loss}
--- a/tests/front/test_cores.py
+++ b/tests/front/test_cores.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from ponddoor.front.limits import SAMPLE, LagMeter
-from ponddoor.front.roster import Entry, GapError, ListMessage, Roster, decode, encode
+from ponddoor.front.roster import Entry, GapError, Kept, ListMessage, Roster, decode, encode
 from ponddoor.front.sealed import MOST, ROOM, Seal, WordTooLongError
 from ponddoor.interface.events import NewsScope, ServerState
 
@@ -72,17 +72,25 @@
 def test_a_server_keeps_its_start_over_the_disk() -> None:
     held, again = roster(), roster()
     held.take(ListMessage("l", 4, [entry(1, started_us=50_000)]))
-    assert again.restore(held.to_bytes()) and again.rows() == held.rows()
+    assert again.restore(held.to_bytes(7)) == (Kept.WHOLE, 7) and again.rows() == held.rows()
     assert again.rows()[0].started_at == 49_000 and again.version == 4
 
 
-def test_a_kept_list_that_is_damaged_is_not_taken() -> None:
-    held = roster()
+def test_a_kept_list_that_is_not_whole_or_not_ours_is_told_apart() -> None:
+    held, other = roster(), roster()
     held.take(ListMessage("l", 4, [entry(1)]))
+    other.cells += 1
     data = held.to_bytes()
-    for broken in (data[:-1], data.replace(b"ready", b"READY"), b""):
+    for found, kept in (
+        (Kept.CUT_OFF, data[:-1]),
+        (Kept.CUT_OFF, data[: data.index(b"\n") + 1]),
+        (Kept.DAMAGED, data[:20]),
+        (Kept.DAMAGED, data.replace(b"ready", b"READY")),
+        (Kept.OTHER_GENERATION, other.to_bytes()),
+        (Kept.NONE, b""),
+    ):
         fresh = roster()
-        assert not fresh.restore(broken) and fresh.entries == {}
+        assert fresh.restore(kept)[0] is found and fresh.entries == {}
 
 
 @settings(max_examples=60, derandomize=True)
