--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -240,14 +240,21 @@
 @RECORD
 @click.option("--control", type=int, default=0, help="Port that takes orders.")
 @click.option("--seed", type=int, default=1)
-def list_(site: Path, record: Path | None, control: int, seed: int) -> None:
+@click.option("--answers", type=float, default=0.0, help="Fronts it can answer a second; 0: all.")
+@click.option("--queue", type=int, default=100, help="Fronts that wait before it turns away.")
+@click.option("--fall", type=float, default=5.0, help="Seconds that it stays down when pushed over.")
+def list_(
+    site: Path, record: Path | None, control: int, seed: int, answers: float, queue: int, fall: float
+) -> None:
     """The server list, at the site file's address."""
     from ponddoor.audit.records import Recorder
     from ponddoor.settings.site import load
+    from ponddoor.standins.capacity import Capacity
     from ponddoor.standins.listing import ServerList
 
     held = usable(lambda: load(site))
-    server = ServerList(held, Recorder(record, "list"), seed)
+    bears = Capacity(answers, queue, round(fall * 1_000_000))
+    server = ServerList(held, Recorder(record, "list"), seed, capacity=bears)
 
     async def work() -> None:
         got, got_control = await server.start(control_port=control)
@@ -310,6 +317,7 @@
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
     from ponddoor.rehearse.day import load_day
+    from ponddoor.rehearse.nodes import NodeRehearsal
     from ponddoor.rehearse.report import as_dict, table
     from ponddoor.rehearse.run import Rehearsal, RehearsalError
 
@@ -317,7 +325,8 @@
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
             held = usable(partial(load_day, day, number, hints))
-            for decisions in ("ponddoor", "random") if baseline else ("ponddoor",):
+            beside = baseline and held.shell == "front"  # nodes are played by their own decisions alone
+            for decisions in ("ponddoor", "random") if beside else ("ponddoor",):
                 folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
                 folder.mkdir(parents=True, exist_ok=True)
                 (folder / "day.json").write_bytes(
@@ -329,8 +338,9 @@
                     def move(part: float, bar: Any = bar) -> None:
                         bar.update(round(part * 1000) - bar.pos)
 
+                    played = NodeRehearsal if held.shell == "node" else Rehearsal
                     try:
-                        results.append(asyncio.run(Rehearsal(held, folder, decisions, move, trace).play()))
+                        results.append(asyncio.run(played(held, folder, decisions, move, trace).play()))
                     except RehearsalError as problem:
                         click.echo(f"\n{problem}", err=True)
                         sys.exit(1)
--- a/ponddoor/platform/facts.py
+++ b/ponddoor/platform/facts.py
@@ -104,3 +104,45 @@
         prices=fx.Prices(cross_zone=prices["crossZone"], probe=prices["probe"], message=prices["peer"],
                          move=prices["moves"]))
     return facts, names
+
+
+def as_settings(facts: fx.SiteFacts, zones: tuple[str, ...], kinds: tuple[str, ...]) -> dict[str, Any]:
+    """The settings that would tell these facts: `site_facts` reads the same from it, but for the seed."""
+    effects, reporting = ({kind: word for word, kind in words.items()} for words in (_EFFECTS, _REPORTING))
+    fields = {ours: theirs for theirs, ours in _FIELDS.items()}
+    rules, allow, plant, ladder = facts.rules, facts.permissions, facts.plant, facts.ladder
+    safety: dict[str, Any] = {
+        "cold": rules.cold / 1000, "coldFrom": rules.cold_from, "drainGrace": rules.drain_grace / 1000,
+        "fallMultiple": rules.fall_multiple, "fall": rules.fall / 1000, "askEvery": rules.ask_every / 1000,
+        "graceToAnswer": rules.answer_grace / 1000,
+    }  # fmt: skip
+    if rules.spare_setups is not None:
+        safety |= {"spareAttempts": rules.spare_setups, "resendRatio": rules.resend_ratio,
+                   "ratioSpan": rules.resend_span / 1000}  # fmt: skip
+    return {
+        "me": facts.me, "balancers": facts.fronts, "zone": facts.zone, "localities": zones, "skus": kinds,
+        "discovery": "on_request" if facts.asked_discovery else "pushed",
+        "reporting": {"how": reporting[facts.reporting],
+                      "fields": [fields.get(name, name) for name in facts.report_fields]},
+        "overShareWorth": facts.over_share_utility,
+        "lanes": [{"name": g.name, "aim": g.start_target / 1000, "deadline": g.setup_timeout / 1000,
+                   "value": g.utility, "semantics": effects[g.effect], "group": g.scope.value,
+                   "memorySpan": g.memory / 1000} for g in facts.groups],
+        "accounts": [{"name": t.name, "quotaPerS": t.quota_per_s, "share": t.share} for t in facts.tenants],
+        "specifics": {
+            "floorByClass": [g.floor for g in facts.groups], "classTop": [g.top for g in facts.groups],
+            "classSeats": [g.seats for g in facts.groups], "live": [g.live for g in facts.groups],
+            "rateFactor": [g.rate_factor for g in facts.groups], "rungKb": ladder.rate_kb,
+            "ladderWorth": ladder.utility, "changeCostsS": ladder.switch_cost_s,
+            "shortfallCost": ladder.short_cost, "join": ladder.join, "positions": plant.cells,
+            "groups": plant.racks, "kbPerWeight": plant.kb_per_weight, "rackKb": plant.uplink_kb,
+            "kindStreams": plant.streams, "guard": plant.refuse_at, "toldLate": plant.note_delay / 1000,
+            "tell": plant.note_every / 1000},
+        "safety": safety,
+        "permissions": {
+            "probes": allow.probes, "mayTell": allow.messages, "cancelling": allow.cancel,
+            "maxAttempts": allow.max_attempts, "retryAfter": allow.come_back,
+            "maxRetryAfter": allow.max_come_back / 1000, "connectTimeout": allow.connect_timeout / 1000},
+        "prices": {"crossZone": facts.prices.cross_zone, "probe": facts.prices.probe,
+                   "peer": facts.prices.message, "moves": facts.prices.move},
+    }  # fmt: skip
