--- a/ponddoor/rehearse/nodes.py
+++ b/ponddoor/rehearse/nodes.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import signal
 import sys
 import time
 from dataclasses import dataclass, field
@@ -171,6 +172,14 @@
 
     # Troubles that strike the platform
 
+    async def _tell_fronts(self, some: list[int]) -> None:
+        """A new configuration moves the board for these: the file is replaced, then SIGHUP goes to all."""
+        for me in some:
+            there = ("127.0.0.1", self.list_ports[0])
+            self.list_links[me] = await self.network.stream(f"front {me}", "list", there)
+            self._write_file(me)
+        self._signal(some, signal.SIGHUP)
+
     def _later_publish(self, box: Box, state: str) -> None:
         async def tell() -> None:
             assert self.board is not None
--- /dev/null
+++ b/tests/fleet/test_fleet.py
@@ -0,0 +1,176 @@
+"""Fleets of processes under faults: each day ends with the audit of the six rules, and bounds of its own.
+
+The bounds are on counts and on what was in force when, with room for a slow machine; none is on a time that
+only a fast one keeps. A `Mutant` is the program with one guard taken out: its day must break the bound."""
+
+import asyncio
+import multiprocessing
+import sys
+from concurrent.futures import Future, ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ponddoor.audit.records import read
+from ponddoor.rehearse.day import load_day
+from ponddoor.rehearse.nodes import NODE, NodeRehearsal
+from ponddoor.rehearse.run import Rehearsal, Result
+from ponddoor.rehearse.sums import peak
+
+DAYS = Path(__file__).parent / "days"
+SECOND = 1_000_000
+Row = dict[str, Any]
+AT_ONCE = 3  # days that are played at the same time
+
+IN_STEP = """
+from ponddoor.front.coming import Coming
+Coming._place = lambda self, spread: 0
+Coming.lost = lambda self, now, how, gone=0, stay_away=0: now + 500_000
+"""
+EAGER = """
+from ponddoor.front.coming import Coming
+Coming._cap = lambda self, now, left: 500_000
+"""
+UNPACED = """
+from ponddoor.decide import Front
+Front.paced_until = lambda self, server: 0
+"""
+
+
+def without(guard: str) -> tuple[str, ...]:
+    """The node with a guard taken out."""
+    return (
+        sys.executable,
+        "-c",
+        f"{guard}\nimport sys\nfrom ponddoor.node.__main__ import main\nsys.exit(main())",
+    )
+
+
+@dataclass(frozen=True)
+class Played:
+    """A day that was played."""
+
+    result: Result
+    rows: list[Row]
+
+    def at(self, what: str, **fields: Any) -> list[int]:
+        return [row["at"] for row in self.rows if row["what"] == what and fields.items() <= row.items()]
+
+
+def play(name: str, folder: Path, program: tuple[str, ...]) -> Played:
+    day = load_day(DAYS / f"{name}.day")
+    folder.mkdir(parents=True)
+    if day.shell == "node":
+        rehearsal: Rehearsal = NodeRehearsal(day, folder, program=program)
+    else:
+        (folder / "day.json").write_text(f'{{"file": "{DAYS / name}.day", "seed": {day.seed}}}')
+        rehearsal = Rehearsal(day, folder)
+    result = asyncio.run(rehearsal.play())
+    return Played(result, read(folder)[0])
+
+
+# What is played: its name, the day, and the program
+CASES = {
+    "list_down": ("list_down", NODE),
+    "list_down eager": ("list_down", without(EAGER)),
+    "stopped": ("stopped", NODE),
+    "killed": ("killed", NODE),
+    "cut_stalled": ("cut_stalled", NODE),
+    "broken": ("broken", NODE),
+    "broken in step": ("broken", without(IN_STEP)),
+    "all_cold": ("all_cold", NODE),
+    "reset": ("reset", NODE),
+    "roll": ("roll", NODE),
+    "fronts": ("fronts", NODE),
+}
+
+
+@pytest.fixture(scope="module")
+def days(tmp_path_factory: pytest.TempPathFactory) -> "dict[str, Future[Played]]":
+    """All days, a few at a time: they wait more than they work."""
+    folder = tmp_path_factory.mktemp("fleet")
+    pool = ProcessPoolExecutor(AT_ONCE, multiprocessing.get_context("spawn"))
+    return {
+        case: pool.submit(play, name, folder / case.replace(" ", "-"), program)
+        for case, (name, program) in CASES.items()
+    }
+
+
+@pytest.mark.parametrize("case", [case for case, (_, program) in CASES.items() if program is NODE])
+def test_no_rule_is_broken_and_none_is_lost(days: "dict[str, Future[Played]]", case: str) -> None:
+    played = days[case].result()
+    assert not played.result.breaches, [str(breach) for breach in played.result.breaches]
+    assert played.result.players["counts"].get("playing", played.result.players["counts"].get("over", 0)) > 20
+    assert not played.at("fell")
+
+
+def in_outage(played: Played) -> list[int]:
+    """Tries at the list that was down, from 10 s after it went down."""
+    (down,), (back,) = played.at("order", on=True), played.at("order", on=False)
+    return [at for at in played.at("came") if down + 10 * SECOND <= at < back]
+
+
+def test_a_list_that_is_down_is_asked_seldom_and_not_in_step(days: "dict[str, Future[Played]]") -> None:
+    played = days["list_down"].result()
+    (back,) = played.at("order", on=False)
+    late, fronts = in_outage(played), played.result.sums
+    assert len(late) <= 0.25 * 16 * 4, fronts  # 0.2 a second of each, and chance
+    had = {row["front"] for row in played.rows if row["what"] == "has-list" and row["at"] >= back}
+    assert len(had) == 16 and not played.at("list-fell")
+    assert all(played.result.players["counts"].get(bad, 0) == 0 for bad in ("no-answer", "torn-down"))
+
+
+def test_without_the_growing_wait_an_outage_costs_more(days: "dict[str, Future[Played]]") -> None:
+    assert len(in_outage(days["list_down eager"].result())) > 0.25 * 16 * 4
+
+
+def first_tries(played: Played, event: int) -> list[int]:
+    """Each front's first try at the list after a moment."""
+    first: dict[int, int] = {}
+    for row in played.rows:
+        if row["what"] == "came" and row["at"] > event:
+            first.setdefault(row["front"], row["at"])
+    return list(first.values())
+
+
+def test_a_break_and_sighup_are_spread(days: "dict[str, Future[Played]]") -> None:
+    for case, spread in (("broken", True), ("broken in step", False)):
+        played = days[case].result()
+        for event in (*played.at("order", on=True), *played.at("signal", number="SIGHUP")):
+            tries = first_tries(played, event)
+            assert len(tries) == 12
+            assert (peak(tries, 100_000) <= 7) is spread, (case, sorted(at - event for at in tries))
+
+
+def test_a_stop_of_all_is_no_second_start(days: "dict[str, Future[Played]]") -> None:
+    played = days["stopped"].result()
+    (go_on,) = played.at("signal", number="SIGCONT")
+    assert not played.at("list-fell") and len([at for at in played.at("came") if at > go_on]) <= 2 * 12
+
+
+def test_links_that_stall_or_are_cut_cost_no_session(days: "dict[str, Future[Played]]") -> None:
+    played = days["cut_stalled"].result()
+    counts = played.result.players["counts"]
+    assert counts.get("playing") == played.result.players["viewers"], counts
+    cut, stall = played.at("link-fault")[:2]
+    assert played.at("link-whole")[0] - cut >= 3 * SECOND and played.at("link-whole")[1] - stall >= 4 * SECOND
+
+
+@pytest.mark.parametrize("case", ["all_cold", "killed", "roll"])
+def test_no_server_gets_more_than_it_bears(days: "dict[str, Future[Played]]", case: str) -> None:
+    sums = days[case].result().result.sums
+    assert sums["servers: most setups at one in 100 ms"] <= 8 and not days[case].result().result.fell
+
+
+def test_connections_reset_at_once_come_back(days: "dict[str, Future[Played]]") -> None:
+    played = days["reset"].result()
+    assert len(played.at("link-reset")) == 2
+    assert played.result.players["counts"].get("torn-down", 0) <= 10
+
+
+def test_the_relay_says_what_was_in_force(days: "dict[str, Future[Played]]") -> None:
+    rows = [row for row in days["cut_stalled"].result().rows if row["what"] == "link-fault"]
+    assert [row["fault"]["cut"] for row in rows] == [True, False]
+    assert [row["fault"]["stall"] for row in rows] == [False, True]
