A holder with sessions of ours first where fronts are many; come-back times by chance

Change: decide.place takes it where it has half of the most idle (more fronts than CROWD). Handshakes stay: titles lie on two or three servers each.

--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -611,6 +611,23 @@
     click.echo(shown(asyncio.run(held(count, seconds, servers)), as_json))
 
 
+@load.command()
+@click.option("--fronts", type=int, multiple=True, default=(20, 100, 300, 1000, 5000), show_default=True)
+@click.option("--seed", type=int, multiple=True, default=(1, 2, 3), show_default=True)
+@click.option("--to", "picture", type=click.Path(path_type=Path), help="A picture of the tries to write.")
+@click.option("--json", "as_json", is_flag=True)
+def coming(fronts: tuple[int, ...], seed: tuple[int, ...], picture: Path | None, as_json: bool) -> None:
+    """Whole fleets that come to the list, in virtual time, beside tries in step."""
+    from ponddoor.load.coming import plot as draw
+    from ponddoor.load.coming import table
+    from ponddoor.load.measure import shown
+
+    if picture is not None:
+        draw(fronts, seed[0], picture)
+    for name, found in table(fronts, seed).items():
+        click.echo(shown({"": name, **found}, as_json))
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -453,6 +453,11 @@
         best, close = by_idle[0], NEAR if self.facts.prices.cross_zone > 0 else 1.0
         near = next((s for s in by_idle if s.row.zone == self.facts.zone), best)
         best = near if idle[near.row.server] >= close * idle[best.row.server] > 0 else best
+        # Guards against hundreds of fronts that each connect to all servers and ask all for signs of life:
+        # where we have sessions is good enough. It may harm where ours alone fill a link: half its idle stays
+        met = next((s for s in by_idle if s.sessions and s.row.zone == best.row.zone), best)
+        if self.facts.fronts > CROWD and idle[met.row.server] >= NEAR * idle[best.row.server] > 0:
+            best = met
         if idle[best.row.server] < 0:
             playing = [s for s in self.sessions.values() if s.began is not None]
             if sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
@@ -561,8 +566,10 @@
                 return
             if isinstance(got, ev.ViewerLeft) or (isinstance(got, ev.Ended) and got.final):
                 return
-        # Given up: the answer goes out at once, with half the longest come-back time that viewers heed
-        advice = allowed.max_come_back // 2 if allowed.come_back else 0
+        # Given up: the answer goes out at once. Guards against viewers turned away together that come back
+        # together: a quarter to three quarters of the longest come-back time that they heed, by chance
+        most = allowed.max_come_back if allowed.come_back else 0
+        advice = most // 4 + self.chance.draw(most // 2)
         yield act.BusyReply(req_id, advice) if self.may_refuse(sess) else act.TearDown(req_id)
 
     def later(self, sess: Sess) -> int:
--- a/ponddoor/front/coming.py
+++ b/ponddoor/front/coming.py
@@ -90,7 +90,8 @@
         return min(grown, MOVED // 3) if now - self.out_since < MOVED else grown
 
     def _place(self, spread: int) -> int:
-        """This front's place: an equal part of the spread by its number, and chance within the part."""
+        """This front's place: an equal part of the spread by its number, and chance in the part's first half,
+        so that neighbours never meet."""
         spread = min(spread, self.fronts * SECOND // TRIES)
         part = max(spread // max(self.fronts, 1), 1)
-        return part * self.me + self._chance.draw(part)
+        return part * self.me + self._chance.draw(max(part // 2, 1))
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -50,7 +50,8 @@
         self.pump = Pump(self.engine, self._carry_out)
         groups = tuple(group.name for group in facts.groups)
         apply = self.pump.apply
-        self.servers = Servers(self.engine, apply, groups, facts.permissions.connect_timeout)
+        connect = facts.permissions.connect_timeout
+        self.servers = Servers(self.engine, apply, groups, connect, facts.me, facts.fronts)
         self.viewers = Viewers(self.engine, apply, self.servers.attend, groups, 0)
         roster = Roster(place.zones, place.kinds, facts.plant.cells, now - time.time_ns() // 1000)
         coming = Coming(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -80,6 +80,7 @@
     used_at: int = 0
     sign_asked_at: int = 0
     gone_since: int | None = None
+    later: asyncio.TimerHandle | None = None
 
     def say(self, item: Item) -> None:
         """Write a message, or keep it until the connection is there."""
@@ -94,9 +95,23 @@
             self.servers.never_sent(item, ev.Result.MOOT)
 
     def connect(self) -> None:
+        self._no_later()
         if self.wire is None and self.connecting is None:
             self.connecting = asyncio.create_task(self._connect())
 
+    def connect_in_turn(self) -> None:
+        """Guards against all fronts that connect to a server in the moment that all lost it, or began.
+
+        It may harm what a server wants to tell: late by a connect timeout at most. No SETUP waits for it."""
+        if self.wire is None and self.connecting is None and self.later is None:
+            wait = self.servers.turn() / SECOND
+            self.later = asyncio.get_running_loop().call_later(wait, self.connect)
+
+    def _no_later(self) -> None:
+        if self.later is not None:
+            self.later.cancel()
+            self.later = None
+
     async def _connect(self) -> None:
         host, _, port = self.entry.address.rpartition(":")
         wire, limit = _Wire(self), self.servers.connect_timeout / SECOND
@@ -236,14 +251,14 @@
             if self.entry.state == "gone":
                 self.servers.lose(self)
             else:
-                self.connect()
+                self.connect_in_turn()
 
     def look(self, now: int, idle: int) -> None:
         """What time alone brings: half lines, silence, idle connections, connections that are wanted."""
         wire, needed = self.wire, bool(self.servers.engine.playing_at(self.number))
         if wire is None:
             if needed or self.owed:
-                self.connect()
+                self.connect_in_turn()
             if needed and now - self.heard_at > GONE:
                 self._silent()
             return
@@ -273,6 +288,7 @@
         self.servers.lose(self)
 
     def close(self) -> None:
+        self._no_later()
         wire, self.wire = self.wire, None
         if wire is not None and wire.transport is not None:
             wire.transport.abort()
@@ -290,6 +306,8 @@
     apply: Apply
     groups: tuple[str, ...]
     connect_timeout: int
+    me: int = 0
+    fronts: int = 1
     links: dict[int, _Link] = field(default_factory=dict)
     counts: dict[str, int] = field(default_factory=dict)
     _ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
@@ -297,6 +315,10 @@
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    def turn(self) -> int:
+        """How long this front waits before it connects where many do: its part of a connect timeout (us)."""
+        return self.connect_timeout * self.me // max(self.fronts, 1)
+
     def new_id(self) -> str:
         """An id for a message that belongs to no session."""
         return f"{next(self._ids):016x}"
@@ -393,7 +415,7 @@
         if link is None:
             self.apply(lambda now: self.engine.server_lost(now, server))
         else:
-            link.connect()
+            link.connect_in_turn()
 
     def look(self, now: int, idle: int) -> None:
         """Called every quarter of a second or so."""
