Signs of life as late as the protocol leaves, probes where we have sessions

Handshakes: the module's probes went to all servers in turn. Change: QUIET 5.5 s and GONE 7.25 s from the protocol's 8 s less a look and the release (4 and 6.5 before); seven connect timeouts are left for the answer. decide.probing asks servers with sessions of ours where fronts tell each other. It may harm where a server stands still for 1.75 s just after 5.5 s of silence: its sessions are given up.

--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -306,6 +306,12 @@
     "--hints/--no-hints", default=None, help="Whether hints are sent and taken; else as the site says."
 )
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
+@click.option("--fronts", type=click.IntRange(1, 300), help="So many fronts, whatever the day says.")
+@click.option(
+    "--tree",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="Also play the nodes of another work tree.",
+)
 def rehearse(
     day: Path,
     seed: tuple[int, ...],
@@ -314,6 +320,8 @@
     trace: bool,
     hints: bool | None,
     as_json: bool,
+    fronts: int | None,
+    tree: Path | None,
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
     from ponddoor.rehearse.day import load_day
@@ -324,9 +332,12 @@
     results = []
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
-            held = usable(partial(load_day, day, number, hints))
-            beside = baseline and held.shell == "front"  # nodes are played by their own decisions alone
-            for decisions in ("ponddoor", "random") if beside else ("ponddoor",):
+            shares = {"fronts": fronts} if fronts else None
+            held = usable(partial(load_day, day, number, hints, shares))
+            runs = ("ponddoor", "random") if baseline else ("ponddoor",)
+            if held.shell == "node":  # these play their own decisions, alone or beside another tree's
+                runs = ("ponddoor", "other-tree") if tree else ("ponddoor",)
+            for decisions in runs:
                 folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
                 folder.mkdir(parents=True, exist_ok=True)
                 (folder / "day.json").write_bytes(
@@ -339,8 +350,11 @@
                         bar.update(round(part * 1000) - bar.pos)
 
                     played = NodeRehearsal if held.shell == "node" else Rehearsal
+                    playing = played(held, folder, decisions, move, trace)
+                    if isinstance(playing, NodeRehearsal) and decisions == "other-tree":
+                        playing.tree = tree
                     try:
-                        results.append(asyncio.run(played(held, folder, decisions, move, trace).play()))
+                        results.append(asyncio.run(playing.play()))
                     except RehearsalError as problem:
                         click.echo(f"\n{problem}", err=True)
                         sys.exit(1)
--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -732,6 +732,8 @@
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
         for turn in itertools.count(1):
             ready = self.ready()
+            if self.hubs:  # what each hears all are told: where we have sessions the connection is there
+                ready = [s for s in ready if s.sessions] or ready
             if ready and not self.deaf:
                 first = len(ready) * self.facts.me // self.facts.fronts
                 yield act.Probe(ready[(first + turn) % len(ready)].row.server)
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -20,8 +20,12 @@
 from ponddoor.node.lines import Lines, UnreadableError
 from ponddoor.web.timing import within
 
-QUIET = 4 * SECOND  # a server that we depend on and that is silent so long is asked for a sign of life
-GONE = 6_500_000  # and without one so long it is gone: sessions must be released 8 s after their end
+RELEASE = 8 * SECOND  # the protocol: what could not be released sooner must be, so long after its end
+# A server that we depend on and that is silent for GONE is gone: of what the protocol leaves, a quarter of
+# a second goes to the look that sees it, a half to the release. A sign of life is asked for QUIET after the
+# last one: so late that seven connect timeouts of a quarter of a second are left. Each sign has its price.
+GONE = RELEASE - 3 * SECOND // 4
+QUIET = GONE - 7 * SECOND // 4
 TAKEN = SECOND  # a server that is told gone so long and is answered for has lost its address to a new one
 HALF_A_LINE = SECOND // 4  # a line that takes longer than this to end does not end
 WAITING = 1000  # messages that wait for one connection
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -2,6 +2,7 @@
 
 docs/operating.md has every field. Times in the drawn day are microseconds from its begin."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -116,7 +117,7 @@
 
 
 def load_day(
-    path: Path, seed: int | None = None, hints: bool | None = None, shares: dict[str, float] | None = None
+    path: Path, seed: int | None = None, hints: bool | None = None, shares: Mapping[str, float] | None = None
 ) -> Day:
     """The day a file describes, with hints or without where `hints` says so, and other `shares` of players.
 
--- a/ponddoor/rehearse/nodes.py
+++ b/ponddoor/rehearse/nodes.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -37,6 +38,7 @@
     places: dict[tuple[int, str], tuple[str, int]] = field(default_factory=dict)  # a front's link to a server
     draws: int = 0
     program: tuple[str, ...] = NODE  # what is started as a node; tests start one with a guard taken out
+    tree: Path | None = None  # another work tree, whose nodes are played instead of our own
 
     async def _set_up(self) -> None:
         day = self.day
@@ -124,7 +126,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, **told},
+                env={**os.environ, **told} | ({"PYTHONPATH": str(self.tree)} if self.tree else {}),
             )
         self.rec.note("began", front=me)
 
