--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -110,7 +110,6 @@
                 self.taken = [*(at for at in self.taken if at > since), self.now]
             case ev.Started():
                 self.lags = [*self.lags[-29:], event.lag]
-                self.servers[event.server].spoke = self.now
                 self.judge(self.servers[event.server], True)
             case ev.Ended():
                 self.learn_end(event)
@@ -118,7 +117,6 @@
                 self.learn_note(event)
             case ev.Probed():
                 server, well = self.servers[event.server], event.result is Result.SERVED
-                server.spoke = self.now
                 if not well or server.lost is not None:  # an answered probe only proves that it runs
                     self.judge(server, well)
                 self.learn_report(server, event.report)
@@ -157,7 +155,6 @@
         sess, server = self.sessions.get(event.req_id), self.servers.get(event.server)
         if sess is None or server is None:
             return
-        server.spoke = self.now
         self.learn_report(server, event.report)
         if event.result in (Result.CONNECT_FAILED, Result.RESET):
             server.lost = self.now
@@ -735,13 +732,11 @@
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
         for turn in itertools.count(1):
             ready = self.ready()
-            first = (len(ready) * self.facts.me // self.facts.fronts + turn) % max(len(ready), 1)
-            ready = ready[first:] + ready[:first]
-            if self.hubs:  # what each hears all are told: so who is silent longest, where our sessions play
-                ready = sorted(ready, key=lambda s: (not s.sessions, s.spoke))
+            if self.hubs:  # what each hears all are told: where we have sessions the connection is there
+                ready = [s for s in ready if s.sessions] or ready
             if ready and not self.deaf:
-                ready[0].spoke = self.now
-                yield act.Probe(ready[0].row.server)
+                first = len(ready) * self.facts.me // self.facts.fronts
+                yield act.Probe(ready[(first + turn) % len(ready)].row.server)
             worth = PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
             # Guards against a wait reckoned before anybody came: it is reckoned anew each second
             probed = self.now
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -58,7 +58,6 @@
     peers: dict[int, float] = field(default_factory=dict)   # what other fronts last said to ask
     theirs: float = 0.0                                      # and the sum of it
     sent: int = LONG_AGO
-    spoke: int = LONG_AGO                   # when anything last came of it: an answer, an end, a report
     inquired: int = LONG_AGO                # when it was last probed for an arrival
     heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
     felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
