--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -456,8 +456,8 @@
         # Guards against hundreds of fronts that each connect to all servers and ask all for signs of life:
         # where we have sessions is good enough. It may harm where ours alone fill a link: half its idle stays
         met = next((s for s in by_idle if s.sessions and s.row.zone == best.row.zone), best)
-        if self.facts.fronts > CROWD and idle[met.row.server] >= NEAR * idle[best.row.server] > 0:
-            best = met
+        many = self.hubs and self.facts.fronts > CROWD
+        best = met if many and idle[met.row.server] >= NEAR * idle[best.row.server] > 0 else best
         if idle[best.row.server] < 0:
             playing = [s for s in self.sessions.values() if s.began is not None]
             if sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
