Who has an old session at a server tells that it is warm; who begins heeds it

Seen: a front that has just begun spaces its sends by slot times fronts (50 s with 200). Change: one bit of the rate in a telling, and of the asker's rate in a hub's answer, says that a session plays there that began before the server could be cold: its process resets its connections when it dies, so who has one knows. It may harm where a machine vanishes and is back within the 7.25 s in which nobody notices. Fleet test newcomers; guard out: they wait.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -140,6 +140,7 @@
                 row = replace(held.row, state=ServerState.GONE)  # its entry may tell no more than that
             elif row.started_at > held.row.started_at:  # a new process: what was seen of the old one is void
                 held.ends, held.notes, held.link.loads, held.lost = [], [], [], None
+                held.warm, held.warm_at = set(), LONG_AGO
             held.row = row
             held.link.kb = row.weight * self.facts.plant.kb_per_weight
         running = [s for s in self.servers.values() if s.row.state is not ServerState.GONE]
@@ -236,6 +237,7 @@
             for room in word.rooms:
                 if (server := self.servers.get(room.server)) is not None:
                     server.told = (self.now, room.idle + room.theirs, room.asked - room.theirs)
+                    server.warm_at = self.now if room.warm else LONG_AGO
         elif isinstance(word, words.Telling):
             if word.whole:
                 self.forget(message.peer)
@@ -245,6 +247,7 @@
             for rate in [rate for rate in word.rates if rate.server in self.servers]:
                 server = self.servers[rate.server]
                 server.hear(message.peer, rate.kb)
+                (server.warm.add if rate.warm and rate.kb else server.warm.discard)(message.peer)
                 self.book(server)
                 if rate.share and (not server.notes or server.notes[-1][0] < self.now - rate.share.age):
                     self.learn_shortage(server, self.now - rate.share.age, rate.share.figure)
@@ -504,10 +507,11 @@
         """When this front may next send to a server that is cold, or may be.
 
         Known to be cold: time is cut into slots that each hold one set-up, and the fronts take turns. Only
-        perhaps cold (seen down, or we have just begun ourselves): our own sends are spaced by our share."""
+        perhaps cold (seen down, or we have just begun and nobody tells that it is warm): our own sends are
+        spaced by our share, so that the sum holds although all of the fleet has begun and hears nothing."""
         rules, fronts = self.facts.rules, self.facts.fronts
         known = self.now - server.started() < rules.cold
-        if not known and server.lost is None and self.now - self.born >= rules.cold:
+        if not known and server.lost is None and (self.now - self.born >= rules.cold or self.warm(server)):
             return 0
         per_slot = self.facts.plant.streams[server.row.kind] * rules.cold_from * rules.fall_multiple
         slot = int(rules.cold / max(per_slot, 0.01))
@@ -520,6 +524,15 @@
             return 0
         return (turn + fronts - since) * slot
 
+    def warm(self, server: Server) -> bool:
+        """Whether somebody has a session there that began before the server could be cold: we, a front that
+        told us, or one that told a hub. A process that dies resets its connections, so who has one knows."""
+        return bool(server.warm) or server.warm_at > self.now - self.tell_every or self.old(server)
+
+    def old(self, server: Server) -> bool:
+        since = self.now - self.facts.rules.cold
+        return server.lost is None and any((s.began or self.now) <= since for s in server.sessions.values())
+
     def arrival_rate(self, span: int) -> float:
         """Arrivals a second: of a busy front the samples reach back less than the span."""
         span = min(span, max(self.now - self.arrivals[0], 1)) if len(self.arrivals) >= ARRIVALS else span
@@ -723,8 +736,8 @@
                     about = [s for s in about if s not in cold][:8] + cold[:2]
                 case _:
                     continue
-            rooms = (words.Room(s.row.server, idle[s.row.server], self.asked(s), s.peers.get(got.peer, 0.0))
-                     for s in about)
+            rooms = (words.Room(s.row.server, idle[s.row.server], self.asked(s), s.peers.get(got.peer, 0.0),
+                                self.warm(s)) for s in about)
             for message in words.pack(words.Answer(tuple(rooms))):
                 yield act.Tell(got.peer, message)
 
@@ -747,9 +760,10 @@
     def tell(self, servers: list[Server], whole: bool) -> Script:
         rates = []
         for server in servers:
-            told = [words.Sample(s[1], self.now - s[0]) if s else None for s in (server.heard, server.felt)]
+            load, share = (words.Sample(s[1], self.now - s[0]) if s else None
+                           for s in (server.heard, server.felt))
             server.said, server.heard, server.felt = server.own(), None, None
-            rates.append(words.Rate(server.row.server, server.said, *told))
+            rates.append(words.Rate(server.row.server, server.said, load, share, self.old(server)))
         for message in words.pack(words.Telling(tuple(rates), whole)):
             for hub in self.hubs:
                 yield act.Tell(hub, message)
--- a/ponddoor/interface/words.py
+++ b/ponddoor/interface/words.py
@@ -9,6 +9,7 @@
 _CHANGES, _ALL, _OURS, _HOLDERS, _ANSWER = range(5)
 _RATE, _QUESTION, _ROOM = struct.Struct(">IHBBBB"), struct.Struct(">III"), struct.Struct(">IhHH")
 _KB, _AGE, _NONE, _A_MESSAGE = 4.0, 20_000, 255, 22  # steps of rates and ages, no sample, rows a message
+_WARM = 0x8000  # of the rate of the teller, or of the asker: the highest bit
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,12 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Rate:
-    """What the teller asks of a server, with the load and the share delivered that came to it alone."""
+    """What the teller asks of a server, with the load and the share delivered that came to it alone, and
+    whether it has a session there that began before the server could be cold."""
 
     server: int
     kb: float
     load: Sample | None = None
     share: Sample | None = None
+    warm: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,12 +56,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Room:
-    """How a server stands: its idle, what is asked of it, and what of that is the asker's."""
+    """How a server stands: its idle, what is asked of it, what of that is the asker's, and whether a session
+    plays there that began before the server could be cold."""
 
     server: int
     idle: float
     asked: float
     theirs: float
+    warm: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +80,7 @@
     """The messages that say a word."""
     match word:
         case Telling(rates, whole):
-            rows = [_RATE.pack(r.server, _steps(r.kb, 65535), *_sample(r.load), *_sample(r.share))
+            rows = [_RATE.pack(r.server, _flagged(r.kb, r.warm), *_sample(r.load), *_sample(r.share))
                     for r in rates]
             return _split(_ALL if whole else _CHANGES, _CHANGES, rows)
         case AskOurs():
@@ -84,7 +89,7 @@
             return [bytes([_HOLDERS]) + _QUESTION.pack(home, span, zone)]
         case Answer(rooms):
             rows = [_ROOM.pack(r.server, _steps(r.idle, 32767, -32768), _steps(r.asked, 65535),
-                               _steps(r.theirs, 65535)) for r in rooms]
+                               _flagged(r.theirs, r.warm)) for r in rooms]
             return _split(_ANSWER, _ANSWER, rows)
 
 
@@ -93,7 +98,7 @@
     kind, body = payload[0] if payload else -1, payload[1:]
     if kind in (_CHANGES, _ALL):
         rows = _RATE.iter_unpack(body[:len(body) // _RATE.size * _RATE.size])
-        return Telling(tuple(Rate(at, kb * _KB, _read(load, age), _read(share, since))
+        return Telling(tuple(Rate(at, (kb & ~_WARM) * _KB, _read(load, age), _read(share, since), kb >= _WARM)
                              for at, kb, load, age, share, since in rows), kind == _ALL)
     if kind == _OURS:
         return AskOurs()
@@ -101,7 +106,8 @@
         return AskHolders(*_QUESTION.unpack_from(body))
     if kind == _ANSWER:
         rooms = _ROOM.iter_unpack(body[:len(body) // _ROOM.size * _ROOM.size])
-        return Answer(tuple(Room(at, *(steps * _KB for steps in figures)) for at, *figures in rooms))
+        return Answer(tuple(Room(at, idle * _KB, asked * _KB, (theirs & ~_WARM) * _KB, theirs >= _WARM)
+                            for at, idle, asked, theirs in rooms))
     return None
 
 
@@ -114,6 +120,10 @@
     return max(least, min(round(kb / _KB), most))
 
 
+def _flagged(kb: float, warm: bool) -> int:
+    return _steps(kb, _WARM - 1) | (_WARM if warm else 0)
+
+
 def _sample(sample: Sample | None) -> tuple[int, int]:
     return (min(round(sample.figure * 100), 254), min(sample.age // _AGE, 255)) if sample else (_NONE, _NONE)
 
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -57,6 +57,8 @@
     notes: list[tuple[int, float]] = field(default_factory=list)  # (when, share delivered)
     peers: dict[int, float] = field(default_factory=dict)   # what other fronts last said to ask
     theirs: float = 0.0                                      # and the sum of it
+    warm: set[int] = field(default_factory=set)              # the fronts that last said that it is warm
+    warm_at: int = LONG_AGO                                  # when a hub's word last said so
     sent: int = LONG_AGO
     inquired: int = LONG_AGO                # when it was last probed for an arrival
     heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
@@ -88,6 +90,7 @@
         self.peers[peer] = kb
         if not kb:
             del self.peers[peer]
+            self.warm.discard(peer)
             self.theirs = self.theirs if self.peers else 0.0
 
     def changed(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -117,9 +117,10 @@
         match word:
             case words.Telling(rates, whole):
                 self.news.append(f"tells {action.peer} {'all' if whole else 'changes'}")
-                self.news += [f"tell {rate.server} {rate.kb:g}" for rate in rates]
+                self.news += [f"tell {r.server} {r.kb:g}{' warm' if r.warm else ''}" for r in rates]
             case words.Answer(rooms):
                 self.news += [f"answer {action.peer} {r.server} {r.idle:g} {r.asked:g}" for r in rooms]
+                self.news += [f"warm {r.server}" for r in rooms if r.warm]
             case _:
                 self.news.append(f"asks {action.peer} {type(word).__name__}")
 
@@ -138,16 +139,20 @@
             self.do(event)
 
     def word(self, plain: list[str], options: dict[str, Any]) -> bytes:
-        """`all|changes SERVER KB ...`, `answer SERVER IDLE ASKED`, `ours`, `holders`, or `raw HEX`."""
+        """`all|changes SERVER KB ...`, `answer SERVER IDLE ASKED`, `ours`, `holders`, `raw HEX`; `warm`."""
+        warm = "warm" in plain
+        plain = [text for text in plain if text != "warm"]
         kind, numbers = plain[0], [int(text) for text in plain[1:] if plain[0] != "raw"]
         word: words.Word = words.AskOurs()
         if kind == "raw":
             return bytes.fromhex("".join(plain[1:]))
         if kind in ("all", "changes"):
             pairs = zip(numbers[::2], numbers[1::2], strict=True)
-            word = words.Telling(tuple(words.Rate(at, kb) for at, kb in pairs), kind == "all")
+            word = words.Telling(
+                tuple(words.Rate(at, kb, warm=warm) for at, kb in pairs), kind == "all"
+            )
         elif kind == "answer":
-            word = words.Answer((words.Room(numbers[0], numbers[1], numbers[2], 0),))
+            word = words.Answer((words.Room(numbers[0], numbers[1], numbers[2], 0, warm),))
         elif kind == "holders":
             word = words.AskHolders(options.get("home", 0), options.get("span", 8), options.get("zone", 0))
         return words.pack(word)[0]
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -38,6 +38,10 @@
 from ponddoor.decide import Front
 Front.paced_until = lambda self, server: 0
 """
+UNTOLD = """
+from ponddoor.decide import Front
+Front.warm = lambda self, server: False
+"""
 ALL_AT_ONCE = """
 from ponddoor.node.servers import Servers
 Servers.turn = lambda self: 0
@@ -87,6 +91,8 @@
     "broken in step": ("broken", without(IN_STEP)),
     "all_cold": ("all_cold", NODE),
     "all_cold unpaced": ("all_cold", without(UNPACED)),
+    "newcomers": ("newcomers", NODE),
+    "newcomers untold": ("newcomers", without(UNTOLD)),
     "reset": ("reset", NODE),
     "reset all at once": ("reset", without(ALL_AT_ONCE)),
     "roll": ("roll", NODE),
@@ -170,6 +176,26 @@
     assert kept.result.fell == 0 < taken_out.result.fell
 
 
+def close_together(played: Played) -> int:
+    """SETUPs of fronts that were killed and back, at a server where the same one sent another just before:
+    sooner than its share of what a cold server bears, which 12 fronts space by 4 s."""
+    last, found = dict[tuple[int, int], int](), 0
+    for row in played.rows:
+        if row["what"] == "setup" and row["epoch"] > 1:
+            key = (row["front"], row["server"])
+            found += row["at"] - last.get(key, -SECOND * 1000) < 3 * SECOND
+            last[key] = row["at"]
+    return found
+
+
+def test_who_begins_is_told_which_servers_are_warm(days: "dict[str, Future[Played]]") -> None:
+    told, untold = days["newcomers"].result(), days["newcomers untold"].result()
+    assert close_together(told) > 2 * close_together(untold) + 2, (
+        close_together(told),
+        close_together(untold),
+    )
+
+
 def after_reset(played: Played) -> int:
     """The most handshakes at one server within 50 ms, just after all connections were reset."""
     resets = played.at("link-reset")
