--- a/ponddoor/front/listing.py
+++ b/ponddoor/front/listing.py
@@ -37,7 +37,7 @@
     coming: Coming
     reachable: bool = False
     failures: int = 0
-    _due: int = 0
+    due: int = 0  # when the list is tried next
     _turn: int = 0
     _watching: asyncio.Task[None] | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -54,7 +54,7 @@
         rows = self.roster.rows()
         self.learned(self.roster.entries)
         self.apply(lambda now: self.engine.news(now, ev.NewsScope.CACHED, rows))
-        self._due = self.coming.start(clock())
+        self.due = self.coming.start(clock())
         if not self.site.facts.asked_discovery:
             self.watch(True)
 
@@ -80,14 +80,14 @@
         """Where the list is pushed it is asked for again and again; where it is asked, the decisions ask."""
         once = self.site.facts.asked_discovery
         while True:
-            await asyncio.sleep(max(self._due - clock(), 0) / SECOND)
+            await asyncio.sleep(max(self.due - clock(), 0) / SECOND)
             how, gone, stay_away, why = await self._follow()
             now = clock()
-            self._due = self.coming.lost(now, how, gone, stay_away)
+            self.due = self.coming.lost(now, how, gone, stay_away)
             self._turn += 1
             if self.reachable or self.failures == 0:
                 log.warning("list-out-of-reach", how=how.value, why=why, version=self.roster.version,
-                            again_in_ms=(self._due - now) // 1000)  # fmt: skip
+                            again_in_ms=(self.due - now) // 1000)  # fmt: skip
             self.reachable, self.failures = False, self.failures + 1
             if once:
                 self.apply(lambda now: self.engine.news(now, ev.NewsScope.FAILED, ()))
--- a/tests/front/test_coming.py
+++ b/tests/front/test_coming.py
@@ -3,10 +3,14 @@
 import heapq
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from ponddoor.front.coming import LEAST, MOVED, Coming, Loss
+from ponddoor.load.coming import InStep
+from ponddoor.rehearse.sums import peak
+from ponddoor.standins.capacity import Capacity, Verdict
 
 SECOND = 1_000_000
 GRACE = SECOND // 2
@@ -16,16 +20,6 @@
     return [Coming(me, fronts, GRACE, seed=1000 + me) for me in range(fronts)]
 
 
-def peak(moments: list[int], span: int) -> int:
-    """The most tries in any `span` microseconds that begin at a try."""
-    moments, most, first = sorted(moments), 0, 0
-    for last, at in enumerate(moments):
-        while moments[first] <= at - span:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def outage(fronts: int, lasts: int) -> tuple[list[int], list[int]]:
     """Every try while the list is down from the start, and the first one of each front after it is back."""
     each = fleet(fronts)
@@ -69,6 +63,42 @@
     assert peak(late, SECOND) <= 3 * max(40, 0.2 * fronts) and len(back) == fronts
 
 
+def pushed(each: list[Any], capacity: Capacity, until: int) -> tuple[int, int]:
+    """A fleet that begins at a list which can be pushed over: how often it fell, and who has it at the end.
+
+    Who has it loses it when it falls. Who is turned away or finds it fallen tries again as its core says."""
+    due = [(front.start(0), me) for me, front in enumerate(each)]
+    heapq.heapify(due)
+    has: set[int] = set()
+    while due and due[0][0] < until:
+        at, me = heapq.heappop(due)
+        falls = len(capacity.falls)
+        verdict, _ = capacity.ask(at)
+        if len(capacity.falls) > falls:
+            for one in sorted(has):
+                heapq.heappush(due, (each[one].lost(at, Loss.BROKEN), one))
+            has.clear()
+        if verdict is Verdict.SERVED:
+            has.add(me)
+            if isinstance(each[me], Coming):
+                each[me].heard(at)
+        else:
+            how = Loss.BROKEN if verdict is Verdict.TURNED_AWAY else Loss.REFUSED
+            heapq.heappush(due, (each[me].lost(at, how), me))
+    return len(capacity.falls), len(has)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("answers", [60, 100, 150])
+def test_a_list_that_was_pushed_over_is_not_pushed_over_again_and_again(answers: int, seed: int) -> None:
+    spread = [Coming(me, 300, GRACE, seed * 7919 + me) for me in range(300)]
+    falls, have = pushed(spread, Capacity(answers, answers // 2, 5 * SECOND), 90 * SECOND)
+    assert falls <= 2 and have == 300
+    in_step = [InStep() for _ in range(300)]
+    falls, have = pushed(in_step, Capacity(answers, answers // 2, 5 * SECOND), 90 * SECOND)
+    assert falls >= 10 and have < 300
+
+
 def test_what_the_rules_leave_is_used() -> None:
     """News of a list that is back counts 4 s after it was lost: nobody waits longer for a try before."""
     for front in fleet(200):
