--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -175,7 +175,7 @@
 
 def test_all_cold_no_server_is_pushed_over(days: "dict[str, Future[Played]]") -> None:
     kept, taken_out = days["all_cold"].result(), days["all_cold unpaced"].result()
-    # A machine that stands still for half a second merges what was sent apart: a fifth of the servers may fall
+    # A machine that stands still for half a second merges what was sent apart: a fifth may fall by that
     assert kept.result.fell <= 3 < 10 <= taken_out.result.fell
 
 
