--- a/ponddoor/load/coming.py
+++ b/ponddoor/load/coming.py
@@ -11,7 +11,7 @@
 import numpy as np
 
 from ponddoor.front.coming import Coming, Loss
-from ponddoor.rehearse.sums import peak
+from ponddoor.rehearse.sums import evenness, peak
 
 SECOND = 1_000_000
 GRACE = SECOND // 2  # us: how long news may take at a start
@@ -50,12 +50,6 @@
     return tries, sorted(back)
 
 
-def evenness(moments: list[int], window: int) -> float:
-    """The peak in a window over the mean of the spread; a fleet that comes within one window counts whole."""
-    span = max(max(moments) - min(moments), window)
-    return peak(moments, window) * span / (len(moments) * window)
-
-
 def figures(fronts: int, seed: int, in_step: bool = False) -> dict[str, float]:
     """One fleet's sums."""
 
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import Any
 
 import numpy as np
 
@@ -132,11 +133,8 @@
     stay = _span(top, "stay", (20 * SECOND, 60 * SECOND))
     rate = top.number("rate", 0.0, 0, 100_000) or _rate(site, servers, load_part or 0.7, stay)
     mixed = top.one("mix", needed=False)
-    mix = (
-        [mixed.number(group.name, 0.0) for group in site.facts.groups]
-        if mixed
-        else [1.0] * len(site.facts.groups)
-    )
+    named = [group.name for group in site.facts.groups]
+    mix = [mixed.number(name, 0.0) for name in named] if mixed else [1.0] * len(named)
     if mixed:
         mixed.done()
     if sum(mix) <= 0:
@@ -164,26 +162,16 @@
         top.problem(top.place, f"entitlement {entitlement}", f"one that {site.name} has")
     day = replace(day, entitlement=entitlement)
     players = top.section("players")
-    day = replace(
-        day,
-        segments=players.flag("segments", False),
-        heed=players.number("heed", 1.0, 0, 1),
-        liars=players.number("liars", 0.0, 0, 1),
-        weak=players.number("weak", 0.0, 0, 1),
-        malformed=players.number("malformed", 0.0, 0, 1),
-        candid=players.flag("candid", False),
-    )
+    told: dict[str, Any] = {name: players.flag(name, False) for name in ("segments", "candid")}
+    for name, usual in (("heed", 1.0), ("liars", 0.0), ("weak", 0.0), ("malformed", 0.0)):
+        told[name] = players.number(name, usual, 0, 1)
+    day = replace(day, **told)
     players.done()
     bears = top.section("list")
-    day = replace(
-        day,
-        shell=top.choice("shell", ("front", "node"), "front"),
-        cold=top.flag("cold", False),
-        at_once=top.flag("at-once", False),
-        answers=bears.number("answers", 0.0, 0, 1e6),
-        queue=bears.whole("queue", 100, 1, 1_000_000),
-        fall=bears.time("fall", 5 * SECOND),
-    )
+    shell, cold = top.choice("shell", ("front", "node"), "front"), top.flag("cold", False)
+    day = replace(day, shell=shell, cold=cold, at_once=top.flag("at-once", False))
+    answers, queue = bears.number("answers", 0.0, 0, 1e6), bears.whole("queue", 100, 1, 1_000_000)
+    day = replace(day, answers=answers, queue=queue, fall=bears.time("fall", 5 * SECOND))
     bears.done()
     day = replace(day, **(shares or {}))  # type: ignore[arg-type]
     top.done(words=1)
@@ -228,9 +216,7 @@
     made = []
     for kind, figures in TROUBLES.items():
         for held in form.many(kind):
-            got = {
-                name: held.number(name, default, low, high) for name, (low, high, default) in figures.items()
-            }
+            got = {name: held.number(name, usual, low, high) for name, (low, high, usual) in figures.items()}
             hows = HOWS.get(kind)
             how = held.choice("how", hows, hows[0]) if hows else ""
             made.append(Trouble(kind, round(when or 0), held.time("for", 10 * SECOND), got, how))
@@ -265,20 +251,9 @@
         if crowd and rng.random() < sum(t.figures["size"] for t in crowd):
             pick = int(order[-1])
         most = facts.groups[group].top
-        top = (
-            most
-            if rng.random() >= day.small
-            else max(facts.groups[group].floor, int(rng.integers(0, most + 1)))
-        )
-        viewers.append(
-            Viewer(
-                len(viewers),
-                round(at),
-                int(rng.integers(0, len(site.zones) or 1)),
-                group,
-                int(rng.choice(len(shares), p=np.array(shares) / sum(shares))),
-                titles[pick],
-                top,
-                int(rng.uniform(*day.stay)),
-            )
-        )
+        small = rng.random() < day.small
+        top = max(facts.groups[group].floor, int(rng.integers(0, most + 1))) if small else most
+        zone = int(rng.integers(0, len(site.zones) or 1))
+        tenant = int(rng.choice(len(shares), p=np.array(shares) / sum(shares)))
+        stay = int(rng.uniform(*day.stay))
+        viewers.append(Viewer(len(viewers), round(at), zone, group, tenant, titles[pick], top, stay))
--- a/ponddoor/rehearse/nodes.py
+++ b/ponddoor/rehearse/nodes.py
@@ -42,11 +42,9 @@
 
     async def _set_up(self) -> None:
         day = self.day
-        odd = [
-            t.kind for t in day.troubles if t.kind not in CAN and not t.kind.startswith(("fronts_", "link_"))
-        ]
+        odd = {t.kind for t in day.troubles if not t.kind.startswith(("fronts_", "link_"))} - set(CAN)
         if odd:
-            raise RehearsalError(f"nodes are not played with {', '.join(sorted(set(odd)))}")
+            raise RehearsalError(f"nodes are not played with {', '.join(sorted(odd))}")
         self.front_ports = [(a, b, 0) for a, b in zip(*[iter(free_ports(2 * day.fronts))] * 2, strict=True)]
         self.world = Platform(day, self.rec, self._whose)
         self.board = Board(self.rec, self._whose, self._at, Capacity(day.answers, day.queue, day.fall))
--- a/ponddoor/rehearse/relay.py
+++ b/ponddoor/rehearse/relay.py
@@ -96,13 +96,9 @@
         if not found:
             return Fault()
         rates = [fault.rate for fault in found if fault.rate]
-        return Fault(
-            any(fault.cut for fault in found),
-            any(fault.stall for fault in found),
-            max(fault.loss for fault in found),
-            max(fault.delay for fault in found),
-            min(rates, default=0.0),
-        )
+        cut, stall = any(fault.cut for fault in found), any(fault.stall for fault in found)
+        loss, delay = max(fault.loss for fault in found), max(fault.delay for fault in found)
+        return Fault(cut, stall, loss, delay, min(rates, default=0.0))
 
     async def passable(self, source: str, target: str) -> Fault:
         """Wait until a link passes bytes; what else is wrong with it."""
@@ -121,14 +117,8 @@
         host, got = server.sockets[0].getsockname()[:2]
         return str(host), int(got)
 
-    async def _accept(
-        self,
-        source: str,
-        target: str,
-        to: Address,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
+    async def _accept(self, source: str, target: str, to: Address, reader: asyncio.StreamReader,
+                      writer: asyncio.StreamWriter) -> None:  # fmt: skip
         wire = _Wire(self, source, target)
         wire.writers.append(writer)
         self._wires.add(wire)
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -75,9 +76,7 @@
         return float(min(self.players["groups"].values()))
 
 
-_GUARDS: list[
-    socket.socket
-] = []  # each holds the first port of a block that is ours while this process lives
+_GUARDS: list[socket.socket] = []  # each holds the first port of a block that is ours while we live
 _BLOCK = 64
 
 
@@ -156,19 +155,12 @@
             if row["what"] == "outcome":
                 setups[row["result"]] = setups.get(row["result"], 0) + 1
         fell = sum(row["what"] == "fell" for row in rows)
+        seats = seats_seen(Account(rows, self.day.site.facts)) if self.day.entitlement else None
+        reached = sums(rows, self.day.fronts) | {"the rehearsal itself, most late, ms": self.late // 1000}
         return Result(
-            self.day.name,
-            self.day.seed,
-            self.decisions,
-            players,
-            breaches,
-            left_out,
-            setups,
-            fell,
-            self.folder,
-            seats_seen(Account(rows, self.day.site.facts)) if self.day.entitlement else None,
-            sums(rows, self.day.fronts) | {"the rehearsal itself, most late, ms": self.late // 1000},
-        )
+            self.day.name, self.day.seed, self.decisions, players, breaches, left_out, setups, fell,
+            self.folder, seats, reached,
+        )  # fmt: skip
 
     async def _set_up(self) -> None:
         day = self.day
@@ -190,12 +182,8 @@
             return
         for me in range(day.fronts):
             await self._start_front(me)
-        await asyncio.gather(
-            *(
-                self._until(lambda me=me: self._front_up(me), f"front {me}")  # type: ignore[misc]
-                for me in range(day.fronts)
-            )
-        )
+        for me in range(day.fronts):
+            await self._until(partial(self._front_up, me), f"front {me}")
 
     async def _watch_lag(self) -> None:
         """How late this process, which relays all, was at most: records may lie so much further apart."""
@@ -228,16 +216,11 @@
             for other, (viewers, words, metrics) in enumerate(self.front_ports):
                 told = ("127.0.0.1", words) if other == me else self.word_ports[other]
                 zone = self.day.site.zones[self._zone(other)]
-                made.append(
-                    form(
-                        "front",
-                        word(str(other)),
-                        form("zone", word(zone)),
-                        form("viewers", f"127.0.0.1:{viewers}"),
-                        form("words", f"{told[0]}:{told[1]}"),
-                        form("metrics", f"127.0.0.1:{metrics}"),
-                    )
-                )
+                made.append(form(
+                    "front", word(str(other)), form("zone", word(zone)),
+                    form("viewers", f"127.0.0.1:{viewers}"), form("words", f"{told[0]}:{told[1]}"),
+                    form("metrics", f"127.0.0.1:{metrics}"),
+                ))  # fmt: skip
             return form("fronts", *made)
 
         items: list[Node] = []
@@ -264,44 +247,20 @@
         log = (self.folder / f"{name}.log").open("ab")
         with log:
             return await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "ponddoor.cli",
-                *arguments,
-                "--site",
-                str(self.folder / f"site-{site}.pond"),
-                "--record",
-                str(self.folder / f"{name}.rec"),
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+                sys.executable, "-m", "ponddoor.cli", *arguments, "--site",
+                str(self.folder / f"site-{site}.pond"), "--record", str(self.folder / f"{name}.rec"),
+                stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            )  # fmt: skip
 
     async def _start_box(self, box: Box, warm: bool) -> None:
         site = self.day.site
         kind = site.kinds[box.cell % len(site.kinds)]
         box.process = await self._spawn(
-            f"media-{box.number}",
-            "standin",
-            "media",
-            "--number",
-            str(box.number),
-            "--cell",
-            str(box.cell),
-            "--zone",
-            site.zones[box.cell % len(site.zones)],
-            "--kind",
-            kind,
-            "--weight",
-            str(weight_of(site, box.cell)),
-            "--port",
-            str(box.port),
-            "--control",
-            str(box.control),
-            "--seed",
-            str(self.day.seed),
-            *(["--warm"] if warm else []),
-        )
+            f"media-{box.number}", "standin", "media", "--number", str(box.number), "--cell", str(box.cell),
+            "--zone", site.zones[box.cell % len(site.zones)], "--kind", kind, "--weight",
+            str(weight_of(site, box.cell)), "--port", str(box.port), "--control", str(box.control), "--seed",
+            str(self.day.seed), *(["--warm"] if warm else []),
+        )  # fmt: skip
 
     async def _start_front(self, me: int) -> None:
         self.starts += 1
@@ -315,9 +274,7 @@
         limit = time.monotonic() + READY_WITHIN
         while not await done():
             if time.monotonic() > limit:
-                raise RehearsalError(
-                    f"{what} did not come up in {READY_WITHIN:g} s: see the logs in {self.folder}"
-                )
+                raise RehearsalError(f"{what} did not come up in {READY_WITHIN:g} s: see {self.folder}")
             await asyncio.sleep(0.1)
 
     async def _get(self, port: int, path: str) -> bytes | None:
@@ -345,18 +302,11 @@
         silent = self.day.site.seats.lease * 1.05 / SECOND if self.day.entitlement else 0.0
         begin = time.monotonic() + 2.5 + silent  # fronts without a journal grant nothing for a lease
         out = self.folder / "players.json"
+        ports = (part for viewers, _, _ in self.front_ports for part in ("--front", f"127.0.0.1:{viewers}"))
         players = await self._spawn(
-            "players",
-            "standin",
-            "players",
-            "--day",
-            str(self.folder / "day.json"),
-            "--begin",
-            repr(begin),
-            "--out",
-            str(out),
-            *(part for viewers, _, _ in self.front_ports for part in ("--front", f"127.0.0.1:{viewers}")),
-        )
+            "players", "standin", "players", "--day", str(self.folder / "day.json"), "--begin", repr(begin),
+            "--out", str(out), *ports,
+        )  # fmt: skip
         self.others.append(players)
         troubles = [asyncio.create_task(self._trouble(begin, trouble)) for trouble in self.day.troubles]
         if self.day.at_once:
@@ -387,9 +337,8 @@
             case "crash":
                 await self._crash(self._some(figures["part"]), lasts)
             case kind if kind in FAULTS:
-                await self._fault(
-                    self._some(figures["part"]), kind, lasts, figures.get("size", 1.0), trouble.how
-                )
+                boxes, size = self._some(figures["part"]), figures.get("size", 1.0)
+                await self._fault(boxes, kind, lasts, size, trouble.how)
             case "origin_slow":
                 racks = self.day.site.facts.plant.racks
                 short = {int(r) for r in self.rng.choice(racks, max(1, round(0.3 * racks)), replace=False)}
--- a/ponddoor/rehearse/sums.py
+++ b/ponddoor/rehearse/sums.py
@@ -42,6 +42,21 @@
     return found
 
 
+def first_tries(rows: list[Row], event: int) -> list[int]:
+    """Each front's first try at the list after a moment."""
+    first: dict[int, int] = {}
+    for row in rows:
+        if row["what"] == "came" and row["at"] > event:
+            first.setdefault(row["front"], row["at"])
+    return list(first.values())
+
+
+def evenness(moments: list[int], window: int) -> float:
+    """The peak in a window over the mean of the spread; a fleet that comes within one window counts whole."""
+    span = max(max(moments) - min(moments), window)
+    return peak(moments, window) * span / (len(moments) * window)
+
+
 def sums(rows: list[Row], fronts: int) -> dict[str, float]:
     """Figures of a day. Times in seconds; tries are those that reached the list."""
     came = [row["at"] for row in rows if row["what"] == "came"]
@@ -70,6 +85,17 @@
             need = -int(-part * fronts // 1)
             if len(times) >= need:
                 found[f"list back: {name} have it after, s"] = round(times[need - 1] / SECOND, 2)
+    for row in rows:
+        lost = row["what"] == "link-reset" and row["ways"][0][1] == ["list"]
+        told = row["what"] == "signal" and row["number"] == "SIGHUP"
+        if (lost or told) and (tries := first_tries(rows, row["at"])):
+            name = "all told to move" if told else "all broken off"
+            found[f"{name}: came"] = len(tries)
+            found[f"{name}: most in 10 ms"] = peak(tries, 10_000)
+            found[f"{name}: most in 100 ms"] = peak(tries, 100_000)
+            found[f"{name}: over the mean, 10 ms"] = round(evenness(tries, 10_000), 2)
+            found[f"{name}: over the mean, 100 ms"] = round(evenness(tries, 100_000), 2)
+            found[f"{name}: all came within, s"] = round((max(tries) - row["at"]) / SECOND, 2)
     held = Counter[int]()
     servers = {(row["front"], row["server"]) for row in rows if row["what"] == "handshake"}
     held.update(front for front, _ in servers)
--- a/ponddoor/standins/platform.py
+++ b/ponddoor/standins/platform.py
@@ -158,11 +158,14 @@
     async def start(self) -> Address:
         loop, kinds = asyncio.get_running_loop(), self.day.site.kinds
         self._server = await loop.create_server(lambda: _Link(self), "127.0.0.1", 0, backlog=1024)
-        self.world.rec.note("begin", server=self.entry.server, started_us=self.entry.started_us,
-                            warm=not self.entry.started_us, kind=kinds.index(self.entry.kind))  # fmt: skip
+        started, kind = self.entry.started_us, kinds.index(self.entry.kind)
+        self.note("begin", started_us=started, warm=not started, kind=kind)
         host, port = self._server.sockets[0].getsockname()[:2]
         return str(host), int(port)
 
+    def note(self, what: str, **fields: Any) -> None:
+        self.world.rec.note(what, server=self.entry.server, **fields)
+
     def kb(self) -> float:
         return self.entry.weight * self.day.site.facts.plant.kb_per_weight
 
@@ -193,15 +196,14 @@
         pace = plant.streams[self.day.site.kinds.index(self.entry.kind)] * SECOND / rules.cold
         allowed = pace * warmth * rules.fall_multiple * rules.fall / SECOND
         if self.entry.started_us and age < 1 and len(self.recent) > allowed + 1 and not self.fallen:
-            self.world.rec.note("fell", server=self.entry.server, sent=len(self.recent), allowed=allowed)
+            self.note("fell", sent=len(self.recent), allowed=allowed)
             self.fallen = True
 
     def end(self, sess: str, why: str) -> None:
         stream = self.streams.pop(sess, None)
         if stream is not None:
             self.world.earn(stream)
-            self.world.rec.note("ended", sess=sess, attempt=stream.attempt, server=self.entry.server, why=why,
-                                front=stream.front)  # fmt: skip
+            self.note("ended", sess=sess, attempt=stream.attempt, why=why, front=stream.front)
 
     def close(self) -> None:
         """The process dies: its connections are reset, its sessions cut."""
@@ -227,7 +229,7 @@
         self.front = world.whose(transport.get_extra_info("peername")[1])
         self.box.links.add(self)
         self.box.take_time(HANDSHAKE)
-        world.rec.note("handshake", server=self.box.entry.server, front=self.front)
+        self.box.note("handshake", front=self.front)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.box.links.discard(self)
@@ -251,7 +253,7 @@
     def give_up(self, sess: str) -> None:
         attempt, handle = self.pending.pop(sess)
         handle.cancel()
-        self.box.world.rec.note("given-up", sess=sess, attempt=attempt, server=self.box.entry.server)
+        self.box.note("given-up", sess=sess, attempt=attempt)
 
     def take(self, got: dict[str, Any]) -> None:
         box, sess, world = self.box, str(got["ref"]), self.box.world
@@ -261,15 +263,14 @@
             case "down" if sess in self.pending:
                 self.give_up(sess)
             case "down":
-                world.rec.note("teardown", sess=sess, attempt=world.attempts.get(sess, 0) - 1,
-                               server=box.entry.server)  # fmt: skip
+                box.note("teardown", sess=sess, attempt=world.attempts.get(sess, 0) - 1)
                 box.end(sess, "teardown")
                 self.say("ack", sess)
             case "step" if sess in box.streams:
                 world.earn(box.streams[sess])
                 box.streams[sess].rung = int(got["f"]["rung"])
             case "hb":
-                world.rec.note("probe", server=box.entry.server, front=self.front, report=bool(got.get("c")))
+                box.note("probe", front=self.front, report=bool(got.get("c")))
                 told = {"f": {"load": box.report()}} if got.get("c") else {}
                 loop = asyncio.get_running_loop()
                 loop.call_later(box.take_time(PROBE), lambda: self.say("hb_ok", sess, 1, **told))
@@ -279,31 +280,27 @@
         attempt = world.attempts[sess] = world.attempts.get(sess, 0) + 1
         group = world.groups.index(fields["class"])
         rung = int(fields.get("rung", box.day.site.facts.groups[group].floor))
-        world.rec.note("setup", sess=sess, attempt=attempt - 1, server=box.entry.server, front=self.front,
-                       epoch=world.epochs.get(self.front, 0), rung=rung, group=group, title=fields["key"],
-                       timeout_us=round(float(fields["left"]) * 1000))  # fmt: skip
+        epoch, left = world.epochs.get(self.front, 0), round(float(fields["left"]) * 1000)
+        told = {"epoch": epoch, "rung": rung, "group": group, "title": fields["key"], "timeout_us": left}
+        box.note("setup", sess=sess, attempt=attempt - 1, front=self.front, **told)
         box.rushed()
-        takes = box.take_time(float(box.rng.uniform(*WORK)))
-        handle = asyncio.get_running_loop().call_later(
-            takes, self.answer, sess, attempt - 1, group, rung, description
-        )
+        takes, loop = box.take_time(float(box.rng.uniform(*WORK))), asyncio.get_running_loop()
+        handle = loop.call_later(takes, self.answer, sess, attempt - 1, group, rung, description)
         self.pending[sess] = (attempt - 1, handle)
 
     def answer(self, sess: str, attempt: int, group: int, rung: int, description: str) -> None:
-        box, world = self.box, self.box.world
+        box = self.box
         self.pending.pop(sess, None)
         if box.fallen:
             self.pending[sess] = (attempt, asyncio.get_running_loop().call_later(3600, lambda: None))
             return  # it stays down: nothing is answered
         full = len(box.streams) >= box.day.site.facts.plant.streams[0] * 50
-        world.rec.note("outcome", sess=sess, attempt=attempt, server=box.entry.server,
-                       result="full" if full else "started")  # fmt: skip
+        box.note("outcome", sess=sess, attempt=attempt, result="full" if full else "started")
         if full:
             self.say("down", sess, 34)
             return
         box.streams[sess] = Stream(sess, attempt, self.front, group, rung, time.monotonic())
-        world.rec.note("started", sess=sess, attempt=attempt, server=box.entry.server, front=self.front,
-                       group=group, title="")  # fmt: skip
+        box.note("started", sess=sess, attempt=attempt, front=self.front, group=group, title="")
         self.say("up", sess, d=description)
 
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -18,7 +18,7 @@
 from ponddoor.rehearse.day import load_day
 from ponddoor.rehearse.nodes import NODE, NodeRehearsal
 from ponddoor.rehearse.run import Rehearsal, Result
-from ponddoor.rehearse.sums import peak
+from ponddoor.rehearse.sums import first_tries, peak
 
 DAYS = Path(__file__).parent / "days"
 SECOND = 1_000_000
@@ -141,20 +141,11 @@
     assert len(in_outage(days["list_down eager"].result())) > 0.25 * 16 * 4
 
 
-def first_tries(played: Played, event: int) -> list[int]:
-    """Each front's first try at the list after a moment."""
-    first: dict[int, int] = {}
-    for row in played.rows:
-        if row["what"] == "came" and row["at"] > event:
-            first.setdefault(row["front"], row["at"])
-    return list(first.values())
-
-
 def test_a_break_and_sighup_are_spread(days: "dict[str, Future[Played]]") -> None:
     for case, spread in (("broken", True), ("broken in step", False)):
         played = days[case].result()
         for event in (*played.at("order", on=True), *played.at("signal", number="SIGHUP")):
-            tries = first_tries(played, event)
+            tries = first_tries(played.rows, event)
             assert len(tries) == 12
             assert (peak(tries, 100_000) <= 7) is spread, (case, sorted(at - event for at in tries))
 
--- a/tests/front/test_coming.py
+++ b/tests/front/test_coming.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ponddoor.front.coming import LEAST, MOVED, Coming, Loss
-from ponddoor.load.coming import InStep
+from ponddoor.load.coming import InStep, outage
 from ponddoor.rehearse.sums import peak
 from ponddoor.standins.capacity import Capacity, Verdict
 
@@ -20,22 +20,6 @@
     return [Coming(me, fronts, GRACE, seed=1000 + me) for me in range(fronts)]
 
 
-def outage(fronts: int, lasts: int) -> tuple[list[int], list[int]]:
-    """Every try while the list is down from the start, and the first one of each front after it is back."""
-    each = fleet(fronts)
-    due = [(front.start(0), front.me) for front in each]
-    heapq.heapify(due)
-    tries, back = list[int](), list[int]()
-    while due:
-        at, me = heapq.heappop(due)
-        if at >= lasts:
-            back.append(at - lasts)
-            continue
-        tries.append(at)
-        heapq.heappush(due, (each[me].lost(at, Loss.REFUSED), me))
-    return tries, back
-
-
 @pytest.mark.parametrize("fronts", [20, 100, 300, 1000, 5000])
 @pytest.mark.parametrize("how", ["start", "moved", "break", "silence"])
 def test_a_spread_is_even(fronts: int, how: str) -> None:
@@ -57,7 +41,7 @@
 @pytest.mark.parametrize("fronts", [20, 200, 300, 1000, 5000])
 def test_a_long_outage_costs_a_bounded_number_of_tries(fronts: int) -> None:
     minute = 60 * SECOND
-    tries, back = outage(fronts, 5 * minute)
+    tries, back = outage(fleet(fronts), 5 * minute)
     late = [at for at in tries if at >= 60 * SECOND]
     assert len(late) / 240 <= min(0.2 * fronts, 40)
     assert peak(late, SECOND) <= 3 * max(40, 0.2 * fronts) and len(back) == fronts
