--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -396,6 +396,86 @@
     sys.exit(1 if breaches else 0)
 
 
+@main.group()
+def fleet() -> None:
+    """The fleet: what a front believes of it, and the simulation of its cores."""
+
+
+@fleet.command(name="show")
+@click.argument("fronts", metavar="HOST:PORT [HOST:PORT]", nargs=-1, required=True)
+@click.option("--json", "as_json", is_flag=True)
+def fleet_show(fronts: tuple[str, ...], as_json: bool) -> None:
+    """What a front believes of fronts, servers, parts and counts; of two, where they differ (exit 1). The
+    addresses are those of the metrics."""
+    from ponddoor.fleet.shown import differences
+    from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
+
+    async def ask(front: str) -> dict[str, Any]:
+        host, _, port = front.rpartition(":")
+        pool = Pool(host, int(port), 1, 2.0)
+        try:
+            got: dict[str, Any] = (await pool.request("GET", "/fleet")).json()
+            return got
+        finally:
+            pool.close()
+
+    views = []
+    for front in fronts:
+        try:
+            views.append(asyncio.run(ask(front)))
+        except (NotSentError, BrokenError, LateError, ValueError) as problem:
+            click.echo(f"{front}: {problem}", err=True)
+            sys.exit(2)
+    if as_json:
+        click.echo(msgspec.json.encode(views))
+        return
+    for view in views:
+        click.echo(
+            f"front {view['me']}: hears {view['hears']}, {view['reach']:.0%} of its pings answered, "
+            f"{view['live']} of {len(view['fronts']) + 1} fronts live"
+        )
+        for front, row in view["fronts"].items():
+            if row["stands"] != "alive":
+                click.echo(f"  front {front} {row['stands']}, accused by {row['accused_by']}, "
+                           f"heard {row['heard_ms_ago']} ms ago")  # fmt: skip
+        for group, row in view["groups"].items():
+            whole = "whole" if row["whole"] else "not whole"
+            click.echo(f"  group {group}: kept by {row['keepers']}, {whole} here, "
+                       f"{row['lent_to_us']} parts lent to it")  # fmt: skip
+        for server, row in view["servers"].items():
+            asked = row["asked_by_others"]
+            bad = f", {row['against']} fronts against, {row['failed']} of {row['tries']} tries failed"
+            bounds = f"{asked['least']:g} to {asked['most']:g}, {asked['oldest_ms']} ms old"
+            click.echo(f"  server {server}: others ask {asked['likely']:g} kB/s ({bounds})"
+                       f"{bad if row['tries'] else ''}")  # fmt: skip
+    found = differences(views[0], views[1]) if len(views) > 1 else []
+    for line in found:
+        click.echo(line)
+    sys.exit(1 if found else 0)
+
+
+@fleet.command(name="simulate")
+@click.option("--first", type=int, default=0, show_default=True, help="The first seed.")
+@click.option("--count", type=int, default=100, show_default=True)
+@click.option("--without", type=str, help="Take a guard out, by its name.")
+def fleet_simulate(first: int, count: int, without: str | None) -> None:
+    """Play schedules of the fleet's cores from their seeds; exit 1, the seed and its least form where one
+    fails."""
+    from ponddoor.fleet.mutants import MUTANTS
+    from ponddoor.fleet.simulation import drawn, explore, shrunk
+    from ponddoor.fleet.view import Fleet
+
+    if without is not None and without not in MUTANTS:
+        click.echo(f"one of: {', '.join(MUTANTS)}", err=True)
+        sys.exit(2)
+    make, shape = MUTANTS[without] if without is not None else (Fleet, drawn)
+    ran, problem = explore(first, count, make, shape)
+    click.echo(f"{ran} schedules; {problem or 'every bound held'}")
+    if problem:
+        click.echo(f"least: {shrunk(shape(first + ran - 1), make)}")
+    sys.exit(1 if problem else 0)
+
+
 @main.group()
 def seats() -> None:
     """Seats: what a front holds, and the simulation of their count."""
--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -9,24 +9,28 @@
 1. the guard: the six rules, at the one place that every SETUP passes (`Front.barred`);
 2. health: a server that fails is rested, then tried by one session at a time (`rested_until`);
 3. further SETUPs: set-up timeouts that leave room for another holder (`Front.patience`);
-4. fronts' word: rates and reports told to a few hubs, which answer who asks (`telling`, `answering`);
-5. an inquiry before a placement, of a hub or of two holders, where the account is not whole (`inquire`);
+4. fronts' word: rates, reports and evidence told to the keepers of a rack, who answer who asks (`telling`,
+   `answering`; what is kept of it is in `ponddoor/fleet`);
+5. an inquiry before a placement, of keepers or of two holders, where the account is not whole (`inquire`);
 6. a busy-reply where no holder has room and most of our sessions are at the lowest rung (`place`).
 """
 
+import functools
 import heapq
 import itertools
 import math
 from collections.abc import Iterable
 from dataclasses import replace
 
+from ponddoor.fleet.presence import Timing
+from ponddoor.fleet.view import Fleet, Terms
 from ponddoor.interface import actions as act
 from ponddoor.interface import events as ev
 from ponddoor.interface import words
 from ponddoor.interface.events import Result, ServerState
 from ponddoor.interface.facts import Effect, Reporting, Scope, SiteFacts
 from ponddoor.interface.script import Resumed, Script
-from ponddoor.state import LONG_AGO, Chance, Pipe, Server, Sess
+from ponddoor.state import LONG_AGO, Arrivals, Chance, Pipe, Server, Sess
 
 SECOND = 1_000_000
 HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
@@ -42,16 +46,22 @@
 REGAIN = 0.02             # of an uplink seen short, that is tried again each second
 LEAST = 0.25              # of a told uplink, that a shortage can leave
 TELL_EVERY = 2            # start targets
-ALL_EVERY = 8             # so many tellings, all is told and not only what changed
-HUBS = 3                  # fronts that are told of all sessions: the first by number
-ASK_WAIT = SECOND // 12   # how long an answer of a hub or a probe is waited for
-# Of a holder's idle an arrival takes: where all that is asked is known, where a report came, and on a guess
-PARTS = (0.5, 0.34, 0.25)
+ALL_EVERY = 16            # so many tellings, all is told and not only what changed
+FEW = 3                   # so many fronts all keep the whole account; of more, each part of it has KEEPERS
+KEEPERS = 3
+BEARS = 50                # arrivals a second, one a front in each start target, that a part is made for
+KNOWN, REACH = 0.6, 0.4   # of the fleet, that has told us and that answers: the account is whole
+ASKED = 3                 # parts of the account that are asked about for an arrival
+ASK_WAIT = SECOND // 12   # how long an answer of a keeper or a probe is waited for
+SILENT = 4                # tellings, after which a front that does not answer is dead, at the soonest
+PARTS = (0.5, 0.34, 0.25)  # of a holder's idle an arrival takes: all is known, a report came, a guess
 COLD_USE = 0.4            # of a cold server's pace, that the fronts expect to use together
 CROWD = 4                 # arrivals that may meet at a holder before the account knows
 MEANS_AGE = 8 * SECOND     # how long a player's word on what it can take counts
 TAKES = 0.9               # of the throughput that a player measured, that a rung may use
 REST = SECOND             # a failing server's first rest; doubled with each further failure
+LONGEST = 3               # so often
+AGAINST = 2               # fronts whose word it takes to avoid a server that we know nothing bad of
 Standing = tuple[dict[int, float], float, float, dict[int, float], float]
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
@@ -60,37 +70,31 @@
     def __init__(self, facts: SiteFacts, now: int) -> None:
         self.facts, self.now, self.born, self.chance = facts, now, now, Chance(facts.seed)
         self.servers: dict[int, Server] = {}
-        self.racks = [Pipe(facts.plant.uplink_kb) for _ in range(max(1, facts.plant.racks))]
+        self.racks = [Pipe(facts.plant.uplink_kb) for _ in range(facts.plant.racks or 1)]
         self.sessions: dict[int, Sess] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.played, self.over = 0, 0               # how long sessions played in all, and how many ended
         self.lags: list[int] = []                   # how long the last set-ups took
-        self.arrivals: list[int] = []               # when the last requests came
+        self.arrivals = Arrivals(ARRIVALS)
         self.taken: list[int] = []                  # requests within the budget's span
         self.resent: list[int] = []                 # further SETUPs within it
-        self.heard: dict[int, int] = {}             # when each other front last spoke
         self.by_rack: list[list[Server]] = [[] for _ in self.racks]
-        tells = range(min(HUBS, facts.fronts)) if facts.permissions.messages else ()
-        self.hubs = [hub for hub in tells if hub != facts.me]
-        self.asks = bool(self.hubs) and facts.me >= HUBS
-        self.hub, self.answered, self.deaf, self.watching = facts.me % HUBS, now, False, False
-        self.newcomer = False                       # a front has spoken that we had not heard for long
-        self.outlook, self.reckoned, self.usual_load = False, LONG_AGO, 0.0
-        self.viewed, self.whole_since = LONG_AGO, now
-        self.resize_every, self.tell_every = self.beats()
+        self.watching, self.reckoned, self.usual_load = False, LONG_AGO, 0.0
+        target = min((group.start_target for group in facts.groups), default=SECOND)
+        self.resize_every, self.tell_every = RESIZE_EVERY * target, TELL_EVERY * target
+        timing = Timing(self.tell_every, ASK_WAIT, SILENT * self.tell_every, 2 * SILENT * self.tell_every)
+        terms = Terms(KEEPERS, FEW, timing, REST << LONGEST, SILENT * self.tell_every, KNOWN, REACH, 2)
+        parts = min(len(self.racks), 1 + facts.fronts * SECOND // target // BEARS)
+        self.fleet = Fleet(facts, now, terms, parts)
+        self.groups = [self.fleet.group_of(rack, len(self.racks)) for rack in range(len(self.racks))]
+        self.word: tuple[bytes, words.Word | None] = b"", None  # the last that came
         self.stood: dict[int, tuple[list[tuple[int, float]], int, Standing]] = {}
-        self.lasts = ASK_WAIT // 4 if self.hubs and not self.asks else 0
+        self.lasts = ASK_WAIT // 4 if self.fleet.asks else 0
         self.parts = [max(part, 1 / facts.fronts) for part in PARTS]
-        # A probe of a server that reports in answers tells no load: it is not worth its price
         self.told_by_probes = facts.permissions.probes and facts.reporting is Reporting.ON_PROBE
 
-    def beats(self) -> tuple[int, int]:
-        """How often rungs are sized and rates told: a site whose viewers wait less moves as much faster."""
-        target = min((group.start_target for group in self.facts.groups), default=SECOND)
-        return RESIZE_EVERY * target, TELL_EVERY * target
-
     def clock(self, now: int) -> None:
-        self.now = now
+        self.now = self.fleet.now = now
 
     def rested_until(self, server: Server) -> int:
         """Guards against servers that are silent, stand still or fail set-ups; none need be told apart.
@@ -98,14 +102,24 @@
         It covers overloaded and cut-off ones too. It may harm where set-ups fail by chance everywhere: then
         all rest, and the holder whose rest ends first is taken."""
         bad = sum(not well for _, well in server.ends)
-        return server.ends[-1][0] + REST * (1 << min(bad - 1, 3)) if bad and not server.ends[-1][1] else 0
+        rest = REST << min(bad - 1, LONGEST) if bad else 0
+        return server.ends[-1][0] + rest if bad and not server.ends[-1][1] else 0
+
+    def condemned(self, server: Server) -> bool:
+        """Guards against a server that is bad for all, which each of many fronts would find out alone.
+
+        Our own evidence goes first where it is newer, one front's word condemns nothing (`View.bad`). It may
+        harm where two fronts are cut off from a server: until another tells, or while evidence counts."""
+        view = self.fleet.evidence.view(self.now, server.row.server, self.facts.me)
+        own = max((at for at, _ in server.ends), default=LONG_AGO)
+        return view.bad(AGAINST, own) and server.grant <= self.now - ASK_WAIT
 
     def observe(self, event: ev.Event) -> None:
         match event:
             case ev.ServerNews():
                 self.learn_list(event)
             case ev.SessionRequest():
-                self.arrivals = [*self.arrivals[1 - ARRIVALS:], self.now]
+                self.arrivals.note(self.now, event.home, event.span)
                 since = self.now - self.facts.rules.resend_span
                 self.taken = [*(at for at in self.taken if at > since), self.now]
             case ev.Started():
@@ -125,7 +139,7 @@
             case ev.PlayerHint() if event.req_id in self.sessions:
                 self.sessions[event.req_id].means = event.means
             case ev.ServerHint() if event.server in self.servers and event.duress:
-                self.load(self.servers[event.server].link, event.taken, 1.0)
+                self.servers[event.server].link.load(event.taken, 1.0)
             case ev.ViewerLeft() if event.req_id in self.sessions:
                 self.sessions[event.req_id].over = True
 
@@ -140,7 +154,9 @@
                 row = replace(held.row, state=ServerState.GONE)  # its entry may tell no more than that
             elif row.started_at > held.row.started_at:  # a new process: what was seen of the old one is void
                 held.ends, held.notes, held.link.loads, held.lost = [], [], [], None
-                held.warm, held.warm_at = set(), LONG_AGO
+                held.warm_at = LONG_AGO
+                self.fleet.evidence.forget(row.server)
+                self.fleet.counts.end_key(row.server)
             held.row = row
             held.link.kb = row.weight * self.facts.plant.kb_per_weight
         running = [s for s in self.servers.values() if s.row.state is not ServerState.GONE]
@@ -148,6 +164,8 @@
 
     def judge(self, server: Server, well: bool) -> None:
         server.ends = [*server.ends[-5:], (self.now, well)]
+        self.fleet.saw(server.row.server, server.seen(self.now - (REST << LONGEST)))
+        server.ended |= not well or self.fleet.evidence.view(self.now, server.row.server).failed > 0
         if well and server.lost is not None:
             unseen = server.row.started_at < server.lost  # it may have restarted, and the list not know yet
             server.back, server.lost = self.now if unseen else server.back, None
@@ -160,7 +178,7 @@
         if event.result in (Result.CONNECT_FAILED, Result.RESET):
             server.lost = self.now
         if event.result is Result.FULL and self.facts.plant.refuse_at:
-            self.load(server.link, self.now, max(self.facts.plant.refuse_at, 1.0))
+            server.link.load(self.now, max(self.facts.plant.refuse_at, 1.0))
         elif event.result is Result.ERROR and (blamed := [self.servers[at] for at, _, end in sess.attempts
                                                           if end is Result.ERROR and at != event.server]):
             for other in blamed:  # guards against a request that no server can use: two say so, none rests
@@ -187,9 +205,9 @@
                 self.book(server)
             case ev.NoteKind.LINK_ASKED:
                 server.reported = note.value
-                self.load(server.link, taken, note.value)
+                server.link.load(taken, note.value)
             case ev.NoteKind.UPLINK_ASKED:
-                self.load(self.rack(server), taken, note.value)
+                self.rack(server).load(taken, note.value)
             case ev.NoteKind.DELIVERED:
                 server.felt = (taken, note.value)
                 self.learn_shortage(server, taken, note.value)
@@ -208,16 +226,16 @@
         rack = self.rack(server)
         if ("uplink_asked" in self.facts.report_fields and self.fresh(rack) and rack.loads[-1][1] >= 0.97
                 and server.reported < min(rack.loads[-1][1], 0.97)):
-            self.load(rack, taken, max(1 / max(mild, 0.1), rack.loads[-1][1]))
+            rack.load(taken, max(1 / max(mild, 0.1), rack.loads[-1][1]))
             return
-        played = [m for m in self.mates(server) if m.sessions or any(m.peers.values())]
+        played = [m for m in self.mates(server) if m.sessions or self.fleet.counts.likely(m.row.server)]
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m.link))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
-            self.load(server.link, taken, 1 / max(mild, 0.1))
+            server.link.load(taken, 1 / max(mild, 0.1))
         elif "uplink_asked" not in self.facts.report_fields and self.steady(rack, taken):
-            asked = rack.known_at(taken) if self.whole() else sum(map(self.asked, self.mates(server)))
+            asked = rack.known_at(taken) if self.whole(server) else sum(map(self.asked, self.mates(server)))
             rack.short = (taken, asked * max(*short, 0.1))
 
     def learn_report(self, server: Server, report: dict[str, float]) -> None:
@@ -225,70 +243,54 @@
         if ratio is not None:
             if "link_asked" not in report and ratio >= 0.99 and server.notes and server.notes[-1][1] < 0.98:
                 ratio = 1 / max(server.notes[-1][1], 0.1)  # util stops at full: the notes tell how far over
-            self.load(server.link, taken, ratio)
+            server.link.load(taken, ratio)
             server.heard, server.reported = (taken, ratio), ratio
         if "uplink_asked" in report:
-            self.load(self.rack(server), taken, report["uplink_asked"])
+            self.rack(server).load(taken, report["uplink_asked"])
 
     def learn_word(self, message: ev.PeerMessage) -> None:
-        word, recent = words.unpack(message.payload), self.now - 4 * self.tell_every
-        if isinstance(word, words.Answer) and self.asks:
-            self.answered, self.deaf = self.now, False
-            for room in word.rooms:
-                if (server := self.servers.get(room.server)) is not None:
-                    server.told = (self.now, room.idle + room.theirs, room.asked - room.theirs)
-                    server.warm_at = self.now if room.warm else LONG_AGO
+        word = words.unpack(message.payload)
+        self.word = message.payload, word
+        for number in self.fleet.hear(message.peer, word):
+            self.rebook(number)
+        if isinstance(word, words.Answer):
+            asked = self.fleet.answered(message.peer, word)
+            for room in word.rooms if asked is not None else ():
+                if (server := self.servers.get(room.server)) is not None and asked is not None:
+                    server.take(asked, room)
         elif isinstance(word, words.Telling):
-            if word.whole:
-                self.forget(message.peer)
-            self.newcomer |= word.whole and self.heard.get(message.peer, LONG_AGO) <= recent
-            if word.whole or self.heard.get(message.peer, LONG_AGO) > recent:
-                self.heard[message.peer] = self.now  # long unheard, more than the last changes is missing
             for rate in [rate for rate in word.rates if rate.server in self.servers]:
                 server = self.servers[rate.server]
-                server.hear(message.peer, rate.kb)
-                (server.warm.add if rate.warm and rate.kb else server.warm.discard)(message.peer)
-                self.book(server)
                 if rate.share and (not server.notes or server.notes[-1][0] < self.now - rate.share.age):
                     self.learn_shortage(server, self.now - rate.share.age, rate.share.figure)
                 taken = self.now - (rate.load.age if rate.load else 0)
                 if rate.load and (not server.link.loads or server.link.loads[-1][0] < taken):
-                    self.load(server.link, taken, rate.load.figure)
-
-    def forget(self, peer: int) -> None:
-        for server in [s for s in self.servers.values() if s.peers.get(peer)]:
-            server.hear(peer, 0.0)
-            self.book(server)
+                    server.link.load(taken, rate.load.figure)
 
     def rack(self, server: Server) -> Pipe:
         return self.racks[server.row.cell % len(self.racks)]
 
-    def load(self, pipe: Pipe, taken: int, ratio: float) -> None:
-        pipe.loads = [*pipe.loads[-2:], (taken, ratio)]
-
     def fresh(self, pipe: Pipe) -> bool:
         return bool(pipe.loads) and pipe.loads[-1][0] > self.now - 2 * MISSING
 
-    def unknown(self, pipe: Pipe) -> float:
-        """What others ask, by the last report: it speaks of its moment, so what was known then is off."""
-        taken, ratio = pipe.loads[-1]
-        return ratio * pipe.kb - pipe.known_at(taken)
-
     def book(self, server: Server) -> None:
         """What we know to be asked of a link and of its rack's uplink has changed."""
         server.changed()
-        server.link.known = [*server.link.known[-39:], (self.now, server.own() + server.theirs)]
+        asked = server.own() + self.fleet.counts.likely(server.row.server)
+        server.link.known = [*server.link.known[-39:], (self.now, asked)]
         rack, in_all = self.rack(server), sum(s.link.known[-1][1] for s in self.mates(server))
         rack.known = [*rack.known[-99:], (self.now, in_all)]
 
-    def whole(self) -> bool:
-        """Whether most fronts' rates are known, so that all that is asked is."""
-        if self.viewed <= self.now - SECOND // 20:  # hubs of 200 fronts are asked a thousand times a second
-            heard = sum(when > self.now - 4 * self.tell_every for when in self.heard.values())
-            whole = self.facts.permissions.messages and heard >= 0.6 * (self.facts.fronts - 1)
-            self.whole_since = self.now if whole and not self.outlook else self.whole_since
-            self.viewed, self.outlook = self.now, whole
-        return self.outlook
+    def rebook(self, number: int) -> None:
+        if number in self.servers:
+            self.book(self.servers[number])
+
+    def whole(self, server: Server) -> bool:
+        """Whether most fronts' rates are known, so that all that is asked of its rack is."""
+        return self.fleet.whole(self.group(server))
+
+    def group(self, server: Server) -> int:
+        return self.groups[server.row.cell % len(self.racks)]
 
     def usual(self) -> float:
         """The fleet's usual load, by the reports; without any, others are taken to ask as much as we do."""
@@ -308,10 +310,10 @@
         if self.hinted(server):
             return server.told[2] + server.own()
         known = server.link.known[-1][1]
-        if self.whole():
+        if self.whole(server):
             return known
         if self.fresh(server.link):
-            return max(server.own(), self.unknown(server.link) + known)
+            return max(server.own(), server.link.unknown() + known)
         age = (self.now - server.started()) / self.facts.rules.cold
         return max(server.own(), server.link.kb * self.usual() * min(1.0, age))
 
@@ -323,13 +325,13 @@
 
         Every front sees the same idle at once, so we take but our `part` of the link's; an arrival's part
         is less where the load is guessed from others."""
-        found, whole = dict[int, float](), self.whole()
+        found = dict[int, float]()
         numbers = {s.row.server: s.row.cell % len(self.racks) for s in servers}
         stands = {number: self.standing(number) for number in set(numbers.values())}
         for server in servers:
             at, link = server.row.server, server.link
             rooms, spare, positive, asked, in_all = stands[numbers[at]]
-            room, blind = rooms.get(at, 0.0), 0 if whole else 1 if self.fresh(link) else 2
+            room, blind = rooms.get(at, 0.0), 0 if self.whole(server) else 1 if self.fresh(link) else 2
             share = min(room * (part or self.parts[blind]), spare * room / positive * (part or 1))
             ours = share if room > 0 else room
             found[at] = ours if spare >= 0 else min(room, spare * asked.get(at, 0.0) / max(in_all, 1.0))
@@ -349,7 +351,7 @@
         rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
         total = in_all = sum(asked.values())
         if "uplink_asked" in self.facts.report_fields and self.fresh(rack):
-            total = self.unknown(rack) + rack.known[-1][1]
+            total = rack.unknown() + rack.known[-1][1]
         spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
         positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
         stands = rooms, spare, positive, asked, in_all
@@ -359,8 +361,9 @@
     def arrivals_part(self) -> float:
         """Of a holder's idle that an arrival takes: as many others come there before the account knows."""
         facts = self.facts
-        age = ASK_WAIT if self.whole() or self.asks else facts.plant.note_delay + facts.plant.note_every // 2
-        meet = self.arrival_rate(10 * SECOND) * facts.fronts / max(len(self.ready()), 1) * age / SECOND
+        age = ASK_WAIT if self.fleet.talks else facts.plant.note_delay + facts.plant.note_every // 2
+        come = self.arrivals.rate(self.now, 10 * SECOND) * facts.fronts
+        meet = come / max(len(self.ready()), 1) * age / SECOND
         return 1 / (1 + min(meet, (facts.fronts - 1)))
 
     def ready(self) -> list[Server]:
@@ -376,8 +379,8 @@
         stops = math.inf if "link_asked" in self.facts.report_fields else 0.9
         seen = sorted(min(link.known_at(taken) / ratio, math.inf if ratio < stops else link.kb)
                       for taken, ratio in link.loads
-                      if ratio > 0.25 and taken > self.whole_since and self.steady(link, taken)
-                      ) if self.whole() else []
+                      if ratio > 0.25 and taken > self.fleet.whole_since[self.group(server)]
+                      and self.steady(link, taken)) if self.whole(server) else []
         if seen:
             return min(max(seen[len(seen) // 2], link.kb * 0.1), link.kb * 1.6)
         return link.kb * min(1.0, least + (1 - least) * (self.now - server.started()) / cold)
@@ -449,6 +452,9 @@
         fit = [s for s in open_now if self.rested_until(s) <= self.now]
         fit = ([s for s in fit if all(s.row.server != at for at, _, _ in sess.attempts)] or fit
                or [min(open_now, key=lambda s: (self.rested_until(s), s.row.server))])
+        # Guards against hearsay that would leave nobody: half of a title's holders are avoided at most
+        avoided = list(filter(self.condemned, fit))[:len(open_now) // 2]
+        fit = [s for s in fit if s not in avoided] or fit
         fit = list(filter(self.hinted, fit)) or fit
         idle = self.idles(fit)
         first = self.chance.draw(len(fit))  # fronts that see alike must not all take the same of equals
@@ -459,7 +465,7 @@
         # Guards against hundreds of fronts that each connect to all servers and ask all for signs of life:
         # where we have sessions is good enough. It may harm where ours alone fill a link: half its idle stays
         met = next((s for s in by_idle if s.sessions and s.row.zone == best.row.zone), best)
-        many = self.hubs and self.facts.fronts > CROWD
+        many = self.fleet.talks and self.facts.fronts > CROWD
         best = met if many and idle[met.row.server] >= NEAR * idle[best.row.server] > 0 else best
         if idle[best.row.server] < 0:
             playing = [s for s in self.sessions.values() if s.began is not None]
@@ -476,7 +482,7 @@
 
     def barred(self, sess: Sess, server: Server, paced: bool = True) -> bool:
         return (server.row.state is not ServerState.READY
-                or (server.row.cell - sess.req.home) % self.facts.plant.cells >= sess.req.span
+                or not self.facts.plant.holds(server.row.cell, sess.req.home, sess.req.span)
                 or self.spent(sess)
                 or not self.may_repeat(sess, server)
                 or 0 < sess.group.seats <= self.seats.get(sess.seat(), 0)
@@ -510,33 +516,52 @@
         perhaps cold (seen down, or we have just begun and nobody tells that it is warm): our own sends are
         spaced by our share, so that the sum holds although all of the fleet has begun and hears nothing."""
         rules, fronts = self.facts.rules, self.facts.fronts
-        known = self.now - server.started() < rules.cold
+        known = self.cold(server)
         if not known and server.lost is None and (self.now - self.born >= rules.cold or self.warm(server)):
             return 0
-        per_slot = self.facts.plant.streams[server.row.kind] * rules.cold_from * rules.fall_multiple
-        slot = int(rules.cold / max(per_slot, 0.01))
+        if server.grant > self.now - ASK_WAIT:
+            return 0
+        slot = self.slot(server)
         if not known:
             return server.sent + slot * fronts
-        turn, lately = self.now // slot, sum(at > self.now - SECOND for at in self.arrivals) - 1
-        rate = max(self.arrival_rate(10 * SECOND), lately)
-        run, since = min(fronts, int(COLD_USE * SECOND / (slot * rate))), (turn - self.facts.me) % fronts
-        if since < max(run, 1) and server.sent < (turn - since) * slot:
+        if self.fleet.asks and not self.fleet.shares.own(self.now, self.group(server)):
+            return self.now + ASK_WAIT  # our part is lent, or may be by our life before: a keeper grants
+        run = min(fronts, int(COLD_USE * SECOND / (slot * self.wanted_rate(server))), self.burst(slot))
+        turn = (self.now + self.facts.wall) // slot
+        since = (turn - self.facts.me) % fronts
+        if since < max(run, 1) and server.sent + self.facts.wall < (turn - since) * slot:
             return 0
-        return (turn + fronts - since) * slot
+        return (turn + fronts - since) * slot - self.facts.wall
+
+    def cold(self, server: Server) -> bool:
+        return self.now - server.started() < self.facts.rules.cold
+
+    def slot(self, server: Server) -> int:
+        """The time that one set-up takes of what a server bears when it is coldest (us)."""
+        rules = self.facts.rules
+        per_warming = self.facts.plant.streams[server.row.kind] * rules.cold_from * rules.fall_multiple
+        return int(rules.cold / max(per_warming, 0.01))
+
+    def burst(self, slot: int) -> int:
+        """Set-ups that may come at once, by turns or by one keeper's grants: together the three roots and
+        three that a cold server bears beyond its pace in the rule's span."""
+        among = 1 + KEEPERS if self.fleet.asks else 1
+        return max(1, int((3 * math.sqrt(self.facts.rules.fall / slot) + 3) / among))
+
+    def wanted_rate(self, server: Server) -> float:
+        """Arrivals a second that could go to a server: by ten seconds, or by one where that has more."""
+        place = server.row.cell, self.facts.plant.cells
+        return max(self.arrivals.rate(self.now, 10 * SECOND, place),
+                   self.arrivals.lately(self.now, SECOND, place) - 1)
 
     def warm(self, server: Server) -> bool:
         """Whether somebody has a session there that began before the server could be cold: we, a front that
         told us, or one that told a hub. A process that dies resets its connections, so who has one knows."""
-        return bool(server.warm) or server.warm_at > self.now - self.tell_every or self.old(server)
+        return (server.warm_at > self.now - self.tell_every or self.old(server)
+                or self.fleet.counts.flagged(server.row.server))
 
     def old(self, server: Server) -> bool:
-        since = self.now - self.facts.rules.cold
-        return server.lost is None and any((s.began or self.now) <= since for s in server.sessions.values())
-
-    def arrival_rate(self, span: int) -> float:
-        """Arrivals a second: of a busy front the samples reach back less than the span."""
-        span = min(span, max(self.now - self.arrivals[0], 1)) if len(self.arrivals) >= ARRIVALS else span
-        return max(sum(at > self.now - span for at in self.arrivals), 1) * SECOND / span
+        return server.old(self.now - self.facts.rules.cold)
 
     def may_refuse(self, sess: Sess) -> bool:
         return (all(end in NEVER_RAN for _, _, end in sess.attempts) or sess.group.effect is Effect.SAFE
@@ -569,7 +594,7 @@
                 got: Resumed = yield act.Wait(chance)
             else:
                 self.commit(sess, server)
-                yield from self.tell([server], False)
+                yield from self.tell([server])
                 if sess.top >= sess.group.floor:
                     yield act.SetRung(req_id, sess.rung)
                 got = yield act.Setup(req_id, server.row.server, self.patience(sess))
@@ -579,8 +604,10 @@
                 return
             if isinstance(got, ev.ViewerLeft) or (isinstance(got, ev.Ended) and got.final):
                 return
-        # Given up: the answer goes out at once. Guards against viewers turned away together that come back
-        # together: a quarter to three quarters of the longest come-back time that they heed, by chance
+            if server is not None and server.ended and server.ends and not server.ends[-1][1]:
+                yield from self.tell([server])  # others may be about to send there
+        # Given up: the answer goes out at once. Guards against viewers that come back together as they were
+        # turned away: a quarter to three quarters of the longest come-back time that they heed, by chance
         most = allowed.max_come_back if allowed.come_back else 0
         advice = most // 4 + self.chance.draw(most // 2)
         yield act.BusyReply(req_id, advice) if self.may_refuse(sess) else act.TearDown(req_id)
@@ -618,7 +645,7 @@
             since = self.now - self.facts.rules.resend_span
             self.resent = [*(at for at in self.resent if at >= since), self.now]
         sess.attempts.append((server.row.server, self.now, None))
-        sess.server, server.sent = server.row.server, self.now
+        sess.server, server.sent, server.grant = server.row.server, self.now, LONG_AGO
         server.sessions[sess.req.req_id] = sess
         self.seats[sess.seat()] = self.seats.get(sess.seat(), 0) + 1
         self.book(server)
@@ -637,17 +664,19 @@
             self.sessions.pop(sess.req.req_id, None)
 
     def upkeep(self) -> Iterable[Script]:
-        wanted = [(True, self.resizing), (self.facts.asked_discovery, self.watch),
-                  (self.told_by_probes, self.probing), (self.hubs, self.telling),
-                  (self.hubs and not self.asks, self.answering)]
-        return [script() for want, script in wanted if want]
+        wanted = [(True, self.resizing()), (self.facts.asked_discovery, self.watch()),
+                  (self.told_by_probes, self.probing()), (self.fleet.asks, self.answering()),
+                  (self.fleet.talks, self.fleet.talking(self.rebook, self.rates)),
+                  (self.fleet.talks, self.telling())]
+        return [script for want, script in wanted if want]
 
     def resizing(self) -> Script:
         yield act.Wait(self.now + SECOND + self.resize_every * self.facts.me // max(1, self.facts.fronts))
         while True:
             next_time = self.now + self.resize_every
             if self.sessions:
-                yield from self.ask(words.AskOurs(), self.now + ASK_WAIT)
+                groups = {self.group(s) for s in self.servers.values() if s.sessions}
+                yield from self.fleet.ask(groups, words.AskOurs, self.now + ASK_WAIT)
             for server in [s for s in self.servers.values() if s.sessions]:
                 yield from self.resize(server)
             yield act.Wait(next_time)
@@ -657,7 +686,7 @@
 
     def resize(self, server: Server) -> Script:
         """Size a server's playing sessions within our share of its idle; only changes that pay."""
-        known = self.whole() or self.hinted(server) or self.fresh(server.link)  # nothing changes on a guess
+        known = self.whole(server) or self.hinted(server) or self.fresh(server.link)
         mine = [s for s in server.sessions.values() if s.began is not None] if known else []
         own, asked = server.own(), max(self.asked(server), 1.0)
         contend = min(self.facts.fronts, max(CROWD, asked / max(own, 1.0)))  # fronts that raise there with us
@@ -689,15 +718,17 @@
         return sess.group.utility * (more * left / SECOND - PAYS * ladder.switch_cost_s)
 
     def inquire(self, sess: Sess) -> Script:
-        """Guards against placing blind, where the account is not whole: asks a hub, else probes two holders.
+        """Guards against placing blind, where the account is not whole: asks keepers, else probes two.
 
-        It covers hubs that are gone, and messages that are lost. It may harm where answers are slow."""
+        It covers keepers that are gone, and messages that are lost. It may harm where answers are slow."""
         req, until = sess.req, min(self.now + ASK_WAIT, sess.deadline)
-        yield from self.ask(words.AskHolders(req.home, req.span, self.facts.zone), until)
-        if self.whole() or not self.told_by_probes or (self.asks and not self.deaf):
-            return
+        groups = [self.groups[rack] for rack in self.facts.plant.racks_of(req.home, req.span)]
+        question = functools.partial(words.AskHolders, home=req.home, span=req.span, zone=self.facts.zone)
+        yield from self.fleet.ask(self.fleet.asked_about(groups, ASKED, self.chance), question, until)
         open_now = [s for s in self.servers.values()
                     if not self.barred(sess, s) and self.rested_until(s) <= self.now]
+        if not self.told_by_probes or any(self.whole(s) or self.hinted(s) for s in open_now):
+            return
         near = [s for s in open_now if s.row.zone == self.facts.zone] or open_now
         first = self.chance.draw(max(len(near), 1))
         two = (near[first:] + near[:first])[:2]
@@ -707,76 +738,81 @@
                 yield act.Probe(server.row.server)
         yield act.Wait(min(until, max((s.inquired + ASK_WAIT for s in two), default=self.now)))
 
-    def ask(self, question: words.Word, until: int) -> Script:
-        """Ask a hub and wait a little; one that does not answer is given up for the next, without a wait."""
-        if not self.asks:
-            return
-        since = self.now
-        yield act.Tell(self.hub, words.pack(question)[0])
-        while self.answered <= since and not self.deaf and self.now < until:
-            yield act.Listen(until)
-        if self.answered <= since:
-            self.hub, self.deaf = (self.hub + 1) % HUBS, True
-
     def answering(self) -> Script:
-        """A hub's answers: the best holders, the asker's zone first, and the best cold ones."""
+        """A keeper's answers: the best holders, the asker's zone first, and the best cold ones."""
         while True:
             got = yield act.Listen(None)
-            word = words.unpack(got.payload) if isinstance(got, ev.PeerMessage) and self.whole() else None
+            word = self.word[1] if isinstance(got, ev.PeerMessage) and self.word[0] is got.payload else None
             match got, word:
-                case ev.PeerMessage(), words.AskOurs():
-                    about = [s for s in self.ready() if s.peers.get(got.peer)]
-                    idle = self.idles(about, 1.0)
-                case ev.PeerMessage(), words.AskHolders(home, span, zone):
-                    about = [s for s in self.ready() if self.rested_until(s) <= self.now
-                             and (s.row.cell - home) % self.facts.plant.cells < span]
+                case ev.PeerMessage(), words.AskOurs(number):
+                    theirs = self.fleet.counts.told(got.peer)
+                    about = [s for at in theirs if (s := self.servers.get(at)) and self.whole(s)
+                             and s.row.state is not ServerState.GONE]
+                    idle, granted = self.idles(about, 1.0), None
+                case ev.PeerMessage(), words.AskHolders(number, home, span, zone):
+                    holds, racks = self.facts.plant.holds, self.facts.plant.racks_of(home, span)
+                    about = [s for rack in racks for s in self.by_rack[rack] if holds(s.row.cell, home, span)
+                             and self.whole(s) and s.row.state is ServerState.READY]
                     idle = self.idles(about, 1.0)
                     about.sort(key=lambda s: -idle[s.row.server] * (1.0 if s.row.zone == zone else NEAR))
-                    cold = [s for s in about if self.paced_until(s)]
+                    cold = list(filter(self.cold, about))
                     about = [s for s in about if s not in cold][:8] + cold[:2]
+                    granted = next((s for s in about if self.may_grant(s, got.peer)), None)
                 case _:
                     continue
-            rooms = (words.Room(s.row.server, idle[s.row.server], self.asked(s), s.peers.get(got.peer, 0.0),
-                                self.warm(s)) for s in about)
-            for message in words.pack(words.Answer(tuple(rooms))):
-                yield act.Tell(got.peer, message)
+            if not any(self.fleet.whole(group) for group in self.fleet.groups):
+                continue  # we know no better than who asks
+            rooms = [self.fleet.room(got.peer, s.row.server, idle[s.row.server], self.asked(s), self.warm(s),
+                                     s is granted) for s in about]
+            yield from self.fleet.answer(got.peer, number, rooms, isinstance(word, words.AskOurs))
+
+    def may_grant(self, server: Server, peer: int) -> bool:
+        """One send to what may be cold, out of the parts lent to us; or a try, for all, of what is avoided.
+
+        Guards against hundreds of fronts that each keep a part they can't use, or each try a bad server."""
+        view = self.fleet.evidence.view(self.now, server.row.server, peer)
+        if view.bad(AGAINST):
+            first = self.facts.me in self.fleet.keepers(self.group(server))[:2] and not self.cold(server)
+            rested = first and max(view.failed_at, server.tried) <= self.now - REST
+            server.tried = self.now if rested else server.tried
+            return rested
+        slot, budget = self.slot(server), server.row.server
+        return self.cold(server) and self.fleet.shares.grant(self.now, self.group(server), budget, slot,
+                                                             self.burst(slot))
 
     def probing(self) -> Script:
         """Probe in turn, as often as the price allows; messages share the work among fronts."""
         for turn in itertools.count(1):
             ready = self.ready()
-            if self.hubs:  # what each hears all are told: where we have sessions the connection is there
+            if self.fleet.talks:  # all are told what each hears: where we play the connection is there
                 ready = [s for s in ready if s.sessions] or ready
-            if ready and not self.deaf:
+            if ready and not self.fleet.deaf():
                 first = len(ready) * self.facts.me // self.facts.fronts
                 yield act.Probe(ready[(first + turn) % len(ready)].row.server)
             worth = PROBE_POINTS / max(self.facts.prices.probe, PROBE_POINTS / 4)
             # Guards against a wait reckoned before anybody came: it is reckoned anew each second
             probed = self.now
-            while (due := probed + max(SECOND // 10, int(SECOND / (self.arrival_rate(30 * SECOND) * worth)))
-                   ) > self.now:
+            while (due := probed + max(SECOND // 10, int(
+                    SECOND / (self.arrivals.rate(self.now, 30 * SECOND) * worth)))) > self.now:
                 yield act.Wait(min(due, self.now + SECOND))
 
-    def tell(self, servers: list[Server], whole: bool) -> Script:
-        rates = []
-        for server in servers:
-            load, share = (words.Sample(s[1], self.now - s[0]) if s else None
-                           for s in (server.heard, server.felt))
-            server.said, server.heard, server.felt = server.own(), None, None
-            rates.append(words.Rate(server.row.server, server.said, load, share, self.old(server)))
-        for message in words.pack(words.Telling(tuple(rates), whole)):
-            for hub in self.hubs:
-                yield act.Tell(hub, message)
+    def tell(self, servers: list[Server]) -> Script:
+        """Our rates at these, and what came to us of them since, to the keepers of each."""
+        rates = [(self.group(s), s.said_now(self.now, self.now - (REST << LONGEST), self.old(s)))
+                 for s in servers if self.fleet.talks]
+        yield from self.fleet.tell(rates)
+
+    def rates(self, keeper: int) -> list[words.Rate]:
+        return [words.Rate(s.row.server, s.own(), warm=self.old(s)) for s in self.servers.values()
+                if s.sessions and keeper in self.fleet.others(self.group(s))]
 
     def telling(self) -> Script:
         yield act.Wait(self.now + SECOND // 10)  # the sessions handed over are in by then
         for turn in itertools.count():
-            for peer in [peer for peer, at in self.heard.items() if at <= self.now - 4 * self.tell_every]:
-                self.forget(peer)  # what it asked is known no longer
-                del self.heard[peer]
-            whole, self.newcomer = self.newcomer or turn % ALL_EVERY == 0, False  # who begins knows nothing
-            yield from self.tell([s for s in self.servers.values() if s.heard or s.felt
-                                  or s.said != s.own() or (whole and s.sessions)], whole)
+            yield from self.fleet.refresh(turn, ALL_EVERY, self.rates)
+            yield from self.tell([s for s in self.servers.values() if s.heard or s.felt or s.ended
+                                  or s.said != s.own() or s.said_warm != self.old(s)])
+            yield from self.fleet.lend(sorted({self.group(s) for s in self.ready() if self.cold(s)}))
             yield act.Wait(self.now + self.tell_every)
 
     def watch(self) -> Script:
--- a/ponddoor/front/acting.py
+++ b/ponddoor/front/acting.py
@@ -7,6 +7,7 @@
 import structlog
 
 from ponddoor.decide import Front
+from ponddoor.fleet.presence import Hears
 from ponddoor.interface.events import ServerState
 
 log = structlog.get_logger("mechanisms")
@@ -15,12 +16,14 @@
 @contextlib.contextmanager
 def looking(front: Front, now: int) -> Iterator[None]:
     """Guards against a look that changes what is decided: what reading moves is put back behind it."""
-    kept = front.now, front.viewed, front.outlook, front.whole_since, front.reckoned, front.usual_load
+    fleet = front.fleet
+    kept = front.now, dict(fleet.whole_since), dict(fleet.looked), front.reckoned, front.usual_load
     front.clock(now)
     try:
         yield
     finally:
-        (front.now, front.viewed, front.outlook, front.whole_since, front.reckoned, front.usual_load) = kept
+        now, fleet.whole_since, fleet.looked, front.reckoned, front.usual_load = kept
+        front.clock(now)
 
 
 def account(front: Front, now: int) -> list[tuple[str, int, int, int, int, float]]:
@@ -46,25 +49,38 @@
         with looking(front, now):
             acting = self._acting(front, now)
         for word in sorted(acting - self.now_acting):
-            self._say("acts", word)
+            self._say(front, now, "acts", word)
         for word in sorted(self.now_acting - acting):
-            self._say("stops", word)
+            self._say(front, now, "stops", word)
         self.now_acting = acting
 
     def _acting(self, front: Front, now: int) -> set[str]:
-        acting = {"hubs-given-up"} if front.asks and front.deaf else set()
+        acting = {f"keeper-given-up {keeper}" for keeper in front.fleet.quiet}
+        if front.fleet.talks:
+            hears = front.fleet.presence.hears(now)
+            acting |= {f"hears-{hears.value}"} if hears is not Hears.WELL else set()
+            acting |= {f"keeps {group}" for group in front.fleet.groups if front.fleet.whole(group)}
+            acting |= {f"front-dead {one}" for one in front.fleet.presence.dead()}
         for number, server in front.servers.items():
             if server.row.state is ServerState.GONE:
                 continue
             if front.rested_until(server) > now:
                 acting.add(f"rest {number}")
+            if front.condemned(server):
+                acting.add(f"avoid {number}")
             if now - server.started() < front.facts.rules.cold or server.lost is not None:
                 acting.add(f"pace {number}")
         return acting
 
-    def _say(self, event: str, word: str) -> None:
+    def _say(self, front: Front, now: int, event: str, word: str) -> None:
         name, _, server = word.partition(" ")
-        if server:
+        if name == "avoid":  # a judgement, with its evidence
+            view = front.fleet.evidence.view(now, int(server), front.facts.me)
+            log.info(f"mechanism-{event}", mechanism=name, server=int(server), against=view.against,
+                     failed=view.failed, tries=view.tries)  # fmt: skip
+        elif name in ("keeps", "front-dead", "keeper-given-up"):
+            log.info(f"mechanism-{event}", mechanism=name, number=int(server))
+        elif server:
             log.info(f"mechanism-{event}", mechanism=name, server=int(server))
         else:
             log.info(f"mechanism-{event}", mechanism=name)
--- a/ponddoor/front/metrics.py
+++ b/ponddoor/front/metrics.py
@@ -1,6 +1,7 @@
 """A front's metrics in the Prometheus text format, at an address of its own. Labels: kinds and servers."""
 
 from collections.abc import Callable, Iterable, Iterator
+from typing import Any
 
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
@@ -29,7 +30,10 @@
 class Metrics:
     """Histograms that are fed as things happen, and samples that are read when somebody asks."""
 
-    def __init__(self, samples: Callable[[], Iterable[Sample]]) -> None:
+    def __init__(
+        self, samples: Callable[[], Iterable[Sample]], fleet: Callable[[], dict[str, Any]] | None = None
+    ) -> None:
+        self.fleet = fleet
         self.registry = CollectorRegistry()
         self.registry.register(_Samples(samples))
         self._answers = Histogram(
@@ -46,7 +50,9 @@
         self._lag.observe(seconds)
 
     async def handle(self, request: Request) -> Reply:
+        if request.method == "GET" and request.path == ("fleet",) and self.fleet is not None:
+            return Reply(200, self.fleet())
         if request.method != "GET" or request.path != ("metrics",):
-            raise HttpError(404, "no-such-resource", "GET /metrics is all there is")
+            raise HttpError(404, "no-such-resource", "GET /metrics and GET /fleet are all there is")
         kind = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
         return Reply(200, generate_latest(self.registry), kind)
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -7,10 +7,13 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import structlog
 
 from ponddoor.decide import Front
+from ponddoor.fleet.presence import Hears
+from ponddoor.fleet.shown import shown
 from ponddoor.front import effects as fx
 from ponddoor.front.acting import Acting, looking
 from ponddoor.front.coming import Coming
@@ -56,7 +59,8 @@
                  deciding: Deciding = Front, log_requests: bool = False,
                  trace: Path | None = None, noted: Callable[..., None] | None = None) -> None:  # fmt: skip
         self.site, self.me, self._log_requests = site, me, log_requests
-        facts, now = site.facts_of(me, seed), clock()
+        now = clock()
+        facts = replace(site.facts_of(me, seed), wall=wall() - now)
         self.decisions = deciding(facts, now)
         self.gate = Gate(site.limits, LagMeter(now + SAMPLE))
         self.engine = Engine(self.decisions, facts, self.gate)
@@ -64,7 +68,7 @@
         self.apply = self._pump.apply
         self.tracer = Tracer(trace, facts, now) if trace is not None else None
         self.engine.traced = self.tracer.fed if self.tracer is not None else None
-        self.metrics = Metrics(self._samples)
+        self.metrics = Metrics(self._samples, self._fleet)
         self.hinting: Hinting | None = None
         offset = now - wall()
         roster = Roster(site.zones, site.kinds, facts.plant.cells, offset)
@@ -339,6 +343,10 @@
                 rows = [s for s in front.servers.values() if s.row.state is not ServerState.GONE]
                 idle = {str(number): kb for number, kb in front.idles(rows, 1.0).items()}
                 rests = {str(s.row.server): float(front.rested_until(s) > now) for s in rows}
+                avoided = {str(s.row.server): float(front.condemned(s)) for s in rows}
+                fleet = list(self._fleet_samples(front, now)) if front.fleet.talks else []
+            yield from fleet
+            yield "gauge", "avoided", "Whether a server is avoided by others' evidence.", "server", avoided
             yield (
                 "gauge",
                 "idle_kb",
@@ -348,6 +356,37 @@
             )
             yield "gauge", "resting", "Whether a server rests after failures.", "server", rests
 
+    def _fleet(self) -> dict[str, Any]:
+        """What `ponddoor fleet show` shows."""
+        if not isinstance(self.decisions, Front):
+            return {}
+        front, now = self.decisions, clock()
+        with looking(front, now):
+            servers = [n for n, s in front.servers.items() if s.row.state is not ServerState.GONE]
+            return shown(front.fleet, servers)
+
+    def _fleet_samples(self, front: Front, now: int) -> Iterator[Sample]:
+        fleet, stands = front.fleet, dict[str, float]()
+        for one in fleet.presence.members:
+            name = fleet.presence.stands(one).value
+            stands[name] = stands.get(name, 0) + 1
+        yield "gauge", "fronts", "Other fronts, as this one takes them to stand.", "stands", stands
+        yield "gauge", "fronts_reached", "Share of the last pings that were answered.", "", {
+            "": fleet.presence.reach()
+        }
+        yield "gauge", "fleet_hears", "How this front hears the others: 1 at the one that holds.", "how", {
+            how.value: float(fleet.presence.hears(now) is how) for how in Hears
+        }
+        yield "gauge", "groups_whole", "Groups of servers of which all that is asked is known here.", "", {
+            "": sum(map(fleet.whole, fleet.groups))
+        }
+        yield "gauge", "parts_lent_here", "Parts of budgets lent to this front, by group.", "group", {
+            str(group): len(fleet.shares.lent_by(now, group)) for group in fleet.groups
+        }
+        yield "counter", "grants", "Sends granted to other fronts.", "", {"": fleet.shares.granted}
+        yield "counter", "lent_refused", "Parts refused: of an earlier life.", "", {"": fleet.shares.fenced}
+        yield "counter", "counts_refused", "Words on counts that were old.", "", {"": fleet.counts.refused}
+
     def _seat_samples(self, core: Seats) -> Iterator[Sample]:
         held = sum(len(share.seats) for share in core.shares.values())
         yield "gauge", "seats_held", "Seats granted by this front that run.", "", {"": held}
--- a/ponddoor/interface/facts.py
+++ b/ponddoor/interface/facts.py
@@ -79,6 +79,15 @@
     note_delay: int
     note_every: int
 
+    def holds(self, cell: int, home: int, span: int) -> bool:
+        """Whether a title of this home and span lies in a cell."""
+        return (cell - home) % self.cells < span
+
+    def racks_of(self, home: int, span: int) -> list[int]:
+        """The racks that hold such a title, its home's first."""
+        racks = self.racks or 1
+        return list(dict.fromkeys((home + at) % self.cells % racks for at in range(min(span, self.cells))))
+
 
 @dataclass(frozen=True, slots=True)
 class Rules:
@@ -138,3 +147,4 @@
     rules: Rules
     permissions: Permissions
     prices: Prices
+    wall: int = 0  # us to add to the front's own clock for the Unix clock, as of its start
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -3,13 +3,14 @@
 import asyncio
 import signal
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import structlog
 
 from ponddoor.decide import Front
 from ponddoor.front import effects as fx
-from ponddoor.front.acting import account
+from ponddoor.front.acting import Acting, account
 from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
@@ -39,7 +40,8 @@
     def __init__(self, place: Place, watched: bool = False) -> None:
         """With `watched` the log tells what is believed of each server, at each look."""
         self.watched = watched
-        self.place, facts, now = place, place.facts, clock()
+        self.place, now = place, clock()
+        facts = replace(place.facts, wall=time.time_ns() // 1000 - now)
         limits = Limits(
             in_hand=IN_HAND, held=HELD, connections=0, per_address=0, header_bytes=0, body_bytes=0,
             header_time=0, idle_time=0, write_time=0, loop_lag=1 << 60, repeats=0, repeat_time=0, followers=0,
@@ -57,6 +59,7 @@
         coming = Coming(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
         self.board = Board(roster, self.engine, apply, self._learned, coming)
         self.words = Words(place, lambda peer, data: apply(lambda at: self.engine.word(at, peer, data)))
+        self.acting = Acting()
         self._told_to_end: int | None = None
         self._most_lag = 0
 
@@ -119,6 +122,7 @@
                 log.debug("account", rows=account(self.front, now))
             if now >= say:
                 say = now + SAY
+                self.acting.look(self.front, now)
                 self._say()
         await self._close()
 
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -159,7 +159,9 @@
             case codec.Unusable(sess, why):
                 self._unusable(wire, sess, why)
             case codec.Ended(sess):
-                if sess in self.waiting or sess in self.standing:
+                # Guards against a stranger that gives up another's set-up: that belongs to its connection,
+                # and nobody would be answered. A session that stands may be ended from any.
+                if self.waiting.get(sess, wire) is wire and (sess in wire.waiting or sess in self.standing):
                     wire.proven = True
                     self._left(sess)
             case codec.Tested(sess):
@@ -210,9 +212,18 @@
     def _again(self, wire: _Wire, sess: str) -> None:
         """Guards against an id used twice: the session that has it, if another's, is left as it is."""
         self.count("id-used-twice")
-        if self.waiting.get(sess) is wire:
+        first = self.waiting.get(sess)
+        if first is wire:
             self._left(sess)
             wire.write(codec.failed(sess))
+        elif first is not None and wire.trusted and not first.trusted:
+            # Guards against a stranger's copy that was read before the viewer's own set-up: who has had
+            # sessions here is answered, and the stranger's is given up. It may harm nobody who is trusted.
+            self.count("overtaken")
+            self._left(sess)
+            wire.write(codec.failed(sess))
+            if not first.waiting:
+                self.close_wire(first, "closed-for-id")
         elif wire.waiting:
             wire.write(codec.failed(sess))
         else:
--- a/ponddoor/node/words.py
+++ b/ponddoor/node/words.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import cast
 
 import structlog
@@ -22,6 +22,10 @@
     told: int = 0
     lost: int = 0
     _transport: asyncio.DatagramTransport | None = None
+    _numbers: dict[tuple[str, int], int] = field(default_factory=dict)  # of the fronts, by their addresses
+
+    def __post_init__(self) -> None:
+        self._numbers = {address: number for number, address in enumerate(self.place.peers)}
 
     async def start(self) -> None:
         """Raises OSError where the address can't be had."""
@@ -33,7 +37,7 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        peer = self.place.peers.index(addr[:2]) if addr[:2] in self.place.peers else self.place.facts.me
+        peer = self._numbers.get(addr[:2], self.place.facts.me)
         if peer == self.place.facts.me or len(data) > MOST:
             self.lost += 1
             return
--- a/ponddoor/raft/simulation.py
+++ b/ponddoor/raft/simulation.py
@@ -6,7 +6,6 @@
 and in every later leader's log, nothing acknowledged lost, nothing applied twice. After quiet the cluster
 takes proposals again."""
 
-import heapq
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -37,9 +36,9 @@
     without,
 )
 from ponddoor.raft.storage import Kept, kept_of, record_of
-from ponddoor.store.faulty import CrashError, FaultyFiles
-from ponddoor.store.files import DiskError
-from ponddoor.store.journal import Journal, StoppedError
+from ponddoor.store.faulty import CrashError
+from ponddoor.store.journal import Journal
+from ponddoor.world import Disks, Links, Machine
 
 TICK = 50_000
 LIMITS = Limits(batch=4, window=3, piece=64, proposals=50, caught_up=4, clients=100)
@@ -76,18 +75,11 @@
 
 
 @dataclass(slots=True)
-class Node:
+class Node(Machine):
     """One member: its disk, and what runs there while it is up."""
 
-    number: int
-    rate: float
-    files: FaultyFiles
     raft: Raft | None = None
-    journal: Journal | None = None
     kept: Kept = field(default_factory=Kept)
-    life: int = 0
-    committing: bool = False
-    first_write: int = 0
     paused_until: int = 0
     applied: int = 0
     state: list[bytes] = field(default_factory=list)  # the values applied, in order
@@ -118,18 +110,18 @@
     snapshots: int = 0
 
 
-class Simulation:
+class Simulation(Disks):
     """One schedule. `make` builds the core, so that one with a guard taken out can be run as well."""
 
     def __init__(self, plan: Schedule, make: Callable[..., Raft] = Raft) -> None:
-        self.plan, self.make, self.rng, self.now = plan, make, Random(plan.seed), 0
-        self.found, self.faults = Found(), True
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
-        self.order, self.tickets = itertools.count(), itertools.count(1)
+        super().__init__(plan.seed, 0.01)
+        self.plan, self.make, self.found = plan, make, Found()
+        self.tickets = itertools.count(1)
+        self.links = Links(plan.loss, plan.double, plan.slow, 30_000, 2_000_000)
         first = Members(frozenset(range(plan.members)))
         self.first = first
         self.nodes = [
-            Node(n, 1 + plan.skew * self.rng.uniform(-1, 1), self._disk())
+            Node(n, 1 + plan.skew * self.rng.uniform(-1, 1), self.disk())
             for n in range(plan.members + plan.spare)
         ]
         self.cut: set[tuple[int, int]] = set()
@@ -142,14 +134,8 @@
         self.reads: dict[int, int] = {}  # ticket: what was acknowledged when it was asked
         self.newest = 0  # the highest index that was acknowledged
 
-    def _disk(self) -> FaultyFiles:
-        return FaultyFiles(Random(self.rng.getrandbits(32)))
-
-    def at(self, moment: int, what: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (max(moment, self.now), next(self.order), what))
-
-    def after(self, least: int, most: int, what: Callable[[], None]) -> None:
-        self.at(self.now + self.rng.randint(least, most), what)
+    def apart(self, sender: int, to: int) -> bool:
+        return (sender, to) in self.cut or to >= len(self.nodes)
 
     def fail(self, why: str) -> None:
         raise ViolatedError(f"seed {self.plan.seed}: {why} at {self.now}")
@@ -183,14 +169,13 @@
         return self.found
 
     def _until(self, end: int) -> None:
-        while self.events and self.events[0][0] <= end:
-            self.now, _, what = heapq.heappop(self.events)
-            try:
-                what()
-            except BrokenPromiseError as problem:
-                self.fail(str(problem))
-            self.found.steps += 1
-        self.now = max(self.now, end)
+        try:
+            self.until(end)
+        except BrokenPromiseError as problem:
+            self.fail(str(problem))
+
+    def checked(self) -> None:
+        self.found.steps = self.steps
 
     def _goes_on(self) -> None:
         """After the trouble there is a leader, and what is proposed is committed on all."""
@@ -222,7 +207,7 @@
         try:
             held = journal.open()
         except CrashError:
-            self._down(node)
+            self.down(node)
             return
         kept = kept_of(held.state, held.records)
         members = self.first if node.number < self.plan.members else Members(frozenset())
@@ -242,7 +227,7 @@
             self._carry_out(node, node.raft.tick())
         self.at(self.now + round(TICK * node.rate), lambda: self._tick(node, life))
 
-    def _down(self, node: Node) -> None:
+    def down(self, node: Node) -> None:
         node.raft = node.journal = None
         node.life += 1
         self.found.crashes += 1
@@ -261,14 +246,14 @@
         if self.rng.random() < 0.5:
             node.files.crash_in = self.rng.randint(0, 6)
         else:
-            self._down(node)
+            self.down(node)
 
     def _hunt(self, node: Node, life: int) -> None:
         """A new leader crashes, or hears nobody for a while."""
         if node.raft is None or node.life != life:
             return
         if self.rng.random() < 0.5 and not self.plan.eager:
-            self._down(node)
+            self.down(node)
             return
         side = {n.number for n in self.nodes if n is node or self.rng.random() < 0.25}
         rest = [n.number for n in self.nodes if n.number not in side]
@@ -326,14 +311,10 @@
                 return
             match effect:
                 case WriteVote() | WriteEntries() | WriteSnapshot():
-                    assert node.journal is not None
                     record = record_of(effect)
-                    node.journal.append(record)
                     node.kept.take(record)
                     self.found.snapshots += isinstance(effect, WriteSnapshot)
-                    if not node.committing:
-                        node.committing = True
-                        self.after(200, 20_000, lambda: self._commit(node, life))
+                    self.write(node, record)
                 case Send(to, message):
                     self._send(node.number, to, message)
                 case Commit(entry, first):
@@ -405,50 +386,15 @@
         node.applied = snapshot.index
         node.state = snapshot.data.split(b"\n") if snapshot.data else []
 
-    def _commit(self, node: Node, life: int) -> None:
-        if node.life != life or node.journal is None or node.raft is None:
-            return
-        node.committing = False
-        if self.faults and self.rng.random() < 0.01:
-            node.files.fail[self.rng.choice(["append", "sync"])] = self.rng.choice(["full", "error"])
-        try:
-            durable = node.journal.commit()
-        except CrashError:
-            self._down(node)
-            return
-        except (DiskError, StoppedError):
-            if node.journal.failed:  # the process must not go on as if it had not
-                self._down(node)
-                return
-            node.committing = True
-            self.after(20_000, 60_000, lambda: self._commit(node, life))
-            return
-        self._carry_out(node, node.raft.durable(durable - node.first_write))
-        if node.life == life and self.rng.random() < 0.03:
-            self._fold(node)
-
-    def _fold(self, node: Node) -> None:
-        """The journal is folded into a snapshot of its own, when all of it is durable."""
-        assert node.journal is not None
-        if node.journal.durable != node.journal.next_number - 1:
-            return
-        try:
-            node.journal.snapshot(node.kept.state())
-        except CrashError:
-            self._down(node)
-        except DiskError:
-            if node.journal is not None and node.journal.failed:
-                self._down(node)
+    def durable(self, node: Node, number: int) -> None:
+        assert node.raft is not None
+        self._carry_out(node, node.raft.durable(number))
+
+    def state_of(self, node: Node) -> Any:
+        return node.kept.state()
 
     def _send(self, sender: int, to: int, message: Any) -> None:
-        copies = 1
-        if (sender, to) in self.cut or to >= len(self.nodes):
-            copies = 0
-        elif self.faults:
-            copies = 0 if self.rng.random() < self.plan.loss else 1 + (self.rng.random() < self.plan.double)
-        for _ in range(copies):
-            late = self.faults and self.rng.random() < self.plan.slow
-            self.after(500, 2_000_000 if late else 30_000, lambda: self._arrive(sender, to, message))
+        self.pass_on(sender, to, self.links, lambda: self._arrive(sender, to, message))
 
     def _arrive(self, sender: int, to: int, message: Any) -> None:
         node = self.nodes[to]
--- a/ponddoor/seats/simulation.py
+++ b/ponddoor/seats/simulation.py
@@ -6,7 +6,6 @@
 they never exceed the limit. After the trouble every seat comes back, and the whole limit can be granted
 again."""
 
-import heapq
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -24,9 +23,9 @@
     Timing,
     Write,
 )
-from ponddoor.store.faulty import CrashError, FaultyFiles
-from ponddoor.store.files import DiskError
-from ponddoor.store.journal import Journal, StoppedError
+from ponddoor.store.faulty import CrashError
+from ponddoor.store.journal import Journal
+from ponddoor.world import Disks, Links, Machine
 
 TICK = 50_000
 
@@ -58,19 +57,12 @@
 
 
 @dataclass(slots=True)
-class Node:
+class Node(Machine):
     """One front: its clock, disk, and what runs there while it is up."""
 
-    number: int
-    rate: float
-    offset: int
-    files: FaultyFiles
+    offset: int = 0
     core: Seats | None = None
-    journal: Journal | None = None
     epoch: int = 0
-    life: int = 0
-    committing: bool = False
-    first_write: int = 0
 
 
 @dataclass(slots=True)
@@ -107,37 +99,36 @@
     grant_ms: list[float] = field(default_factory=list)
 
 
-class Simulation:
+class Simulation(Disks):
     """One schedule. `make` builds the core, so that one with a guard taken out can be run as well."""
 
     def __init__(self, plan: Schedule, make: Callable[..., Seats] = Seats) -> None:
-        self.plan, self.make, self.rng, self.now = plan, make, Random(plan.seed), 0
+        super().__init__(plan.seed, 0.02)
+        self.plan, self.make = plan, make
         self.key: Key = ("t", "e")
         self.limit = self.allowed = plan.limit
         self.found = Found()
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
-        self.order, self.tickets = itertools.count(), itertools.count(1)
+        self.tickets = itertools.count(1)
         self.asked: dict[int, Asked] = {}
         self.claims: dict[str, Claim] = {}
-        self.faults = True
         self.cut: set[int] = set()
+        self.links = Links(plan.loss, plan.double, plan.slow, 40_000, 2 * plan.timing.lease)
         self.nodes = [
-            Node(n, 1 + plan.drift * self.rng.uniform(-1, 1), self.rng.randrange(10**9), self._disk())
+            Node(
+                n,
+                1 + plan.drift * self.rng.uniform(-1, 1),
+                offset=self.rng.randrange(10**9),
+                files=self.disk(),
+            )
             for n in range(plan.fronts)
         ]
 
-    def _disk(self) -> FaultyFiles:
-        return FaultyFiles(Random(self.rng.getrandbits(32)))
+    def apart(self, sender: int, to: int) -> bool:
+        return sender in self.cut or to in self.cut
 
     def clock(self, node: Node) -> int:
         return node.offset + round(self.now * node.rate)
 
-    def at(self, moment: int, what: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (max(moment, self.now), next(self.order), what))
-
-    def after(self, least: int, most: int, what: Callable[[], None]) -> None:
-        self.at(self.now + self.rng.randint(least, most), what)
-
     def run(self) -> Found:
         """Play the schedule. Raises ExceededError."""
         plan, end = self.plan, self.plan.seconds * 1_000_000
@@ -149,7 +140,7 @@
             self.after(1_000_000, end * 2 // 3, self._some_crash)
         for _ in range(plan.cuts):
             self.after(1_000_000, end * 2 // 3, self._cut_off)
-        self._until(end)
+        self.until(end)
         self.faults = False
         self.cut.clear()
         for node in self.nodes:
@@ -158,19 +149,12 @@
             if node.core is None:
                 self._start(node)
         quiet = 3 * plan.timing.lease
-        self._until(end + quiet)
+        self.until(end + quiet)
         self._came_back()
         return self.found
 
-    def _until(self, end: int) -> None:
-        while self.events and self.events[0][0] <= end:
-            self.now, _, what = heapq.heappop(self.events)
-            what()
-            self.found.steps += 1
-            self._check()
-        self.now = max(self.now, end)
-
-    def _check(self) -> None:
+    def checked(self) -> None:
+        self.found.steps = self.steps
         running = self._running()
         self.found.most = max(self.found.most, running)
         if running > self.allowed:
@@ -186,11 +170,11 @@
         first = self.nodes[self.rng.randrange(len(self.nodes))]
         for number in range(self.limit):
             self._take(first, f"last{number}", lambda sess, seat: got.append(seat))
-        self._until(self.now + 4 * self.plan.timing.borrow_wait)
+        self.until(self.now + 4 * self.plan.timing.borrow_wait)
         if len(got) < self.limit:
             for number in range(self.limit):
                 self._take(first, f"last{number}", lambda sess, seat: got.append(seat))
-            self._until(self.now + self.plan.timing.lease)
+            self.until(self.now + self.plan.timing.lease)
         if len(set(got)) < self.limit:
             raise ExceededError(f"seed {self.plan.seed}: {len(set(got))} of {self.limit} seats came back")
 
@@ -203,7 +187,7 @@
         try:
             held = journal.open()
         except CrashError:
-            self._down(node)
+            self.down(node)
             return
         now = self.clock(node)
         before = [row[1] for row in [*(held.state or []), *held.records] if row[0] == "begun"]
@@ -223,14 +207,14 @@
         self._carry_out(node, node.core.tick(self.clock(node)))
         self.at(self.now + TICK, lambda: self._tick(node, life))
 
-    def _down(self, node: Node) -> None:
+    def down(self, node: Node) -> None:
         """The machine stops; what was not durable may be gone, now and then the whole disk."""
         node.core = node.journal = None
         node.life += 1
         self.found.crashes += 1
         node.files.crash()
         if self.faults and self.rng.random() < self.plan.disk_losses:
-            node.files = self._disk()
+            node.files = self.disk()
         life = node.life
         self.after(
             50_000,
@@ -245,7 +229,7 @@
         if self.rng.random() < 0.5:
             node.files.crash_in = self.rng.randint(0, 6)  # in the middle of one of its next disk operations
         else:
-            self._down(node)
+            self.down(node)
 
     def _cut_off(self) -> None:
         """One front hears nobody and is heard by nobody, for longer than a lease or not."""
@@ -260,11 +244,7 @@
                 return
             match effect:
                 case Write(_, record):
-                    assert node.journal is not None
-                    node.journal.append(record)
-                    if not node.committing:
-                        node.committing = True
-                        self.after(200, 20_000, lambda: self._commit(node, life))
+                    self.write(node, record)
                 case Send(peer, message):
                     self._send(node.number, peer, message)
                 case Granted():
@@ -277,51 +257,17 @@
                 case Expired():
                     pass
 
-    def _commit(self, node: Node, life: int) -> None:
-        if node.life != life or node.journal is None or node.core is None:
-            return
-        node.committing = False
-        if self.faults and self.rng.random() < 0.02:
-            node.files.fail[self.rng.choice(["append", "sync"])] = self.rng.choice(["full", "error"])
-        try:
-            durable = node.journal.commit()
-        except CrashError:
-            self._down(node)
-            return
-        except (DiskError, StoppedError):
-            if node.journal.failed:  # the process must not go on as if it had not
-                self._down(node)
-                return
-            node.committing = True
-            self.after(20_000, 60_000, lambda: self._commit(node, life))
-            return
-        self._carry_out(node, node.core.durable(self.clock(node), durable - node.first_write))
-        if node.journal is not None and self.rng.random() < 0.03 and node.life == life:
-            self._snapshot(node)
-
-    def _snapshot(self, node: Node) -> None:
-        assert node.journal is not None and node.core is not None
-        if node.journal.durable != node.journal.next_number - 1:
-            return  # what is not durable yet must not be in a snapshot
-        try:
-            node.journal.snapshot(node.core.state())
-        except CrashError:
-            self._down(node)
-        except DiskError:
-            if node.journal is not None and node.journal.failed:
-                self._down(node)
+    def durable(self, node: Node, number: int) -> None:
+        assert node.core is not None
+        self._carry_out(node, node.core.durable(self.clock(node), number))
+
+    def state_of(self, node: Node) -> Any:
+        assert node.core is not None
+        return node.core.state()
 
     def _send(self, sender: int, peer: int, message: Any) -> None:
         self.found.messages += 1
-        plan, copies = self.plan, 1
-        if sender in self.cut or peer in self.cut:
-            copies = 0
-        elif self.faults:
-            copies = 0 if self.rng.random() < plan.loss else 1 + (self.rng.random() < plan.double)
-        for _ in range(copies):
-            late = self.faults and self.rng.random() < plan.slow
-            most = 2 * plan.timing.lease if late else 40_000
-            self.after(500, most, lambda: self._arrive(sender, peer, message))
+        self.pass_on(sender, peer, self.links, lambda: self._arrive(sender, peer, message))
 
     def _arrive(self, sender: int, peer: int, message: Any) -> None:
         node = self.nodes[peer]
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -4,10 +4,14 @@
 import math
 from dataclasses import dataclass, field
 
+from ponddoor.fleet.evidence import Seen
 from ponddoor.interface import events as ev
+from ponddoor.interface import words
+from ponddoor.interface.chance import LONG_AGO, Chance
 from ponddoor.interface.facts import Ladder, ServiceGroup
 
-LONG_AGO = -(1 << 60)
+__all__ = ["LONG_AGO", "Chance", "Pipe", "Server", "Sess"]
+
 
 
 @dataclass(slots=True)
@@ -19,6 +23,15 @@
     loads: list[tuple[int, float]] = field(default_factory=list)  # (taken at, asked over what it gives)
     short: tuple[int, float] | None = None  # when last seen short, what it gave
 
+    def load(self, taken: int, ratio: float) -> None:
+        """A report, of the moment it was taken."""
+        self.loads = [*self.loads[-2:], (taken, ratio)]
+
+    def unknown(self) -> float:
+        """What others ask, by the last report: it speaks of its moment, so what was known then is off."""
+        taken, ratio = self.loads[-1]
+        return ratio * self.kb - self.known_at(taken)
+
     def known_at(self, moment: int) -> float:
         return self.known[max(bisect.bisect_right(self.known, (moment, math.inf)) - 1, 0)][1]
 
@@ -46,6 +59,28 @@
         return (self.req.title, self.req.service_group)
 
 
+@dataclass(slots=True)
+class Arrivals:
+    """The last requests: when they came, and where their titles lie."""
+
+    most: int
+    kept: list[tuple[int, int, int]] = field(default_factory=list)  # (when, home, span)
+
+    def note(self, at: int, home: int, span: int) -> None:
+        self.kept = [*self.kept[1 - self.most:], (at, home, span)]
+
+    def rate(self, now: int, span: int, place: tuple[int, int] | None = None) -> float:
+        """Arrivals a second: of a busy front the samples reach back less than the span (us). Where a place is
+        named, a cell of so many, those whose titles lie there."""
+        if len(self.kept) >= self.most:
+            span = min(span, max(now - self.kept[0][0], 1))
+        return max(self.lately(now, span, place), 1) * 1_000_000 / span
+
+    def lately(self, now: int, span: int, place: tuple[int, int] | None = None) -> int:
+        cell, cells = place or (0, 1)
+        return sum(at > now - span and (cell - home) % cells < wide for at, home, wide in self.kept)
+
+
 @dataclass(slots=True)
 class Server:
     """One server as this front sees it."""
@@ -55,17 +90,18 @@
     sessions: dict[int, Sess] = field(default_factory=dict)
     ends: list[tuple[int, bool]] = field(default_factory=list)    # (when, whether it went well)
     notes: list[tuple[int, float]] = field(default_factory=list)  # (when, share delivered)
-    peers: dict[int, float] = field(default_factory=dict)   # what other fronts last said to ask
-    theirs: float = 0.0                                      # and the sum of it
-    warm: set[int] = field(default_factory=set)              # the fronts that last said that it is warm
-    warm_at: int = LONG_AGO                                  # when a hub's word last said so
+    warm_at: int = LONG_AGO                 # when a keeper's word last said that it is warm
+    grant: int = LONG_AGO                   # when we asked for the grant that we have not used
+    tried: int = LONG_AGO                   # when we last let a front try it for all
     sent: int = LONG_AGO
     inquired: int = LONG_AGO                # when it was last probed for an arrival
     heard: tuple[int, float] | None = None  # a report that came to us and is still to be told
     felt: tuple[int, float] | None = None   # a note on the share delivered, likewise
+    ended: bool = False                     # and the end of a set-up
     reported: float = 0.0                   # the link as last reported, whatever short notes say
     said: float = 0.0                       # our rate there as last told
-    told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a hub's word: when, idle and asked, without ours
+    said_warm: bool = False                 # and whether we had an old session there
+    told: tuple[int, float, float] = (LONG_AGO, 0.0, 0.0)  # a keeper's: when, idle and asked, without ours
     ours: float | None = None               # the sum of our sessions' rates, while it holds
     lost: int | None = None                 # when it was last seen to be down
     back: int = LONG_AGO                    # when it was first seen to be up again
@@ -84,14 +120,33 @@
             self.ours = total
         return self.ours
 
-    def hear(self, peer: int, kb: float) -> None:
-        """What a front says to ask of it now."""
-        self.theirs += kb - self.peers.get(peer, 0.0)
-        self.peers[peer] = kb
-        if not kb:
-            del self.peers[peer]
-            self.warm.discard(peer)
-            self.theirs = self.theirs if self.peers else 0.0
+    def take(self, asked: int, room: words.Room) -> None:
+        """A keeper's word, in answer to a question of ours of that moment."""
+        self.told = (asked, room.idle + room.theirs, room.asked - room.theirs)
+        self.warm_at = asked if room.warm else LONG_AGO
+        self.grant = asked if room.granted else self.grant
+
+    def seen(self, since: int) -> Seen:
+        """How our set-ups there ended since a moment."""
+        failed = [at for at, well in self.ends if at > since and not well]
+        went_well = [at for at, well in self.ends if at > since and well]
+        last, last_well = max(failed, default=LONG_AGO), max(went_well, default=LONG_AGO)
+        return Seen(len(failed), len(went_well), last, last_well)
+
+    def old(self, since: int) -> bool:
+        """Whether a session of ours there began before a moment, and was not lost since."""
+        began = (s.began for s in self.sessions.values() if s.began is not None)
+        return self.lost is None and any(at <= since for at in began)
+
+    def said_now(self, now: int, since: int, warm: bool) -> words.Rate:
+        """Our rate there, and what came to us since we last said so: that is said once."""
+        load, share = (words.Sample(s[1], now - s[0]) if s else None for s in (self.heard, self.felt))
+        seen = self.seen(since)
+        failed_age, well_age = now - max(seen.failed_at, since), now - max(seen.well_at, since)
+        told = words.Ends(seen.failed, seen.well, failed_age, well_age) if self.ended else None
+        self.said, self.said_warm = self.own(), warm
+        self.heard, self.felt, self.ended = None, None, False
+        return words.Rate(self.row.server, self.said, load, share, warm, told)
 
     def changed(self) -> None:
         """Its sessions or their rungs are others now: what they ask is summed anew."""
@@ -100,14 +155,3 @@
     def started(self) -> int:
         """When its process last started, as far as the list or we have seen."""
         return max(self.row.started_at or LONG_AGO, self.back)
-
-
-class Chance:
-    """A linear congruential generator; its high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self._state = seed
-
-    def draw(self, below: int) -> int:
-        self._state = (self._state * 6364136223846793005 + 1442695040888963407) % (1 << 64)
-        return ((self._state >> 32) * below) >> 32
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -59,6 +59,9 @@
         self.now, self.news = 0, [""]
         self.timers: list[tuple[int, int]] = []
         self.sent: dict[str, tuple[int, int]] = {}
+        self.stamps, self.asked = 0, {}  # type: ignore[var-annotated]
+        self.acks: list[tuple[int, words.Ack]] = []
+        self.silent: set[int] = set()  # fronts that do not answer pings
 
     def play(self, text: str) -> None:
         for number, line in enumerate(text.splitlines(), 1):
@@ -82,6 +85,8 @@
         options = {key: amount(value) for key, value in (w.split("=") for w in words if "=" in w)}
         if what == "group":
             self.groups.append(replace(GROUP, **options))
+        elif what == "silent":
+            self.silent |= set(map(int, words))
         elif what == "tenant":
             self.site = replace(self.site, tenants=(*self.site.tenants, fx.Tenant("t", share=1.0, **options)))
         elif what == "server":
@@ -112,17 +117,31 @@
                 case _:
                     names = [str(getattr(action, f.name)) for f in fields(action)]
                     self.news.append(" ".join([type(action).__name__.lower(), *names]))
+        acks, self.acks = self.acks, []
+        for peer, ack in acks:
+            self.do(ev.PeerMessage(peer, words.pack(ack)[0]))
 
     def tell(self, action: act.Tell, word: words.Word | None) -> None:
         match word:
-            case words.Telling(rates, whole):
+            case words.Telling(_, _, rates, whole):
                 self.news.append(f"tells {action.peer} {'all' if whole else 'changes'}")
                 self.news += [f"tell {r.server} {r.kb:g}{' warm' if r.warm else ''}" for r in rates]
-            case words.Answer(rooms):
+                self.news += [f"saw {r.server} {r.ends.failed} {r.ends.well}" for r in rates if r.ends]
+            case words.Answer(_, _, _, rooms):
+                self.news.append(f"answers {action.peer}")
                 self.news += [f"answer {action.peer} {r.server} {r.idle:g} {r.asked:g}" for r in rooms]
                 self.news += [f"warm {r.server}" for r in rooms if r.warm]
-            case _:
+                self.news += [f"against {r.server} {r.against}" for r in rooms if r.against]
+                self.news += [f"grants {action.peer} {r.server}" for r in rooms if r.granted]
+            case words.AskHolders(number) | words.AskOurs(number):
+                self.asked[action.peer] = number
                 self.news.append(f"asks {action.peer} {type(word).__name__}")
+            case words.Ping(number) if action.peer not in self.silent and action.peer is not None:
+                self.acks.append((action.peer, words.Ack(number, 1, 0, (), action.peer)))
+            case words.Lending(_, _, _, groups):
+                self.news.append(f"lends {action.peer} {' '.join(map(str, groups))}")
+            case _:
+                self.news.append(f"says {action.peer} {type(word).__name__}")
 
     def at(self, moment: str, what: str = "", *words: str) -> None:
         """Time passes, timers come due, and then one thing happens. A `+` before it keeps what is seen."""
@@ -138,23 +157,39 @@
         if event is not None:
             self.do(event)
 
-    def word(self, plain: list[str], options: dict[str, Any]) -> bytes:
-        """`all|changes SERVER KB ...`, `answer SERVER IDLE ASKED`, `ours`, `holders`, `raw HEX`; `warm`."""
-        warm = "warm" in plain
-        plain = [text for text in plain if text != "warm"]
+    def word(self, peer: int, plain: list[str], options: dict[str, Any]) -> bytes:
+        """`all|changes SERVER KB ...`, `answer [SERVER IDLE ASKED]` to the last question to that front,
+        `ours`, `holders`, `begun`, `lends`, `raw HEX`; with `warm`, `granted`, `life=`, `against=`,
+        `failed=`, `well=` and their ages."""
+        flags = [text for text in plain if text in ("warm", "granted")]
+        plain = [text for text in plain if text not in flags]
         kind, numbers = plain[0], [int(text) for text in plain[1:] if plain[0] != "raw"]
-        word: words.Word = words.AskOurs()
+        life, warm = options.get("life", 1), "warm" in flags
+        seen = [options.get(name, 0) for name in ("failed", "well", "failed_age", "well_age")]
+        ends = words.Ends(*seen) if seen[0] or seen[1] else None
+        word: words.Word = words.AskOurs(1)
         if kind == "raw":
             return bytes.fromhex("".join(plain[1:]))
         if kind in ("all", "changes"):
+            self.stamps += 1
             pairs = zip(numbers[::2], numbers[1::2], strict=True)
-            word = words.Telling(
-                tuple(words.Rate(at, kb, warm=warm) for at, kb in pairs), kind == "all"
-            )
+            rates = tuple(words.Rate(at, kb, warm=warm, ends=ends) for at, kb in pairs)
+            word = words.Telling(life, options.get("stamp", self.stamps), rates, kind == "all")
         elif kind == "answer":
-            word = words.Answer((words.Room(numbers[0], numbers[1], numbers[2], 0, warm),))
+            told = ends or words.Ends(0, 0)
+            at, idle, asked = numbers[:3] or (0, 0, 0)
+            against = options.get("against", 0)
+            rooms = (words.Room(at, idle, asked, 0, warm, against, told, "granted" in flags),)
+            lend = options.get("lend", 0)
+            word = words.Answer(life, self.asked.get(peer, 0), lend, rooms if numbers else ())
         elif kind == "holders":
-            word = words.AskHolders(options.get("home", 0), options.get("span", 8), options.get("zone", 0))
+            home, span, zone = (options.get(name, usual) for name, usual in
+                                (("home", 0), ("span", 8), ("zone", 0)))  # fmt: skip
+            word = words.AskHolders(1, home, span, zone)
+        elif kind == "begun":
+            word = words.Begun(life)
+        elif kind == "lends":
+            word = words.Lending(life, options.get("keeper", 1), options["number"], (0,))
         return words.pack(word)[0]
 
     def event(self, what: str, plain: list[str], options: dict[str, Any]) -> ev.Event | None:
@@ -179,7 +214,7 @@
             self.given("server", *plain, *(f"{k}={v}" for k, v in options.items()))
             return ev.ServerNews(ev.NewsScope.CHANGES, (self.rows[plain[0]],))
         if what == "word":
-            return ev.PeerMessage(int(plain[0]), self.word(plain[1:], options))
+            return ev.PeerMessage(int(plain[0]), self.word(int(plain[0]), plain[1:], options))
         if what == "serverhint":
             return ev.ServerHint(int(plain[0]), **{"taken": self.now} | options)
         if what == "hint":
--- a/tests/front/test_world.py
+++ b/tests/front/test_world.py
@@ -400,7 +400,7 @@
     async def live(world: World) -> None:
         first, second = world.fronts
         await world.ask(0)
-        await world.until(lambda: second.decisions.heard)  # type: ignore[attr-defined]
+        await world.until(lambda: second.decisions.fleet.counts.origins)  # type: ignore[attr-defined]
         target = world.site.fronts[1].words
         forged = Seal(bytes(16), 0, 2, 10_000_000).seal(wall(), b"x")
         good = Seal(world.site.words.key, 0, 2, 10_000_000).seal(
@@ -429,7 +429,7 @@
         world.fronts.append(await world.front(1, three))
         await world.until(lambda: world.fronts[0].words.seal.miscounted == {1: 3}, 6)
         await world.until(lambda: world.fronts[1].words.seal.miscounted == {0: 2}, 6)
-        assert not world.fronts[1].decisions.heard  # type: ignore[attr-defined]
+        assert not world.fronts[1].decisions.fleet.counts.origins  # type: ignore[attr-defined]
 
     in_world(live, fronts=2, permissions="(messages yes)")
 
@@ -469,10 +469,10 @@
 def test_a_look_at_the_metrics_changes_no_decision(in_world: Run) -> None:
     async def live(world: World) -> None:
         front: Any = world.fronts[0].decisions
-        before = (front.now, front.viewed, front.outlook, front.whole_since)
+        before = (front.now, front.fleet.now, dict(front.fleet.looked), dict(front.fleet.whole_since))
         world.fronts[0].acting.look(front, before[0] + 5_000_000)
         list(world.fronts[0]._samples())
-        assert (front.now, front.viewed, front.outlook, front.whole_since) == before
+        assert (front.now, front.fleet.now, front.fleet.looked, front.fleet.whole_since) == before
 
     in_world(live)
 
