--- a/ponddoor/rehearse/nodes.py
+++ b/ponddoor/rehearse/nodes.py
@@ -23,7 +23,7 @@
 from ponddoor.standins.platform import Box as Server
 
 CAN = ("crash", "deploy", "discovery_down", "zone_loss", "hot_key", "balancer_roll", "front_deaths",
-       "peer_down", "words_lost")  # fmt: skip
+       "peer_down", "words_lost", "fast_errors")  # fmt: skip
 LIST_LATE = 1.0  # s until the board has what became of a server
 NODE = (sys.executable, "-m", "ponddoor.node")
 
@@ -218,7 +218,18 @@
             await asyncio.sleep(max(0.0, lasts / len(batches) - (time.monotonic() - begun)))
 
     async def _fault(self, boxes: list[Box], kind: str, lasts: float, size: float, how: str) -> None:
-        await self._crash(boxes, lasts)
+        assert self.world is not None
+        if kind != "fast_errors":
+            await self._crash(boxes, lasts)
+            return
+        struck = [self.world.boxes[box.number] for box in boxes]
+        self.rec.note("failing", servers=[box.number for box in boxes], part=size)
+        for server in struck:
+            server.failing = size
+        await asyncio.sleep(lasts)
+        for server in struck:
+            server.failing = 0.0
+        self.rec.note("well-again", servers=[box.number for box in boxes])
 
     async def _order(self, **body: Any) -> None:
         assert self.board is not None
--- a/ponddoor/standins/platform.py
+++ b/ponddoor/standins/platform.py
@@ -151,6 +151,7 @@
         self.streams: dict[str, Stream] = {}
         self.recent: deque[float] = deque()
         self.begun_at, self.busy_until, self.fallen = time.monotonic(), 0.0, False
+        self.failing = 0.0  # the share of its SETUPs that end in an error
         self.links: set[_Link] = set()
         self._server: asyncio.Server | None = None
         self.rng = np.random.default_rng([day.seed, 3, entry.server])
@@ -294,6 +295,10 @@
         if box.fallen:
             self.pending[sess] = (attempt, asyncio.get_running_loop().call_later(3600, lambda: None))
             return  # it stays down: nothing is answered
+        if box.failing and box.rng.random() < box.failing:
+            box.note("outcome", sess=sess, attempt=attempt, result="error")
+            self.say("down", sess, 47)
+            return
         full = len(box.streams) >= box.day.site.facts.plant.streams[0] * 50
         box.note("outcome", sess=sess, attempt=attempt, result="full" if full else "started")
         if full:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -42,6 +42,14 @@
 from ponddoor.decide import Front
 Front.warm = lambda self, server: False
 """
+ALONE = """
+from ponddoor.decide import Front
+Front.condemned = lambda self, server: False
+"""
+SURE = """
+from ponddoor.fleet.presence import Hears, Presence
+Presence.hears = lambda self, now: Hears.WELL
+"""
 ALL_AT_ONCE = """
 from ponddoor.node.servers import Servers
 Servers.turn = lambda self: 0
@@ -63,6 +71,7 @@
 
     result: Result
     rows: list[Row]
+    logs: dict[int, str]  # of each front
 
     def at(self, what: str, **fields: Any) -> list[int]:
         return [row["at"] for row in self.rows if row["what"] == what and fields.items() <= row.items()]
@@ -77,7 +86,8 @@
         (folder / "day.json").write_text(f'{{"file": "{DAYS / name}.day", "seed": {day.seed}}}')
         rehearsal = Rehearsal(day, folder)
     result = asyncio.run(rehearsal.play())
-    return Played(result, read(folder)[0])
+    logs = {me: (folder / f"front-{me}.log").read_text() for me in range(day.fronts)}
+    return Played(result, read(folder)[0], logs)
 
 
 # What is played: its name, the day, and the program
@@ -97,6 +107,12 @@
     "reset all at once": ("reset", without(ALL_AT_ONCE)),
     "roll": ("roll", NODE),
     "gone_since": ("gone_since", NODE),
+    "deaf": ("deaf", NODE),
+    "deaf sure of itself": ("deaf", without(SURE)),
+    "failing": ("failing", NODE),
+    "failing each alone": ("failing", without(ALONE)),
+    "donors": ("donors", NODE),
+    "islands": ("islands", NODE),
     "fronts": ("fronts", NODE),
     "terms": ("terms", NODE),
 }
@@ -222,3 +238,48 @@
     rows = [row for row in days["cut_stalled"].result().rows if row["what"] == "link-fault"]
     assert [row["fault"]["cut"] for row in rows] == [True, False]
     assert [row["fault"]["stall"] for row in rows] == [False, True]
+
+
+def cut_off(played: Played) -> set[int]:
+    """The fronts that the day's first fault keeps from hearing the others."""
+    ways = next(row["ways"] for row in played.rows if row["what"] == "link-fault")
+    return {int(name.partition(" ")[2]) for name in ways[0][1]}
+
+
+def who_says(played: Played, *words: str) -> set[int]:
+    return {me for me, log in played.logs.items() if any(word in log for word in words)}
+
+
+def test_who_hears_nothing_says_so_and_nobody_else_does(days: "dict[str, Future[Played]]") -> None:
+    played, sure = days["deaf"].result(), days["deaf sure of itself"].result()
+    assert len(cut_off(played)) == 4
+    assert who_says(played, "hears-nothing") == cut_off(played)
+    assert not who_says(sure, "hears-nothing")
+
+
+def at_failing(played: Played) -> int:
+    """SETUPs at servers that fail, from three seconds after they began to."""
+    (began,), (over,) = played.at("failing"), played.at("well-again")
+    (servers,) = [row["servers"] for row in played.rows if row["what"] == "failing"]
+    return sum(
+        row["what"] == "setup" and row["server"] in servers and began + 3 * SECOND < row["at"] < over
+        for row in played.rows
+    )
+
+
+def test_a_server_that_fails_for_all_is_found_out_together(days: "dict[str, Future[Played]]") -> None:
+    together, alone = days["failing"].result(), days["failing each alone"].result()
+    assert at_failing(together) < 0.7 * at_failing(alone), (at_failing(together), at_failing(alone))
+    assert len(who_says(together, "\"mechanism\": \"avoid\"")) >= 3
+
+
+def test_a_front_that_begins_waits_for_no_donor(days: "dict[str, Future[Played]]") -> None:
+    """Its viewers are answered, though who is asked stands still and a third of all words go astray."""
+    played = days["donors"].result()
+    killed = {int(row["process"].partition(" ")[2]) for row in played.rows
+              if row["what"] == "killed" and row["process"].startswith("front ")}  # fmt: skip
+    again = {me: max(at for at in played.at("began", front=me)) for me in killed}
+    for me, at in again.items():
+        answers = [row["at"] for row in played.rows if row["what"] == "answer" and row["front"] == me]
+        assert any(at < one for one in answers)
+    assert not played.at("fell")
