--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -476,6 +476,23 @@
     sys.exit(1 if problem else 0)
 
 
+@fleet.command(name="measure")
+@click.option("--fronts", type=int, multiple=True, default=(10, 30, 100), show_default=True)
+@click.option("--loss", type=float, multiple=True, default=(0.0, 0.1, 0.5, 1.0), show_default=True)
+@click.option("--seconds", type=int, default=10, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def fleet_measure(
+    fronts: tuple[int, ...], loss: tuple[float, ...], seconds: int, seed: int, as_json: bool
+) -> None:
+    """Words over the fleet's size and parts in use over loss, of the cores in virtual time."""
+    from ponddoor.fleet.measure import table
+    from ponddoor.load.measure import shown
+
+    for name, found in table(fronts, loss, seconds, seed).items():
+        click.echo(shown({"": name, **found}, as_json))
+
+
 @main.group()
 def seats() -> None:
     """Seats: what a front holds, and the simulation of their count."""
