--- a/ponddoor/fleet/simulation.py
+++ b/ponddoor/fleet/simulation.py
@@ -21,7 +21,7 @@
 from ponddoor.interface import facts as fx
 from ponddoor.interface import words
 from ponddoor.interface.script import Script
-from ponddoor.world import Links, World
+from ponddoor.world import Links, World, first_to_fail, least_of
 
 SECOND = 1_000_000
 PERIOD = SECOND // 2
@@ -428,34 +428,11 @@
     first: int, count: int, make: Callable[..., Fleet] = Fleet, shape: Callable[[int], Schedule] = drawn
 ) -> tuple[int, str]:
     """Run schedules one after the other until one fails; returns how many ran and what failed."""
-    for number in range(count):
-        try:
-            Simulation(shape(first + number), make).run()
-        except BoundBrokenError as problem:
-            return number + 1, str(problem)
-    return count, ""
+    return first_to_fail(first, count, lambda seed: Simulation(shape(seed), make).run(), BoundBrokenError)
 
 
 def shrunk(plan: Schedule, make: Callable[..., Fleet] = Fleet) -> Schedule:
-    """The least of a failing schedule that still fails: each trouble is left out or halved if it can be."""
-
-    def fails(other: Schedule) -> bool:
-        try:
-            Simulation(other, make).run()
-        except BoundBrokenError:
-            return True
-        return False
-
-    better = fails(plan)
-    while better:
-        better = False
-        for name in ("crashes", "cuts", "pauses", "rogues", "fronts", "seconds", "loss", "double", "slow"):
-            value = getattr(plan, name)
-            least = {"fronts": 3, "seconds": 4}.get(name, 0)
-            for smaller in (least, value // 2 if isinstance(value, int) else value / 2):
-                if least <= smaller < value and (isinstance(value, int) or smaller == 0 or value > 0.01):
-                    other = replace(plan, **{name: smaller})
-                    if fails(other):
-                        plan, better = other, True
-                        break
-    return plan
+    """The least of a failing schedule that still fails."""
+    names = ("crashes", "cuts", "pauses", "rogues", "fronts", "seconds", "loss", "double", "slow")
+    least = {"fronts": 3, "seconds": 4}
+    return least_of(plan, names, least, lambda other: Simulation(other, make).run(), BoundBrokenError)
--- a/ponddoor/raft/simulation.py
+++ b/ponddoor/raft/simulation.py
@@ -38,7 +38,7 @@
 from ponddoor.raft.storage import Kept, kept_of, record_of
 from ponddoor.store.faulty import CrashError
 from ponddoor.store.journal import Journal
-from ponddoor.world import Disks, Links, Machine
+from ponddoor.world import Disks, Links, Machine, first_to_fail, least_of
 
 TICK = 50_000
 LIMITS = Limits(batch=4, window=3, piece=64, proposals=50, caught_up=4, clients=100)
@@ -451,37 +451,12 @@
     first: int, count: int, make: Callable[..., Raft] = Raft, shape: Callable[[int], Schedule] = drawn
 ) -> tuple[int, str]:
     """Run schedules one after the other until one fails; returns how many ran and what failed."""
-    for number in range(count):
-        try:
-            Simulation(shape(first + number), make).run()
-        except ViolatedError as problem:
-            return number + 1, str(problem)
-    return count, ""
+    return first_to_fail(first, count, lambda seed: Simulation(shape(seed), make).run(), ViolatedError)
 
 
 def shrunk(plan: Schedule, make: Callable[..., Raft] = Raft) -> Schedule:
-    """The least of a failing schedule that still fails: each trouble is left out or halved if it can be."""
-
-    def fails(other: Schedule) -> bool:
-        try:
-            Simulation(other, make).run()
-        except ViolatedError:
-            return True
-        return False
-
-    if not fails(plan):
-        return plan
-    better = True
-    while better:
-        better = False
-        for name in ("crashes", "cuts", "pauses", "changes", "spare", "clients", "seconds", "loss", "double",
-                     "slow", "skew", "compact"):  # fmt: skip
-            value = getattr(plan, name)
-            least = 1 if name in ("clients", "seconds") else 0
-            for smaller in (least, value // 2 if isinstance(value, int) else value / 2):
-                if least <= smaller < value and (isinstance(value, int) or smaller == 0 or value > 0.01):
-                    other = replace(plan, **{name: smaller})
-                    if fails(other):
-                        plan, better = other, True
-                        break
-    return plan
+    """The least of a failing schedule that still fails."""
+    names = ("crashes", "cuts", "pauses", "changes", "spare", "clients", "seconds", "loss", "double", "slow",
+             "skew", "compact")  # fmt: skip
+    least = {"clients": 1, "seconds": 1}
+    return least_of(plan, names, least, lambda other: Simulation(other, make).run(), ViolatedError)
--- a/ponddoor/seats/simulation.py
+++ b/ponddoor/seats/simulation.py
@@ -25,7 +25,7 @@
 )
 from ponddoor.store.faulty import CrashError
 from ponddoor.store.journal import Journal
-from ponddoor.world import Disks, Links, Machine
+from ponddoor.world import Disks, Links, Machine, first_to_fail
 
 TICK = 50_000
 
@@ -362,9 +362,4 @@
     first: int, count: int, make: Callable[..., Seats] = Seats, shape: Callable[[int], Schedule] = drawn
 ) -> tuple[int, str]:
     """Run schedules one after the other until one fails; returns how many ran and what failed."""
-    for number in range(count):
-        try:
-            Simulation(shape(first + number), make).run()
-        except ExceededError as problem:
-            return number + 1, str(problem)
-    return count, ""
+    return first_to_fail(first, count, lambda seed: Simulation(shape(seed), make).run(), ExceededError)
--- a/ponddoor/world.py
+++ b/ponddoor/world.py
@@ -6,14 +6,16 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
-from typing import Any
+from typing import Any, TypeVar
 
 from ponddoor.store.faulty import CrashError, FaultyFiles
 from ponddoor.store.files import DiskError
 from ponddoor.store.journal import Journal, StoppedError
 
+Plan = TypeVar("Plan")  # a schedule: a dataclass
+
 
 @dataclass(frozen=True, slots=True)
 class Links:
@@ -150,3 +152,45 @@
         except DiskError:
             if machine.journal is not None and machine.journal.failed:
                 self.down(machine)
+
+
+def first_to_fail(
+    first: int, count: int, play: Callable[[int], Any], broken: type[Exception]
+) -> tuple[int, str]:
+    """Play seeds one after the other until one breaks; returns how many ran and what broke."""
+    for number in range(count):
+        try:
+            play(first + number)
+        except broken as problem:
+            return number + 1, str(problem)
+    return count, ""
+
+
+def least_of(
+    plan: Plan,
+    names: tuple[str, ...],
+    least: dict[str, int],
+    play: Callable[[Plan], Any],
+    broken: type[Exception],
+) -> Plan:
+    """The least of a schedule that still breaks: each named trouble is left out or halved if it can be."""
+
+    def fails(other: Plan) -> bool:
+        try:
+            play(other)
+        except broken:
+            return True
+        return False
+
+    better = fails(plan)
+    while better:
+        better = False
+        for name in names:
+            value, low = getattr(plan, name), least.get(name, 0)
+            for smaller in (low, value // 2 if isinstance(value, int) else value / 2):
+                if low <= smaller < value and (isinstance(value, int) or smaller == 0 or value > 0.01):
+                    other: Plan = replace(plan, **{name: smaller})  # type: ignore[type-var]
+                    if fails(other):
+                        plan, better = other, True
+                        break
+    return plan
