--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -396,6 +396,26 @@
     sys.exit(1 if breaches else 0)
 
 
+def asked_of(front: str, path: str, status: int) -> dict[str, Any]:
+    """What a front at HOST:PORT answers; where it does not, the command ends with this status."""
+    from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
+
+    async def ask() -> dict[str, Any]:
+        host, _, port = front.rpartition(":")
+        pool = Pool(host, int(port), 1, 2.0)
+        try:
+            got: dict[str, Any] = (await pool.request("GET", path)).json()
+            return got
+        finally:
+            pool.close()
+
+    try:
+        return asyncio.run(ask())
+    except (NotSentError, BrokenError, LateError, ValueError) as problem:
+        click.echo(f"{front}: {problem}", err=True)
+        sys.exit(status)
+
+
 @main.group()
 def fleet() -> None:
     """The fleet: what a front believes of it, and the simulation of its cores."""
@@ -408,24 +428,8 @@
     """What a front believes of fronts, servers, parts and counts; of two, where they differ (exit 1). The
     addresses are those of the metrics."""
     from ponddoor.fleet.shown import differences
-    from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
-
-    async def ask(front: str) -> dict[str, Any]:
-        host, _, port = front.rpartition(":")
-        pool = Pool(host, int(port), 1, 2.0)
-        try:
-            got: dict[str, Any] = (await pool.request("GET", "/fleet")).json()
-            return got
-        finally:
-            pool.close()
 
-    views = []
-    for front in fronts:
-        try:
-            views.append(asyncio.run(ask(front)))
-        except (NotSentError, BrokenError, LateError, ValueError) as problem:
-            click.echo(f"{front}: {problem}", err=True)
-            sys.exit(2)
+    views = [asked_of(front, "/fleet", 2) for front in fronts]
     if as_json:
         click.echo(msgspec.json.encode(views))
         return
@@ -503,21 +507,7 @@
 @click.option("--json", "as_json", is_flag=True)
 def seats_show(front: str, as_json: bool) -> None:
     """Each entitlement as one front sees it: held, lent, lapsing."""
-    from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
-
-    async def ask() -> dict[str, Any]:
-        host, _, port = front.rpartition(":")
-        pool = Pool(host, int(port), 1, 2.0)
-        try:
-            return (await pool.request("GET", "/seats")).json()
-        finally:
-            pool.close()
-
-    try:
-        got = asyncio.run(ask())
-    except (NotSentError, BrokenError, LateError, ValueError) as problem:
-        click.echo(f"{front}: {problem}", err=True)
-        sys.exit(1)
+    got = asked_of(front, "/seats", 1)
     if as_json or "seats" not in got:
         click.echo(msgspec.json.encode(got))
         sys.exit(0 if "seats" in got else 1)
