--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -336,6 +336,10 @@
     ) -> list[Effect]:
         match action:
             case act.Setup(_, server, timeout):
+                if held.phase is not Phase.WAITING:
+                    # Guards against a SETUP for who is answered or has left, while the session is remembered.
+                    moot = ev.Ended(held.req_id, held.attempt + 1, server, ev.Result.MOOT, True, 0, {})
+                    return self._feed(now, moot, held)
                 held.attempt, held.server, held.out, held.sent_at = held.attempt + 1, server, True, now
                 left = held.asked_at + held.ask.wait - now
                 timeout = min(timeout, left) if timeout > 0 else left
--- a/ponddoor/front/pump.py
+++ b/ponddoor/front/pump.py
@@ -5,11 +5,14 @@
 from collections import deque
 from collections.abc import Callable
 
+import structlog
+
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
 
 SECOND = 1_000_000
 Apply = Callable[[Callable[[int], list[Effect]]], None]  # `Pump.apply`, as the shells know it
+log = structlog.get_logger("pump")
 
 
 def clock() -> int:
@@ -17,6 +20,17 @@
     return time.monotonic_ns() // 1000
 
 
+TURNS = 4  # of the loop, from what our sockets have to its last consequence (an end is told a turn after it)
+
+
+def once_read(call: Callable[[], None], turns: int = TURNS) -> None:
+    """Call back once every byte, and every close, that has reached our sockets by now is handled.
+
+    A turn of the loop asks the sockets first, then calls what was due, then what the sockets had."""
+    later = (lambda: once_read(call, turns - 1)) if turns > 1 else call
+    asyncio.get_running_loop().call_soon(later)
+
+
 class Pump:
     """Calls one engine and hands what it wants to `carry_out`."""
 
@@ -28,16 +42,26 @@
         self._queue: deque[Effect] = deque()
 
     def apply(self, call: Callable[[int], list[Effect]]) -> None:
-        """Call the engine at the clock, carry out what it wants in order, and set the timer anew."""
-        self._queue += call(clock())
-        if self._applying:
-            return
-        self._applying = True
+        """Call the engine at the clock, carry out what it wants in order, and set the timer anew.
+
+        Guards against a fault in one effect or call, which would leave those behind it undone and no timer
+        set, for good. An effect's is logged and counted, a call's is its caller's."""
         try:
-            while self._queue:
-                self._carry_out(self._queue.popleft())
+            self._queue += call(clock())
         finally:
-            self._applying = False
+            if not self._applying:
+                self._drain()
+
+    def _drain(self) -> None:
+        self._applying = True
+        while self._queue:
+            effect = self._queue.popleft()
+            try:
+                self._carry_out(effect)
+            except Exception:
+                self._engine.counts.faults += 1
+                log.exception("effect-failed", effect=effect)
+        self._applying = False
         self._set_timer()
 
     def _set_timer(self) -> None:
--- a/tests/front/test_engine.py
+++ b/tests/front/test_engine.py
@@ -74,6 +74,30 @@
     assert [e.answer.kind for e in out if isinstance(e, fx.Reply)] == ["busy"] and engine.in_hand == 0
 
 
+class AnswersThenSends(Faulty):
+    """Decisions that answer, and send a SETUP all the same."""
+
+    def __init__(self) -> None:
+        self.got: list[object] = []
+
+    def session(self, request: ev.SessionRequest) -> Script:
+        yield act.BusyReply(request.req_id, 0)
+        self.got.append((yield act.Setup(request.req_id, 1, 1_000_000)))
+
+
+def test_who_is_answered_is_not_sent_on_while_remembered() -> None:
+    decisions = AnswersThenSends()
+    engine = engine_of(decisions)
+    _, out = engine.request(0, "a", ASK, "again")
+    assert engine.find("a") is not None
+    assert not any(isinstance(e, fx.SendSetup) for e in out)
+    match decisions.got:
+        case [ev.Ended(result=ev.Result.MOOT, final=True)]:
+            pass
+        case _:
+            raise AssertionError(decisions.got)
+
+
 STEP = st.tuples(
     st.sampled_from(["ask", "started", "full", "error", "reset", "left", "lost", "wait"]),
     st.integers(0, 5),
