A notice board that drips bytes is asked again

Cause: any byte counted as a sign of life (`Board._watch`), so a board that stopped within a line and dripped was waited for up to its longest line.

--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -73,11 +73,13 @@
             return Loss.REFUSED, str(problem)
         try:
             writer.write(board_codec.watch(self.roster.version))
-            lines = Lines(board_codec.MOST)
-            while data := await within(SILENCE, reader.read(65_536)):
+            lines, due = Lines(board_codec.MOST), clock() + int(SILENCE * SECOND)
+            # Only what is whole is a sign: a board that stopped in a line, or drips, tells nothing
+            while data := await within(max(due - clock(), 0) / SECOND, reader.read(65_536)):
                 for line in lines.feed(data):
                     self._take(line)
                     self.coming.heard(clock())
+                    due = clock() + int(SILENCE * SECOND)
             return Loss.BROKEN, "ended"
         except TimeoutError:
             return Loss.SILENT, f"nothing in {SILENCE:g} s"
