What comes between two lines of the node: closes, drains, signals, idle connections, its end

Releases that waited for a connection, or lay in the write buffer, were lost (`Servers.close` aborted). Now the end has one order (`Node._close`). - An idle connection was chosen to make room with its set-up unread, or with half of one read; the choice scanned all connections for each newcomer; up to 1,024 were accepted in one turn of the loop, over any limit of descriptors (the test with the machine's limit at 96 ran out); with many servers viewers were left 16. Now room is made once all is read and by pools, four are accepted a turn, viewers never have less than the protocol's third, and servers' connections are bounded by what is left. - Out of descriptors is no server's fault: such a SETUP is moot, and is not held against it.

--- a/ponddoor/node/__main__.py
+++ b/ponddoor/node/__main__.py
@@ -9,7 +9,8 @@
 
 def main() -> int:
     """Serve; 2 if what the node was told can't be used, 1 if an address can't be had."""
-    for number in (signal.SIGHUP, signal.SIGTERM):  # before anything slow: a signal must not end the start
+    # Before anything slow: a signal must not end the start
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda got, _: _EARLY.append(got))
     from ponddoor.node.serving import serve
 
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -1,8 +1,10 @@
 """One node: the engine, its shells on the platform's messages, the clock, and the signals."""
 
 import asyncio
+import resource
 import signal
 import time
+from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -18,7 +20,7 @@
 from ponddoor.front.pump import SECOND, Pump, clock
 from ponddoor.front.roster import Entry, Roster
 from ponddoor.node.board import Board
-from ponddoor.node.servers import Servers
+from ponddoor.node.servers import RELEASE, Servers
 from ponddoor.node.start import Place, StartError, read
 from ponddoor.node.viewers import Viewers
 from ponddoor.node.words import Words
@@ -30,7 +32,9 @@
 STAY = 60 * SECOND  # and until which sessions, that end with it, may play on; the platform kills it sooner
 IN_HAND, HELD = 2000, 20_000  # sessions that wait, and all of them
 IDLE = 20 * SECOND  # a connection to a server that nothing depends on is closed; servers close them later
+SETTLE = 0.01  # s between two looks at what is left, at the end
 SPARE = 64  # descriptors kept for everything but viewers and servers
+SHARE = 3  # the protocol: viewers hold a third of the descriptors at most; they are never given less
 log = structlog.get_logger("node")
 
 
@@ -40,6 +44,8 @@
     def __init__(self, place: Place, watched: bool = False) -> None:
         """With `watched` the log tells what is believed of each server, at each look."""
         self.watched = watched
+        bound = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.sockets = min(place.sockets, bound) if bound != resource.RLIM_INFINITY else place.sockets
         self.place, now = place, clock()
         facts = replace(place.facts, wall=time.time_ns() // 1000 - now)
         limits = Limits(
@@ -65,7 +71,9 @@
 
     def _learned(self, entries: dict[int, Entry]) -> None:
         self.servers.learn(entries)
-        self.viewers.most = max(16, self.place.sockets - SPARE - 2 * len(self.servers.links))
+        left, part = self.sockets - SPARE, self.sockets // SHARE
+        self.viewers.most = max(left - len(self.servers.links), part)
+        self.servers.most = max(left - self.viewers.most, part)
 
     def _carry_out(self, effect: Effect) -> None:
         match effect:
@@ -99,14 +107,23 @@
             self._told_to_end = clock()
             log.info("told-to-end", in_hand=self.engine.in_hand, held=self.engine.held)
 
-    async def run(self, path: Path) -> None:
-        """Serve until SIGTERM and nothing is owed. Raises OSError where an address can't be had."""
+    def _follow_signals(self, path: Path, early: Sequence[int]) -> None:
+        """From here on signals reach us; `early` are those that came before, looked at once all reach us:
+        looked at sooner, one that comes after the look and before the handler would be heard by nobody."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload, path)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.end)
+        if signal.SIGHUP in early:
+            self.reload(path)
+        if signal.SIGTERM in early or signal.SIGINT in early:
+            self.end()
+
+    async def run(self, path: Path, early: Sequence[int] = ()) -> None:
+        """Serve until SIGTERM and nothing is owed. Raises OSError where an address can't be had."""
         await self.words.start()
         self.board.begin(self.place)
+        self._follow_signals(path, early)
         await self.viewers.start(*self.place.listen)
         self.viewers.ready = True
         log.debug("facts", facts=self.place.facts, limits=self.place.sockets)
@@ -127,10 +144,14 @@
         await self._close()
 
     def _done(self, now: int) -> bool:
-        if self._told_to_end is None:
+        """Whether nothing comes any more, nobody waits or plays, and nothing is left to be said."""
+        if self._told_to_end is None or now - self._told_to_end <= LAST:
             return False
-        since = now - self._told_to_end
-        return since > LAST and (not (self.engine.held or self.viewers.owed) or since > STAY)
+        if now - self._told_to_end > STAY:
+            return True
+        # What could not be released at a server within its time never can be
+        unsent = self.servers.unsent and now - self._told_to_end <= RELEASE
+        return not (self.engine.held or self.viewers.owed or self.viewers.busy or unsent)
 
     def _say(self) -> None:
         counts, viewers, servers = self.engine.counts, self.viewers, self.servers
@@ -144,11 +165,17 @@
         self._most_lag = 0
 
     async def _close(self) -> None:
-        self.pump.close()
+        """The end, in its order: nobody new, what has come by now is still answered, viewers' connections end
+        once read, servers' once written; then the list, the words and the clock."""
+        now = clock()
+        await self.viewers.accept_no_more()
+        while not self._done(clock()) and clock() - now < STAY:
+            await asyncio.sleep(SETTLE)
+        await self.viewers.close()
+        await self.servers.close()
         self.board.close()
         self.words.close()
-        await self.viewers.close()
-        self.servers.close()
+        self.pump.close()
         self._say()
         log.info("node-ended")
 
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -4,6 +4,7 @@
 broken, its SETUPs are lost and no session that plays; silent for long, the machine is taken to be gone."""
 
 import asyncio
+import errno
 import itertools
 from dataclasses import dataclass, field
 
@@ -13,7 +14,7 @@
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
-from ponddoor.front.pump import SECOND, Apply, clock
+from ponddoor.front.pump import SECOND, Apply, clock, once_read
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.node import server_codec as codec
@@ -31,6 +32,7 @@
 WAITING = 1000  # messages that wait for one connection
 OWED = 1000  # releases that a server out of reach is owed
 BUFFERED = 1 << 18  # bytes that a server may leave unread
+OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # no server's fault
 log = structlog.get_logger("servers")
 Item = fx.SendSetup | fx.SendTeardown | fx.SendRung | fx.SendProbe
 
@@ -85,22 +87,47 @@
     sign_asked_at: int = 0
     gone_since: int | None = None
     later: asyncio.TimerHandle | None = None
+    settling: bool = False
 
     def say(self, item: Item) -> None:
-        """Write a message, or keep it until the connection is there."""
+        """Write a message, or keep it until the connection is there; a SETUP, until `settle` sends it."""
         self.used_at = clock()
-        if self.wire is not None:
+        if self.wire is not None and not isinstance(item, fx.SendSetup):
             self._write(self.wire, item)
         elif len(self.waiting) < WAITING:
             self.waiting.append(item)
-            self.connect()
+            if self.wire is None:
+                self.connect()
+            else:
+                self.settle()
         else:
             self.servers.count("too-many-waiting")
             self.servers.never_sent(item, ev.Result.MOOT)
 
+    @property
+    def needed(self) -> bool:
+        """Whether the connection carries something, or sessions play there."""
+        busy = self.waiting or self.tests or (self.wire is not None and self.wire.setups)
+        return bool(busy or self.servers.engine.playing_at(self.number))
+
+    def settle(self) -> None:
+        """What waits goes out once all that has come by now is read.
+
+        Guards against a SETUP whose viewer has left, or whose server drains, with the word of it unread: in a
+        turn of the loop that takes long, or while the connection came up. It may harm nobody: two turns."""
+        if not self.settling:
+            self.settling = True
+            once_read(self._settled)
+
+    def _settled(self) -> None:
+        self.settling = False
+        while self.wire is not None and self.waiting:
+            self._write(self.wire, self.waiting.pop(0))
+
     def connect(self) -> None:
         self._no_later()
         if self.wire is None and self.connecting is None:
+            self.servers.make_room()
             self.connecting = asyncio.create_task(self._connect())
 
     def connect_in_turn(self) -> None:
@@ -123,7 +150,10 @@
             await within(limit, asyncio.get_running_loop().create_connection(lambda: wire, host, int(port)))
         except (OSError, TimeoutError) as problem:
             self.connecting = None
-            self._unreached(isinstance(problem, ConnectionRefusedError))
+            if isinstance(problem, OSError) and problem.errno in OURS:
+                self._no_descriptor(problem)
+            else:
+                self._unreached(isinstance(problem, ConnectionRefusedError))
             return
         self.connecting = None
         if wire.transport is None or wire.transport.is_closing():
@@ -133,9 +163,18 @@
         owed, self.owed = self.owed, {}
         for sess in owed:
             wire.write(codec.release(sess))
+        self.settle()
+
+    def _no_descriptor(self, problem: OSError) -> None:
+        """The machine gives us no connection: nothing ran, and the server is not to blame."""
+        self.servers.count("no-descriptor")
+        log.warning("no-descriptor", server=f"{self.number:08x}", why=str(problem))
         waiting, self.waiting = self.waiting, []
         for item in waiting:
-            self.say(item)
+            if isinstance(item, fx.SendTeardown):
+                self.owe(item.sess)
+            else:
+                self.servers.never_sent(item, ev.Result.MOOT)
 
     def _unreached(self, refused: bool) -> None:
         """No connection came up: nothing that waited for it ran. Refused, the process is dead."""
@@ -160,6 +199,9 @@
         log.debug("to-server", server=self.number, item=item)
         match item:
             case fx.SendSetup(sess, attempt, _, ask, rung, timeout):
+                if self.entry.state != "ready":  # it was when this was decided
+                    self.servers.never_sent(item, ev.Result.MOOT)
+                    return
                 # Guards against an end taken for that of an attempt given up here before, and not passed on.
                 wire.given_up.pop(sess, None)
                 wire.setups[sess] = attempt
@@ -234,6 +276,12 @@
             began, _ = self.tests.pop(sess)
             self.servers.probed(self.number, clock() - began, ev.Result.TIMEOUT, {})
 
+    def leave(self, wire: _Wire, why: str) -> None:
+        """The connection is sound and not needed: what was written to it still leaves."""
+        if wire.transport is not None:
+            wire.transport.close()
+        self.broke(wire, why)
+
     def broke(self, wire: _Wire, why: str) -> None:
         """The connection is of no use any more: its SETUPs are lost, sessions that play are not."""
         if wire.transport is not None:
@@ -251,6 +299,8 @@
         for began, limit in tests.values():
             limit.cancel()
             self.servers.probed(self.number, clock() - began, ev.Result.RESET, {})
+        if self.waiting:
+            self.connect()
         if self.servers.engine.playing_at(self.number):
             if self.entry.state == "gone":
                 self.servers.lose(self)
@@ -283,7 +333,7 @@
             self.sign_asked_at = now
             wire.write(codec.test(self.servers.new_id(), False))
         elif not needed and not self.tests and now - self.used_at > idle:
-            self.broke(wire, "idle")
+            self.leave(wire, "idle")
 
     def _silent(self) -> None:
         """A machine that gives no sign: what plays there is over, and owed a release."""
@@ -291,11 +341,18 @@
             self.owe(held.sess)
         self.servers.lose(self)
 
+    @property
+    def unsent(self) -> bool:
+        """Whether something is still to be written here."""
+        wire = self.wire.transport if self.wire is not None else None
+        return bool(self.waiting or self.owed or (wire is not None and wire.get_write_buffer_size()))
+
     def close(self) -> None:
+        """What has been written still leaves."""
         self._no_later()
         wire, self.wire = self.wire, None
         if wire is not None and wire.transport is not None:
-            wire.transport.abort()
+            wire.transport.close()
         if self.connecting is not None:
             self.connecting.cancel()
         for _, limit in self.tests.values():
@@ -314,11 +371,27 @@
     fronts: int = 1
     links: dict[int, _Link] = field(default_factory=dict)
     counts: dict[str, int] = field(default_factory=dict)
+    most: int = 1 << 30  # connections at once
     _ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    @property
+    def unsent(self) -> bool:
+        return any(link.unsent for link in self.links.values())
+
+    def make_room(self) -> None:
+        """Guards against more servers than descriptors: the connection that was of no use for longest goes,
+        of those that nothing depends on. It may harm where all are needed: then there is one too many."""
+        used = [link for link in self.links.values() if link.wire is not None or link.connecting is not None]
+        if len(used) >= self.most:
+            free = [link for link in used if link.wire is not None and not link.needed]
+            if free:
+                oldest = min(free, key=lambda link: link.used_at)
+                assert oldest.wire is not None
+                oldest.leave(oldest.wire, "made room")
+
     def turn(self) -> int:
         """How long this front waits before it connects where many do: its part of a connect timeout (us)."""
         return self.connect_timeout * self.me // max(self.fronts, 1)
@@ -331,18 +404,15 @@
         """The list in hand has changed."""
         for number, entry in entries.items():
             link = self.links.get(number)
-            if link is not None and (link.entry.address, link.entry.started_us) != (
-                entry.address,
-                entry.started_us,
-            ):
-                self.lose(link)  # another process: what played there is over
-                self._fail(link)
-                link.close()
-                link = None
+            place = entry.address, entry.started_us
             if link is None:
                 self.links[number] = _Link(self, number, entry, heard_at=clock())
-            else:
+            elif (link.entry.address, link.entry.started_us) == place:
                 link.entry = entry
+            else:  # another process: what played there is over
+                self.links[number] = _Link(self, number, entry, heard_at=clock())
+                self.lose(link)
+                self._fail(link)
         for number in [number for number in self.links if number not in entries]:
             link = self.links[number]
             link.entry = msgspec.structs.replace(link.entry, state="gone")
@@ -358,16 +428,18 @@
             or (link.wire is not None and link.wire.setups)
         )
         if link.entry.state == "gone" and not busy:
-            self._fail(link)
-            link.close()
             self.links.pop(link.number, None)
+            self._fail(link)
 
     def _fail(self, link: _Link) -> None:
-        if link.wire is not None:
-            link.broke(link.wire, "gone")
+        """Nothing goes out on this link any more. What waited is answered in the next turn: the decisions
+        have heard the news by then that we are in the middle of, and would else choose the same again."""
         waiting, link.waiting = link.waiting, []
         for item in waiting:
-            self.never_sent(item, ev.Result.CONNECT_FAILED)
+            asyncio.get_running_loop().call_soon(self.never_sent, item, ev.Result.CONNECT_FAILED)
+        if link.wire is not None:
+            link.broke(link.wire, "gone")
+        link.close()
 
     def carry_out(self, effect: Effect) -> None:
         match effect:
@@ -383,8 +455,8 @@
                     link.say(effect)
             case fx.CloseIdle(server):
                 link = self.links.get(server)
-                if link is not None and link.wire is not None and not link.wire.setups:
-                    link.broke(link.wire, "let go")
+                if link is not None and link.wire is not None and not (link.wire.setups or link.waiting):
+                    link.leave(link.wire, "let go")
             case _:
                 raise TypeError(f"{effect} is not for servers")
 
@@ -417,6 +489,7 @@
         """Sessions play there from before our start: what the server says of them needs a connection."""
         link = self.links.get(server)
         if link is None:
+            self.count("handed-over-unlisted")
             self.apply(lambda now: self.engine.server_lost(now, server))
         else:
             link.connect_in_turn()
@@ -427,6 +500,10 @@
             link.look(now, idle)
             self._let_go(link)
 
-    def close(self) -> None:
+    async def close(self) -> None:
+        """End every connection once what was written to it has left, or a connect timeout has passed."""
+        until = clock() + self.connect_timeout
+        while any(link.unsent for link in self.links.values() if link.wire) and clock() < until:
+            await asyncio.sleep(0.01)
         for link in self.links.values():
             link.close()
--- a/ponddoor/node/serving.py
+++ b/ponddoor/node/serving.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import signal
 import sys
 from collections.abc import Mapping
 
@@ -17,7 +16,7 @@
     level = 10 if environment.get("PONDDOOR_LOG") == "debug" else 20
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer(default=repr)],
+                    structlog.processors.format_exc_info, structlog.processors.JSONRenderer(default=repr)],
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )  # fmt: skip
@@ -27,12 +26,10 @@
     except StartError as problem:
         print(f"ponddoor.node: {problem}", file=sys.stderr)
         return 2
-    if signal.SIGTERM in early:
-        node.end()
     gc.collect()
     gc.freeze()
     try:
-        asyncio.run(node.run(path))
+        asyncio.run(node.run(path, early))
     except OSError as problem:
         print(f"ponddoor.node: {problem}", file=sys.stderr)
         return 1
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -3,8 +3,9 @@
 A set-up is answered on its connection and given up with it; a session that plays belongs to none."""
 
 import asyncio
+import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import structlog
@@ -12,7 +13,7 @@
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import Answer, Ask
 from ponddoor.front.engine import Engine
-from ponddoor.front.pump import SECOND, Apply, clock
+from ponddoor.front.pump import SECOND, Apply, clock, once_read
 from ponddoor.node import viewer_codec as codec
 from ponddoor.node.board_codec import number_of
 
@@ -23,6 +24,12 @@
 OWED_TIME = 30 * SECOND
 SAID = 20  # lines about requests that can't be used
 BUFFERED = 1 << 18  # bytes that a viewer may leave unread
+AT_ONCE = 4  # connections accepted in a turn of the loop: with the turns until room is made, and those that
+# are being closed, a crowd takes fewer descriptors beyond its part than are spare
+BACKLOG = 1024  # connections that the machine may hold until then
+READING = SECOND  # a viewer may need so long to read what was written, before a close that would destroy it
+TURNS = 8  # of the loop, from a connection that may be accepted to its first bytes handled
+LEAVING = 16  # connections that are left so long; past that they end at once
 log = structlog.get_logger("viewers")
 
 
@@ -33,13 +40,20 @@
         self.viewers, self.reader = viewers, codec.Reader()
         self.transport: asyncio.Transport | None = None
         self.waiting: dict[str, None] = {}
-        self.opened = self.used = clock()
-        self.proven = self.trusted = False
+        self.opened = clock()
+        self.proven = self.trusted = self.leaving = False
+        self.playing = 0  # sessions that came by it and stand
+        self.wrote = 0
         self.half_since: int | None = None
 
     @property
     def open(self) -> bool:
-        return self.transport is not None and not self.transport.is_closing()
+        return self.transport is not None and not self.leaving and not self.transport.is_closing()
+
+    @property
+    def busy(self) -> bool:
+        """Whether somebody is answered on it, or has begun to ask."""
+        return bool(self.waiting) or self.half_since is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -48,6 +62,8 @@
         self.viewers.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.leaving:
+            return
         messages, why = self.reader.feed(data)
         for message in messages:
             if not self.open:
@@ -64,11 +80,31 @@
     def write(self, data: bytes) -> None:
         if self.transport is None or not self.open:
             return
+        self.wrote = clock()
         self.transport.write(data)
         if self.transport.get_write_buffer_size() > BUFFERED:
             self.viewers.count("does-not-read")
             self.transport.abort()
 
+    def finish(self, linger: bool) -> None:
+        """No more is said. With `linger` the viewer has a second to read and to close.
+
+        Guards against a reset, which a connection closed with bytes unread gets, and which may destroy what
+        was written to it on its way. It may harm where descriptors are short: few linger at a time."""
+        if self.transport is None or self.leaving:
+            return
+        if linger and not self.transport.is_closing():
+            self.leaving = True
+            self.transport.write_eof()
+        else:
+            self.transport.close()
+        if self.leaving or self.transport.get_write_buffer_size():
+            asyncio.get_running_loop().call_later(READING / SECOND, self.transport.abort)
+
+
+def _first(wires: Iterable[_Wire], fits: Callable[[_Wire], bool]) -> _Wire | None:
+    return next(filter(fits, wires), None)
+
 
 @dataclass(slots=True)
 class Viewers:
@@ -86,32 +122,60 @@
     owed: deque[tuple[int, bytes]] = field(default_factory=deque)
     counts: dict[str, int] = field(default_factory=dict)
     _server: asyncio.Server | None = None
+    _pools: tuple[dict[_Wire, None], ...] = field(default_factory=lambda: ({}, {}, {}))
+    _making_room: bool = False
+    _leaving: list[int] = field(default_factory=list)  # when the last were left to read
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
     async def start(self, host: str, port: int) -> None:
         """Listen. Raises OSError where the address can't be had."""
+        listening = socket.create_server((host, port), backlog=BACKLOG)
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Wire(self), host, port, backlog=1024)
+        self._server = await loop.create_server(lambda: _Wire(self), sock=listening, backlog=AT_ONCE)
+        listening.listen(BACKLOG)  # the loop takes for both what it accepts in a turn and what may wait
 
     # Connections
 
     def opened(self, wire: _Wire) -> None:
-        """Guards against crowds of connections: an idle one makes room, else the new one ends."""
-        if len(self.wires) >= self.most:
-            idle = [one for one in self.wires if not one.waiting]
-            if not idle:
-                self.close_wire(wire, "too-many-connections")
-                return
-            # One just opened is about to ask: closed for the next, a burst would end all but its last.
-            used, fresh = set(map(id, self.standing.values())), clock() - FRESH
-            rank = {
-                one: (not one.proven and one.opened > fresh, one.trusted, id(one) in used, one.used)
-                for one in idle
-            }
-            self.close_wire(min(idle, key=rank.__getitem__), "made-room")
         self.wires[wire] = None
+        self._file(wire)
+        self._make_room()
+
+    def _file(self, wire: _Wire) -> None:
+        """Into its pool, behind all others: strangers, those that a session came by, those that have one."""
+        for pool in self._pools:
+            pool.pop(wire, None)
+        if wire in self.wires:
+            self._pools[2 if wire.playing else wire.trusted][wire] = None
+
+    def _make_room(self) -> None:
+        """Guards against crowds of connections: an idle one makes room for a new one. It is chosen once all
+        that has come is read: one that has just asked is not idle."""
+        if len(self.wires) > self.most and not self._making_room:
+            self._making_room = True
+            once_read(self._made_room)
+
+    def _made_room(self) -> None:
+        self._making_room = False
+        # One just opened is about to ask: closed for the next, a burst would end all but its last. Of
+        # strangers the idle go first, then those long about a message, then those that have had their test.
+        fresh = clock() - FRESH
+        strangers, known, with_sessions = self._pools
+        while len(self.wires) > self.most:
+            wire = (
+                _first(strangers, lambda one: not one.busy and one.opened <= fresh)
+                or _first(strangers, lambda one: not one.waiting and one.opened <= fresh)
+                or _first(strangers, lambda one: not one.busy and one.proven)
+                or _first(known, lambda one: not one.busy)
+                or _first(with_sessions, lambda one: not one.busy)
+                or _first(self.wires, lambda one: not one.waiting)
+            )
+            if wire is None:
+                self.close_wire(next(reversed(self.wires)), "too-many-connections")
+            else:
+                self.close_wire(wire, "made-room")
 
     def close_wire(self, wire: _Wire, why: str) -> None:
         self.count(why)
@@ -124,15 +188,19 @@
             trusted=wire.trusted,
             waiting=len(wire.waiting),
         )
-        self.wires.pop(wire, None)
-        if wire.transport is not None:
-            wire.transport.close()
-            if wire.transport.get_write_buffer_size():
-                asyncio.get_running_loop().call_later(1.0, wire.transport.abort)
+        self._forget(wire)
         self._give_up(wire)
+        leaving = [at for at in self._leaving if clock() - at < READING]
+        linger = len(leaving) < LEAVING and clock() - wire.wrote < READING
+        self._leaving = [*leaving, clock()] if linger else leaving
+        wire.finish(linger)
 
-    def closed(self, wire: _Wire) -> None:
+    def _forget(self, wire: _Wire) -> None:
         self.wires.pop(wire, None)
+        self._file(wire)
+
+    def closed(self, wire: _Wire) -> None:
+        self._forget(wire)
         self._give_up(wire)
 
     def _give_up(self, wire: _Wire) -> None:
@@ -145,13 +213,26 @@
         wire = self.waiting.pop(sess, None)
         if wire is not None:
             wire.waiting.pop(sess, None)
-        self.standing.pop(sess, None)
+        self._ended(sess)
         self.apply(lambda now: self.engine.left(now, sess))
 
+    def _stands(self, sess: str, wire: _Wire) -> None:
+        self.standing[sess] = wire
+        wire.playing += 1
+        self._file(wire)
+
+    def _ended(self, sess: str) -> _Wire | None:
+        """The connection that a session that stood came by."""
+        wire = self.standing.pop(sess, None)
+        if wire is not None:
+            wire.playing -= 1
+            self._file(wire)
+        return wire
+
     # Messages
 
     def take(self, wire: _Wire, message: codec.Message) -> None:
-        wire.used = clock()
+        self._file(wire)
         log.debug("viewer-says", wire=id(wire), said=message)
         match message:
             case codec.Asked():
@@ -198,7 +279,7 @@
         if asked.at:
             if not known:
                 server = number_of(asked.at)
-                self.standing[sess] = wire
+                self._stands(sess, wire)
                 self.apply(lambda now: self.engine.handed_over(now, sess, ask, server))
                 self.attend(server)
             return
@@ -246,11 +327,11 @@
             case fx.Reply(sess, answer):
                 self._reply(sess, answer)
             case fx.Push(sess, "ended", why):
-                wire = self.standing.pop(sess, None)
+                wire = self._ended(sess)
                 if wire is not None and why != "viewer-gone":
                     self._release(wire, codec.over(sess, why == "lost"))
             case fx.Push(sess, "moved"):
-                wire = self.standing.pop(sess, None)
+                wire = self._ended(sess)
                 if wire is not None:
                     self._release(wire, codec.moved(sess))
 
@@ -262,7 +343,7 @@
         match answer.kind:
             case "playing":
                 wire.trusted = True
-                self.standing[sess] = wire
+                self._stands(sess, wire)
                 wire.write(codec.stands(sess, answer.passed))
             case "busy":
                 wire.write(codec.busy(sess, answer.come_back))
@@ -287,20 +368,32 @@
                 self.close_wire(wire, "half-a-message")
             elif not wire.proven and now - wire.opened > SILENT:
                 self.close_wire(wire, "silent")
+        self._make_room()
         proven = next((one for one in reversed(self.wires) if one.proven and one.open), None)
         while self.owed and (proven is not None or now - self.owed[0][0] > OWED_TIME):
             _, message = self.owed.popleft()
             if proven is not None:
                 proven.write(message)
 
-    async def close(self) -> None:
-        """End every connection once what was written to it has left."""
+    @property
+    def busy(self) -> bool:
+        return any(wire.busy for wire in self.wires)
+
+    async def accept_no_more(self) -> None:
+        """Nobody new; who has come by now is taken in, and what they have sent by now is read."""
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
         if self._server is not None:
             self._server.close()
+
+    async def close(self) -> None:
+        """End every connection once what was written to it has been read, or a second has passed."""
+        wires = list(self.wires)
+        for wire in wires:
+            wire.finish(True)
+        until = clock() + READING
+        while self.wires and clock() < until:
+            await asyncio.sleep(0.01)
         for wire in list(self.wires):
             if wire.transport is not None:
-                wire.transport.close()
-        for _ in range(20):
-            if not any(w.transport is not None and w.transport.get_write_buffer_size() for w in self.wires):
-                return
-            await asyncio.sleep(0.01)
+                wire.transport.abort()
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -37,6 +37,7 @@
     "last": (node_process, "LAST"),
     "look": (node_process, "LOOK"),
     "spare": (node_process, "SPARE"),
+    "share": (node_process, "SHARE"),
 }
 BINARY = {9: "stands", 12: "ends", 51: "moved", 53: "tested"}
 CAUSES = {"busy": 34, "failed": 47, "lost": 41, "over": 16}
@@ -212,14 +213,14 @@
         self.task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self.task
-        self.node.servers.close()
+        for talk in [*self.talks.values(), *(t for box in self.boxes.values() for t in box.talks)]:
+            talk.end()
+            talk.task.cancel()
+        await self.node.servers.close()
         self.node.board.close()
         self.node.words.close()
         self.node.pump.close()
         await self.node.viewers.close()
-        for talk in [*self.talks.values(), *(t for box in self.boxes.values() for t in box.talks)]:
-            talk.end()
-            talk.task.cancel()
 
     # Steps
 
--- /dev/null
+++ b/tests/node/test_crossings.py
@@ -0,0 +1,670 @@
+"""Crossings: a request, an answer, a close or a signal that comes between two lines of the node.
+
+Each is forced at its exact place: a hook at a call of the node does there what the outside would do in that
+very moment (with raw sockets, so that it has happened when the hook returns). Where a guard can be taken out,
+the same course is played without it and must then end wrongly. docs/notes/crossings.md lists them all."""
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import structlog
+
+from ponddoor.front import effects as fx
+from ponddoor.front.effects import Ask
+from ponddoor.front.pump import Pump
+from ponddoor.node import servers as node_servers
+from ponddoor.node import viewers as node_viewers
+from ponddoor.web.timing import within
+from tests.front.test_engine import Faulty, engine_of
+
+from .conftest import PATIENCE, World, message, parameter, sess, set_up
+from .test_node import start, told
+
+Play = Callable[[Callable[[World], Coroutine[Any, Any, None]]], None]
+OUT = [pytest.param(False, id="guarded"), pytest.param(True, id="guard_out")]
+
+
+@pytest.fixture
+def world(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> World:
+    return World(tmp_path, monkeypatch)
+
+
+def run(world: World, course: Callable[[World], Coroutine[Any, Any, None]], broken: bool = False) -> None:
+    """Play a course; with `broken` it must end in a failed expectation."""
+
+    async def whole() -> None:
+        try:
+            await within(4 * PATIENCE, course(world))
+        finally:
+            if world.started:
+                await world.end()
+
+    if not broken:
+        asyncio.run(whole())
+        return
+    with pytest.raises((AssertionError, TimeoutError)):
+        asyncio.run(whole())
+
+
+class Raw:
+    """A viewer's connection whose every step has happened when the call returns."""
+
+    def __init__(self, world: World) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", world.ports[0]), 5)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.rest = b""
+
+    def send(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    def close(self) -> None:
+        self.socket.close()
+
+    async def hears(self) -> bytes:
+        """The next message, without its length; empty at the end of the connection."""
+        loop = asyncio.get_running_loop()
+        self.socket.setblocking(False)
+        while len(self.rest) < 2 or len(self.rest) < 2 + int.from_bytes(self.rest[:2]):
+            try:
+                data = await within(PATIENCE, loop.sock_recv(self.socket, 65_536))
+            except (ConnectionError, TimeoutError):
+                data = b""
+            if not data:
+                return b""
+            self.rest += data
+        size = int.from_bytes(self.rest[:2])
+        got, self.rest = self.rest[2 : 2 + size], self.rest[2 + size :]
+        return got
+
+
+TEST = message(52, "0", parameter(143, b"\0"))
+
+
+async def begun(world: World, *given: str) -> None:
+    if given:
+        world.given(*given)
+    await world.begin()
+
+
+async def proven(world: World) -> Raw:
+    """A connection that the node has taken in and heard."""
+    raw = Raw(world)
+    raw.send(TEST)
+    assert (await raw.hears())[0] == 53
+    return raw
+
+
+def before(patch: pytest.MonkeyPatch, owner: Any, name: str, does: Callable[..., None]) -> None:
+    """Does something each time just before a call of the node."""
+    original = getattr(owner, name)
+
+    def hooked(*what: Any, **more: Any) -> Any:
+        does(*what)
+        return original(*what, **more)
+
+    patch.setattr(owner, name, hooked)
+
+
+def at_once(call: Callable[[], None]) -> None:
+    """In the place of `once_read`: the guard taken out."""
+    call()
+
+
+async def setups(world: World, last: str) -> list[str]:
+    """Which SETUPs have reached the servers once that of `last` has."""
+    seen: list[str] = []
+    while sess(last) not in seen:
+        for box in world.boxes.values():
+            while not box.came.empty():
+                _, got = box.came.get_nowait()
+                if got["t"] == "new":
+                    seen.append(got["ref"])
+        await asyncio.sleep(0)
+    return seen
+
+
+# The client has gone
+
+
+@pytest.mark.parametrize("out", OUT)
+def test_a_client_that_closes_in_the_turn_of_its_set_up_is_not_sent_on(
+    world: World, monkeypatch: pytest.MonkeyPatch, out: bool
+) -> None:
+    if out:
+        monkeypatch.setattr(node_servers, "once_read", at_once)
+
+    async def course(world: World) -> None:
+        await begun(world)
+        for link in world.node.servers.links.values():
+            link.connect()
+        while not all(link.wire for link in world.node.servers.links.values()):
+            await asyncio.sleep(0)
+        gone, stays = await proven(world), await proven(world)
+        before(world.patch, world.node.engine, "request", lambda *_: gone.close())
+        gone.send(set_up("1"))
+        while world.node.engine.counts.answers.get("left") != 1:
+            await asyncio.sleep(0)
+        stays.send(set_up("2"))
+        assert await setups(world, "2") == [sess("2")]
+
+    run(world, course, out)
+
+
+@pytest.mark.parametrize("out", OUT)
+def test_a_client_that_cancels_between_attempts_gets_no_further_one(
+    world: World, monkeypatch: pytest.MonkeyPatch, out: bool
+) -> None:
+    if out:
+        monkeypatch.setattr(node_servers, "once_read", at_once)
+
+    async def course(world: World) -> None:
+        await begun(world)
+        for link in world.node.servers.links.values():
+            link.connect()
+        while not all(link.wire for link in world.node.servers.links.values()):
+            await asyncio.sleep(0)
+        gone, stays = await proven(world), await proven(world)
+        gone.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        give_up = message(12, "1", parameter(143, b"\x10"))
+        before(world.patch, world.node.engine, "setup_answered", lambda *_: gone.send(give_up))
+        await world.step("S", "ends", "1", "34")  # full: another would be asked now
+        while world.node.engine.counts.answers.get("left") != 1:
+            await asyncio.sleep(0)
+        stays.send(set_up("2"))
+        assert await setups(world, "2") == [sess("2")]
+
+    run(world, course, out)
+
+
+@pytest.mark.parametrize("out", OUT)
+def test_a_client_that_closes_while_the_server_is_connected_is_not_sent_on(
+    world: World, monkeypatch: pytest.MonkeyPatch, out: bool
+) -> None:
+    if out:
+        monkeypatch.setattr(node_servers, "once_read", at_once)
+
+    async def course(world: World) -> None:
+        await begun(world)
+        gone, stays = await proven(world), await proven(world)
+        before(world.patch, node_servers._Wire, "connection_made", lambda *_: gone.close())
+        gone.send(set_up("1"))
+        while world.node.engine.counts.answers.get("left") != 1:
+            await asyncio.sleep(0)
+        stays.send(set_up("2"))
+        assert await setups(world, "2") == [sess("2")]
+
+    run(world, course, out)
+
+
+def test_a_server_that_drains_while_it_is_connected_gets_no_set_up(world: World) -> None:
+    async def course(world: World) -> None:
+        await begun(world)
+        viewer, told_of = await proven(world), list[int]()
+        await world.step("b", "is-asked", "1")
+
+        def drains(wire: Any, *_: Any) -> None:
+            if not told_of:
+                told_of.append(wire.link.number)
+                row = world.row(wire.link.number, "terminating")
+                pool = {"revision": 2, "complete": False, "members": [row]}
+                world.node.board._take(json_line({"rev": 2, "pool": pool}))
+
+        before(world.patch, node_servers._Wire, "connection_made", drains)
+        viewer.send(set_up("1"))
+        await setups(world, "1")
+        (drained,) = told_of
+        other = next(number for number in world.boxes if number != drained)
+        held = world.node.engine.find(sess("1"))
+        assert held is not None and held.server == other
+        assert not world.boxes[drained].talks or world.boxes[drained].came.empty()
+
+    run(world, course)
+
+
+def json_line(row: dict[str, Any]) -> bytes:
+    return json.dumps(row).encode()
+
+
+# The end of the node
+
+
+async def ends(world: World, at: Callable[[], None], *given: str) -> None:
+    """The node is told to end, and in the instant in which it does something happens."""
+    before(world.patch, world.node, "_close", lambda: at())
+    world.node.end()
+
+
+@pytest.mark.parametrize("how", ["whole", "split", "on a new connection"])
+def test_a_set_up_in_the_instant_of_the_end_is_answered(world: World, how: str) -> None:
+    async def course(world: World) -> None:
+        await begun(world, "last=20000", "look=5000")
+        viewers = [await proven(world)]
+        data = set_up("1")
+
+        def comes() -> None:
+            if how == "on a new connection":
+                viewers[0] = Raw(world)
+            viewers[0].send(data)
+
+        if how == "split":
+            viewers[0].send(data[:20])
+            while not world.node.viewers.busy:
+                await asyncio.sleep(0)
+            world.node.end()
+            looks = list[int]()
+            before(world.patch, world.node, "_done", looks.append)
+            while len(looks) < 20:  # the end waits for the rest of what has begun
+                await asyncio.sleep(0)
+            assert not world.task.done()
+            viewers[0].send(data[20:])
+        else:
+            await ends(world, comes)
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        assert (await viewers[0].hears())[0] == 9
+        await world.step("S", "ends", "1", "16")
+        assert (await viewers[0].hears())[0] == 12
+        assert await viewers[0].hears() == b""
+        viewers[0].close()
+        await world.task
+
+    run(world, course)
+
+
+def test_a_release_that_waits_for_a_connection_goes_out_before_the_end(world: World) -> None:
+    async def course(world: World) -> None:
+        gate, original = asyncio.Event(), within
+
+        async def held_back(seconds: float, work: Any) -> Any:
+            await gate.wait()
+            return await original(seconds, work)
+
+        await begun(world, "last=1000", "look=1000")
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        assert (await viewer.hears())[0] == 9
+        world.patch.setattr(node_servers, "within", held_back)  # the next connection comes up late
+        await world.step("S", "drops")
+        link = world.node.servers.links[next(n for n, box in world.boxes.items() if box is world.named["S"])]
+        while link.wire is not None:
+            await asyncio.sleep(0)
+        viewer.send(message(12, "1", parameter(143, b"\x1f")))
+        while world.node.engine.held:
+            await asyncio.sleep(0)
+        looks = list[int]()
+        before(world.patch, world.node, "_done", looks.append)
+        world.node.end()
+        while len(looks) < 20 and not world.task.done():
+            await asyncio.sleep(0)
+        gate.set()
+        await world.step("S", "gets", "down", "1", "c=31")
+        viewer.close()
+        await world.task
+
+    run(world, course)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_before_the_loop_has_its_handlers_is_heeded(tmp_path: Path, number: int) -> None:
+    code = f"""
+import asyncio, os, sys
+from ponddoor.node.__main__ import main
+run = asyncio.run
+def after_a_signal(what):
+    os.kill(os.getpid(), {signal.SIGHUP:d})
+    os.kill(os.getpid(), {number:d})
+    return run(what)
+asyncio.run = after_a_signal
+sys.exit(main())
+"""
+    process = start(told(tmp_path), "-c", code)
+    _, said = process.communicate(timeout=20)
+    assert process.returncode == 0, said
+    assert '"reloaded"' in said and '"told-to-end"' in said and '"node-ended"' in said
+
+
+# Idle connections
+
+
+@pytest.mark.parametrize("out", OUT)
+def test_a_connection_that_has_just_asked_makes_no_room(
+    world: World, monkeypatch: pytest.MonkeyPatch, out: bool
+) -> None:
+    if out:
+        monkeypatch.setattr(node_viewers, "once_read", at_once)
+
+    async def course(world: World) -> None:
+        await begun(world, "sockets=80", "spare=72", "share=5")
+        oldest = await proven(world)
+        rest = [await proven(world) for _ in range(15)]
+        asked = list[None]()
+
+        def asks(*_: Any) -> None:
+            if not asked:
+                asked.append(None)
+                oldest.send(set_up("1"))
+
+        before(world.patch, node_viewers.Viewers, "opened", asks)
+        late = await proven(world)
+        while len(world.node.viewers.wires) > 16:
+            await asyncio.sleep(0)
+        assert sess("1") in world.node.viewers.waiting
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        assert (await oldest.hears())[0] == 9
+        for raw in (*rest, late):
+            raw.close()
+
+    run(world, course, out)
+
+
+@pytest.mark.parametrize("out", OUT)
+def test_half_a_set_up_makes_no_room(world: World, monkeypatch: pytest.MonkeyPatch, out: bool) -> None:
+    if out:
+        monkeypatch.setattr(node_viewers._Wire, "busy", property(lambda wire: bool(wire.waiting)))
+
+    async def course(world: World) -> None:
+        await begun(world, "sockets=80", "spare=72", "share=5")
+        oldest = await proven(world)
+        rest = [await proven(world) for _ in range(15)]
+        oldest.send(set_up("1")[:30])
+        while not any(wire.half_since for wire in world.node.viewers.wires):
+            await asyncio.sleep(0)
+        late = await proven(world)
+        assert (await rest[0].hears()) == b""
+        oldest.send(set_up("1")[30:])
+        await world.step("S", "gets", "new", "1")
+        for raw in (*rest, late):
+            raw.close()
+
+    run(world, course, out)
+
+
+def test_an_answer_written_before_a_close_is_read_by_who_sends_meanwhile(world: World) -> None:
+    """Bytes unread at a close reset the connection; what was written before it is still read to its end."""
+
+    async def course(world: World) -> None:
+        await begun(world)
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        while not world.node.viewers.standing:
+            await asyncio.sleep(0)
+        (wire,) = world.node.viewers.wires
+        viewer.send(TEST * 100)  # lies unread when the node closes
+        world.node.viewers.close_wire(wire, "made-room")
+        assert (await viewer.hears())[0] == 9
+        viewer.socket.setblocking(True)
+        assert viewer.socket.recv(1) == b""  # an end, no reset
+
+    run(world, course)
+
+
+def test_a_flood_of_connections_and_single_bytes_leaves_viewers_served(world: World) -> None:
+    async def course(world: World) -> None:
+        await begun(world, "sockets=300", "half=60000000", "silent=60000000")
+        crowd, data, most = list[Raw](), set_up("9"), list[int]()
+        before(world.patch, node_viewers.Viewers, "opened", lambda *_: most.append(open_descriptors(world)))
+        for round_ in range(20):
+            for _ in range(50):
+                crowd.append(Raw(world))
+            for raw in crowd[-200:]:
+                with contextlib.suppress(OSError):  # it had to make room
+                    raw.socket.send(data[round_ : round_ + 1])
+            viewer = await proven(world)
+            viewer.send(set_up(str(100 + round_)))
+            await setups(world, str(100 + round_))
+            viewer.close()
+        limit = world.node.viewers.most + 8 * node_viewers.AT_ONCE
+        assert len(crowd) == 1000 and max(most) <= limit, (max(most), limit)
+        for raw in crowd:
+            raw.close()
+
+    run(world, course)
+
+
+def open_descriptors(world: World) -> int:
+    """Of viewers' connections, at the node's end."""
+    return len(world.node.viewers.wires) + sum(wire.leaving for wire in world.node.viewers.wires)
+
+
+def test_descriptors_filled_by_idle_clients_while_the_list_is_down(tmp_path: Path) -> None:
+    """The limit is the machine's, in a process of its own; the list comes back, is followed, and viewers are
+    served."""
+    limit = 96
+    environment = told(tmp_path, limits={"sockets": limit})
+    board = json.loads((tmp_path / "node.json").read_text())["board"].rpartition(":")
+    host, _, port = environment["BALANCER_LISTEN"].partition(":")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "ponddoor.node"], text=True, env={**os.environ, **environment},
+        stderr=subprocess.PIPE, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)),
+    )  # fmt: skip
+    assert process.stderr is not None
+    said = iter(process.stderr.readline, "")
+    try:
+        assert any("node-started" in line for line in said)
+        assert any("board-broke" in line for line in said)
+        crowd = [socket.create_connection((host, int(port)), 10) for _ in range(3 * limit)]
+        with socket.create_server((board[0], int(board[2]))) as listing:
+            listing.settimeout(20)
+            watch, _ = listing.accept()
+            watch.settimeout(20)
+            assert watch.makefile().readline() == "watch 0\n"
+            with socket.create_connection((host, int(port)), 10) as viewer:
+                viewer.sendall(TEST)
+                assert viewer.recv(100)[2] == 53
+            assert not any("Too many open files" in line for line in until_ended(process, said))
+            watch.close()
+        for raw in crowd:
+            raw.close()
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+def until_ended(process: "subprocess.Popen[str]", said: Iterator[str]) -> Iterator[str]:
+    process.send_signal(signal.SIGTERM)
+    yield from said
+
+
+# Connections to servers
+
+
+def test_a_server_answers_with_its_first_packet(world: World) -> None:
+    """What a server has to tell lies there before the node knows that the connection is up."""
+
+    async def course(world: World) -> None:
+        await begun(world)
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        assert (await viewer.hears())[0] == 9
+        number = next(n for n, box in world.boxes.items() if box is world.named["S"])
+        old = world.boxes[number].server
+        assert old is not None
+        old.close()
+        # From here on the kernel takes the connection, and the line lies in it, before anything else runs
+        greeter = socket.create_server(("127.0.0.1", world.ports[number]))
+        await world.step("S", "drops")
+        link = world.node.servers.links[number]
+        while link.wire is not None:
+            await asyncio.sleep(0)
+        made = node_servers._Wire.connection_made
+
+        def greeted(wire: Any, transport: Any) -> None:
+            taken, _ = greeter.accept()
+            taken.sendall(b'{"t":"down","ref":"%s","f":{},"c":16}\n' % sess("1").encode())
+            made(wire, transport)
+            world.talks["kept"] = taken  # type: ignore[assignment]
+
+        world.patch.setattr(node_servers._Wire, "connection_made", greeted)
+        try:
+            got = await viewer.hears()
+            assert (got[0], got[1:9].hex()) == (12, sess("1"))
+        finally:
+            world.talks.pop("kept").close()  # type: ignore[attr-defined]
+            greeter.close()
+
+    run(world, course)
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_a_connect_cancelled_at_any_turn_leaves_nothing_open(world: World, turns: int) -> None:
+    async def course(world: World) -> None:
+        await begun(world)
+        accepted = list[socket.socket]()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            link = next(iter(world.node.servers.links.values()))
+            host, port = listening.getsockname()
+            link.entry = msgspec.structs.replace(link.entry, address=f"{host}:{port}")
+            link.connect()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            link.close()
+            for _ in range(8):
+                await asyncio.sleep(0)
+            listening.setblocking(False)
+            try:
+                accepted.append(listening.accept()[0])
+            except BlockingIOError:
+                return  # it was not even begun
+            accepted[0].settimeout(PATIENCE)
+            assert accepted[0].recv(1) == b""
+            accepted[0].close()
+
+    run(world, course)
+
+
+@pytest.mark.parametrize("last", [False, True])
+def test_a_cut_in_an_answer_before_and_after_its_last_byte(world: World, last: bool) -> None:
+    async def course(world: World) -> None:
+        await begun(world)
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        line = b'{"t":"up","ref":"%s","f":{},"d":"for 1\\r\\n"}\n' % sess("1").encode()
+        box = world.named["S"]
+        box.write(line if last else line[:-1])
+        await box.talks[-1].writer.drain()
+        box.talks[-1].writer.close()
+        if not last:
+            await world.step("T", "gets", "new", "1")
+            await world.step("T", "answers", "1")
+        got = await viewer.hears()
+        assert (got[0], got[1:9].hex()) == (9, sess("1"))
+
+    run(world, course)
+
+
+@pytest.mark.parametrize("close_first", [False, True])
+def test_a_close_and_an_answer_in_either_order(world: World, close_first: bool) -> None:
+    """Whoever comes first: the session ends at the server, and nothing is left."""
+
+    async def course(world: World) -> None:
+        await begun(world)
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        if close_first:
+            before(world.patch, world.node.engine, "left",
+                   lambda *_: world.named["S"].write(b'{"t":"up","ref":"%s","f":{},"d":"x"}\n'
+                                                     % sess("1").encode()))  # fmt: skip
+            viewer.close()
+            await world.step("S", "gets", "down", "1", "c=16")
+            await world.step("S", "gets", "down", "1", "c=31")
+        else:
+            before(world.patch, node_viewers.Viewers, "_reply", lambda *_: viewer.close())
+            await world.step("S", "answers", "1")
+            await world.step("node", "holds", "sessions=1")  # it stands, and belongs to no connection
+            again = await proven(world)
+            again.send(message(12, "1", parameter(143, b"\x1f")))
+            await world.step("S", "gets", "down", "1", "c=31")
+        await world.step("node", "holds", "sessions=0", "waiting=0", "asked=0")
+
+    run(world, course)
+
+
+# The list
+
+
+def test_a_board_that_drips_is_asked_again(world: World) -> None:
+    async def course(world: World) -> None:
+        await begun(world, "silence=0.15")
+        await world.step("b", "is-asked", "1")
+        dripping = world.watching["b"].writer
+
+        async def drips() -> None:
+            while True:
+                dripping.write(b"1")
+                await asyncio.sleep(0.02)
+
+        task = asyncio.create_task(drips())
+        try:
+            await within(PATIENCE, world.step("b", "is-asked", "1"))
+        except TimeoutError:
+            raise AssertionError("the node waits for the end of a line for ever") from None
+        finally:
+            task.cancel()
+
+    run(world, course)
+
+
+def test_a_move_while_the_list_is_being_connected(world: World) -> None:
+    async def course(world: World) -> None:
+        await begun(world)
+        for name in ("b1", "b2", "b3"):  # each order comes while the connection of the one before comes up
+            await world.step("node", "reloads", name)
+            for _ in range(3):
+                await asyncio.sleep(0)
+        await world.step("b3", "is-asked", "1")
+        await world.step("b3", "tells", "2", "1", "terminating")
+        await world.step("node", "holds", "version=2")
+
+    run(world, course)
+
+
+# Faults inside
+
+
+def test_a_fault_in_one_effect_leaves_those_behind_it_and_the_timer() -> None:
+    engine, done, no_effects = engine_of(Faulty()), list[str](), dict[str, list[fx.Effect]]()
+
+    def carry_out(effect: fx.Effect) -> None:
+        if isinstance(effect, fx.SendSetup):
+            raise ZeroDivisionError
+        done.append(type(effect).__name__)
+
+    async def whole() -> None:
+        pump = Pump(engine, carry_out)
+        ask = Ask("t", 0, 0, 0, 3, 2, 50_000)
+        pump.apply(lambda now: engine.request(now, "a", ask, None)[1])
+        pump.apply(lambda now: [fx.Say("info", "after", "")])
+        while engine.held:  # the SETUP's time ends it: the timer was set
+            await asyncio.sleep(0.005)
+        with pytest.raises(KeyError):
+            pump.apply(lambda now: [fx.Say("info", "never"), *no_effects["no"]])
+        pump.apply(lambda now: [fx.Say("info", "still", "")])
+        pump.close()
+
+    with structlog.testing.capture_logs() as logs:
+        asyncio.run(within(PATIENCE, whole()))
+    assert done.count("Say") >= 2 and "Reply" in done
+    assert [row["event"] for row in logs if row["event"] == "effect-failed"] and engine.counts.faults >= 1
