No SETUP before the list has told a node that begins what drains

What was told since the list of the start counts at once: most of the grace had gone to the start of the process, the rest to the turn. Ruled out: a stale watch (no break in any log), a SETUP kept for a connection (`entry.state` is looked at when it is written), one of the nodes that lived on (none sent).

Change: SETUPs wait in their link until the first answer of the list, 50 ms after it was asked, its refusal, or two thirds of the grace (`Servers.inform`, `Board.asked`). The test plays it with the guard and without.

--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -19,17 +19,20 @@
 
 SILENCE = 2.4  # s: the last number comes each second
 CONNECT = 1.0  # s
+ANSWER = 0.05  # s after `watch`, in which what it has to tell comes: the protocol's slack
 log = structlog.get_logger("board")
 
 
 @dataclass(slots=True)
 class Board:
-    """Feeds the engine with the list. `learned` is told the entries in hand after each change."""
+    """Feeds the engine with the list. `learned` is told the entries in hand after each change, `asked` when
+    what the board has to tell to a node that begins has come, or can't be had."""
 
     roster: Roster
     engine: Engine
     apply: Apply
     learned: Callable[[dict[int, Entry]], None]
+    asked: Callable[[], None]
     coming: Coming
     address: Address = ("", 0)
     breaks: int = 0
@@ -57,6 +60,7 @@
         while True:
             await asyncio.sleep(max(due - clock(), 0) / SECOND)
             how, why = await self._watch(address)
+            self.asked()
             now = clock()
             due = self.coming.lost(now, how, int(SILENCE * SECOND) if how is Loss.SILENT else 0)
             self.breaks += 1
@@ -73,6 +77,7 @@
             return Loss.REFUSED, str(problem)
         try:
             writer.write(board_codec.watch(self.roster.version))
+            asyncio.get_running_loop().call_later(ANSWER, self.asked)
             lines, due = Lines(board_codec.MOST), clock() + int(SILENCE * SECOND)
             # Only what is whole is a sign: a board that stopped in a line, or drips, tells nothing
             while data := await within(max(due - clock(), 0) / SECOND, reader.read(65_536)):
@@ -80,6 +85,7 @@
                     self._take(line)
                     self.coming.heard(clock())
                     due = clock() + int(SILENCE * SECOND)
+                    self.asked()
             return Loss.BROKEN, "ended"
         except TimeoutError:
             return Loss.SILENT, f"nothing in {SILENCE:g} s"
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -63,7 +63,7 @@
         self.viewers = Viewers(self.engine, apply, self.servers.attend, groups, 0)
         roster = Roster(place.zones, place.kinds, facts.plant.cells, now - time.time_ns() // 1000)
         coming = Coming(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
-        self.board = Board(roster, self.engine, apply, self._learned, coming)
+        self.board = Board(roster, self.engine, apply, self._learned, self.servers.inform, coming)
         self.words = Words(place, lambda peer, data: apply(lambda at: self.engine.word(at, peer, data)))
         self.acting = Acting()
         self._told_to_end: int | None = None
@@ -123,6 +123,9 @@
         """Serve until SIGTERM and nothing is owed. Raises OSError where an address can't be had."""
         await self.words.start()
         self.board.begin(self.place)
+        # The first third of the grace is for the turn in which the list is asked, the second for its answer
+        until = 2 * self.place.facts.rules.drain_grace / 3 / SECOND
+        asyncio.get_running_loop().call_later(until, self.servers.inform)
         self._follow_signals(path, early)
         await self.viewers.start(*self.place.listen)
         self.viewers.ready = True
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -114,8 +114,8 @@
         """What waits goes out once all that has come by now is read.
 
         Guards against a SETUP whose viewer has left, or whose server drains, with the word of it unread: in a
-        turn of the loop that takes long, or while the connection came up. It may harm nobody: two turns."""
-        if not self.settling:
+        turn of the loop that takes long, or while the connection came up. It may harm nobody: a few turns."""
+        if self.servers.informed and not self.settling:
             self.settling = True
             once_read(self._settled)
 
@@ -372,11 +372,22 @@
     links: dict[int, _Link] = field(default_factory=dict)
     counts: dict[str, int] = field(default_factory=dict)
     most: int = 1 << 30  # connections at once
+    informed: bool = False
     _ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    def inform(self) -> None:
+        """The list has told what came since the list of the start, or can't: SETUPs may go out.
+
+        Guards against servers that drain since before we began: that counts as told from the first, and most
+        of the grace goes to our start. It may harm the first set-ups, which wait a third of it or so."""
+        if not self.informed:
+            self.informed = True
+            for link in self.links.values():
+                link.settle()
+
     @property
     def unsent(self) -> bool:
         return any(link.unsent for link in self.links.values())
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -23,8 +23,10 @@
 import structlog
 
 from ponddoor.front import effects as fx
+from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Ask
 from ponddoor.front.pump import Pump
+from ponddoor.node import board as node_board
 from ponddoor.node import servers as node_servers
 from ponddoor.node import viewers as node_viewers
 from ponddoor.web.timing import within
@@ -97,6 +99,8 @@
     if given:
         world.given(*given)
     await world.begin()
+    while not world.node.servers.informed:
+        await asyncio.sleep(0)
 
 
 async def proven(world: World) -> Raw:
@@ -235,6 +239,62 @@
     run(world, course)
 
 
+@pytest.mark.parametrize("out", OUT)
+def test_a_server_that_drains_since_before_the_start_gets_no_set_up(
+    world: World, monkeypatch: pytest.MonkeyPatch, out: bool
+) -> None:
+    """A drain counts as told from the first, and the list of the start does not name it."""
+    monkeypatch.setattr(node_board, "ANSWER", 60.0)
+
+    async def course(world: World) -> None:
+        world.facts["safety"]["drainGrace"] = 60_000.0
+        before(world.patch, node_board.Board, "_watch", lambda *_: asks())
+        early = list[Raw]()
+
+        def asks() -> None:
+            early.append(Raw(world))
+            early[0].send(set_up("1"))
+
+        world.patch.setattr(Coming, "start", lambda self, now: now + 20_000)
+        await world.begin()
+        world.node.servers.informed = out
+        await world.step("b", "is-asked", "1")
+        while (held := world.node.engine.find(sess("1"))) is None or not held.out:
+            await asyncio.sleep(0)
+        chosen = held.server
+        link = world.node.servers.links[chosen]
+        while link.wire is None:
+            await asyncio.sleep(0)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        await world.step("b", "tells", "2", str(chosen), "terminating")
+        await setups(world, "1")
+        assert held.server != chosen and world.boxes[chosen].came.empty()
+
+    run(world, course, out)
+
+
+def test_set_ups_go_out_where_the_list_is_down(world: World) -> None:
+    async def course(world: World) -> None:
+        world.facts["safety"]["drainGrace"] = 60_000.0  # only the list's refusal lets them go
+        world.patch.setattr(Coming, "start", lambda self, now: now + 20_000)
+        refused = asyncio.Event()
+
+        async def refuses(*_: Any) -> Any:
+            refused.set()
+            raise ConnectionRefusedError
+
+        world.patch.setattr(asyncio, "open_connection", refuses)
+        await begun(world)
+        viewer = Raw(world)
+        viewer.send(set_up("1"))
+        await setups(world, "1")
+        assert refused.is_set()
+        viewer.close()
+
+    run(world, course)
+
+
 def json_line(row: dict[str, Any]) -> bytes:
     return json.dumps(row).encode()
 
