What all fronts send to a cold server: two roots and two beyond N, by turns for lost ones too

Cause: three roots and three were built in, and the first send of each front to a server that it had seen go down was free: whole fronts in virtual time (tests/fleet/test_cold_sum.py), three times the demand that the server bears, came to 0.8 (20 and 30 fronts) and 1.8 (200) times the two roots and two. Now known cold and lost servers go by the same turns: 3, 20, 30 and 200 fronts, told or not, half just begun, two in five deaf, at four times the demand: 0.5 at most. Each keeper's grants have the part of a turn's run, less what a connect timeout holds back. One scenario asks some tenths later, in the turn that the shorter run leaves. Tried and taken back: turns also for who has just begun and is not told that a server is warm. The sum then held (0.8) where it comes to 1.1 with 30 and 1.8 with 200 fronts, but two scenarios want the first send at once, and 200 fronts came to a fifth of the pace.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -512,9 +512,9 @@
     def paced_until(self, server: Server) -> int:
         """When this front may next send to a server that is cold, or may be.
 
-        Known to be cold: time is cut into slots that each hold one set-up, and the fronts take turns. Only
-        perhaps cold (seen down, or we have just begun and nobody tells that it is warm): our own sends are
-        spaced by our share, so that the sum holds although all of the fleet has begun and hears nothing."""
+        Known to be cold, or lost: time is cut into slots that each hold one set-up, and fronts take turns: in
+        a span of N slots come N sends and a run of them, whoever is deaf. Where we have just begun and nobody
+        tells that it is warm, our own sends are spaced by our share; the first waits for no turn."""
         rules, fronts = self.facts.rules, self.facts.fronts
         known = self.cold(server)
         if not known and server.lost is None and (self.now - self.born >= rules.cold or self.warm(server)):
@@ -522,9 +522,9 @@
         if server.grant > self.now - ASK_WAIT:
             return 0
         slot = self.slot(server)
-        if not known:
+        if not known and server.lost is None:
             return server.sent + slot * fronts
-        if self.fleet.asks and not self.fleet.shares.own(self.now, self.group(server)):
+        if known and self.fleet.asks and not self.fleet.shares.own(self.now, self.group(server)):
             return self.now + ASK_WAIT  # our part is lent, or may be by our life before: a keeper grants
         run = min(fronts, int(COLD_USE * SECOND / (slot * self.wanted_rate(server))), self.burst(slot))
         turn = (self.now + self.facts.wall) // slot
@@ -543,10 +543,10 @@
         return int(rules.cold / max(per_warming, 0.01))
 
     def burst(self, slot: int) -> int:
-        """Set-ups that may come at once, by turns or by one keeper's grants: together the three roots and
-        three that a cold server bears beyond its pace in the rule's span."""
-        among = 1 + KEEPERS if self.fleet.asks else 1
-        return max(1, int((3 * math.sqrt(self.facts.rules.fall / slot) + 3) / among))
+        """Set-ups that may come at once, by turns or by one keeper's grants: together the two roots and two
+        that are chance beyond the N slots of the rule's span, less those that a connection holds back."""
+        among, late = 1 + KEEPERS if self.fleet.asks else 1, self.facts.permissions.connect_timeout / slot
+        return max(1, int((2 * math.sqrt(self.facts.rules.fall / slot) + 2 - late) / among))
 
     def wanted_rate(self, server: Server) -> float:
         """Arrivals a second that could go to a server: by ten seconds, or by one where that has more."""
