A sign of life is asked for while three connect timeouts are left, whatever the settings say

The wait held for timeouts of a quarter of a second alone (`QUIET`); for those up to 0.58 s nothing changes.

--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -18,7 +18,7 @@
 from ponddoor.web.timing import within
 
 SILENCE = 2.4  # s: the last number comes each second
-CONNECT = 1.0  # s
+CONNECT = 1.0  # s: of the four after which news counts as told, with two tries and the pauses between them
 ANSWER = 0.05  # s after `watch`, in which what it has to tell comes: the protocol's slack
 log = structlog.get_logger("board")
 
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -27,6 +27,7 @@
 # last one: so late that seven connect timeouts of a quarter of a second are left. Each sign has its price.
 GONE = RELEASE - 3 * SECOND // 4
 QUIET = GONE - 7 * SECOND // 4
+TRIES = 3  # connect timeouts that are left at least, where the settings have longer ones
 TAKEN = SECOND  # a server that is told gone so long and is answered for has lost its address to a new one
 HALF_A_LINE = SECOND // 4  # a line that takes longer than this to end does not end
 WAITING = 1000  # messages that wait for one connection
@@ -310,6 +311,7 @@
     def look(self, now: int, idle: int) -> None:
         """What time alone brings: half lines, silence, idle connections, connections that are wanted."""
         wire, needed = self.wire, bool(self.servers.engine.playing_at(self.number))
+        quiet = min(QUIET, max(GONE // 2, GONE - TRIES * self.servers.connect_timeout))
         if wire is None:
             if needed or self.owed:
                 self.connect_in_turn()
@@ -329,7 +331,7 @@
         elif needed and now - self.heard_at > GONE and now - self.sign_asked_at < GONE:
             self.broke(wire, "silent")
             self._silent()
-        elif needed and now - max(self.heard_at, self.sign_asked_at) > QUIET:
+        elif needed and now - max(self.heard_at, self.sign_asked_at) > quiet:
             self.sign_asked_at = now
             wire.write(codec.test(self.servers.new_id(), False))
         elif not needed and not self.tests and now - self.used_at > idle:
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -649,6 +649,30 @@
     run(world, course)
 
 
+@pytest.mark.parametrize(
+    ("timeout", "after"), [(250_000, 5_500_000), (1_000_000, 4_250_000), (9_000_000, 3_625_000)]
+)
+def test_a_sign_is_asked_for_while_connect_timeouts_are_left(
+    world: World, timeout: int, after: int
+) -> None:
+    async def course(world: World) -> None:
+        await begun(world)
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        assert (await viewer.hears())[0] == 9
+        world.node.servers.connect_timeout = timeout
+        held = world.node.engine.find(sess("1"))
+        assert held is not None
+        link = world.node.servers.links[held.server]
+        for at, asked in ((after - 10_000, False), (after + 10_000, True)):
+            link.look(link.heard_at + at, 60_000_000)
+            assert bool(link.sign_asked_at) is asked, at
+
+    run(world, course)
+
+
 @pytest.mark.parametrize("last", [False, True])
 def test_a_cut_in_an_answer_before_and_after_its_last_byte(world: World, last: bool) -> None:
     async def course(world: World) -> None:
