Half a message is counted from its beginning; one that never ends does not hold the node's end

Now the looks go on, and it has its time as ever. - A connection whose every read ended within a message was closed as "half a message" after 1.5 s (a server's as "half a line" after 0.25 s, with its SETUPs reset), although whole ones came all the time: the time was counted from the first half. It starts anew with each whole message.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -22,7 +22,7 @@
 from ponddoor.node.board import Board
 from ponddoor.node.servers import RELEASE, Servers
 from ponddoor.node.start import Place, StartError, read
-from ponddoor.node.viewers import Viewers
+from ponddoor.node.viewers import HALF, Viewers
 from ponddoor.node.words import Words
 from ponddoor.settings.limits import Limits
 
@@ -136,8 +136,7 @@
             await asyncio.sleep(max(due - clock(), 0) / SECOND)
             now = clock()
             self._most_lag, due = max(self._most_lag, now - due), max(due + LOOK, now)
-            self.servers.look(now, IDLE)
-            self.viewers.look(now)
+            self._look(now)
             if self.watched:
                 log.debug("account", rows=account(self.front, now))
             if now >= say:
@@ -146,15 +145,19 @@
                 self._say()
         await self._close()
 
+    def _look(self, now: int) -> None:
+        self.servers.look(now, IDLE)
+        self.viewers.look(now)
+
     def _done(self, now: int) -> bool:
         """Whether nothing comes any more, nobody waits or plays, and nothing is left to be said."""
-        if self._told_to_end is None or now - self._told_to_end <= LAST:
-            return False
-        if now - self._told_to_end > STAY:
-            return True
-        # What could not be released at a server within its time never can be
-        unsent = self.servers.unsent and now - self._told_to_end <= RELEASE
-        return not (self.engine.held or self.viewers.owed or self.viewers.busy or unsent)
+        since = -1 if self._told_to_end is None else now - self._told_to_end
+        if since <= LAST or since > STAY:
+            return since > STAY
+        # What can't be released at a server within its time never is; half a message has its time as ever
+        unsent = self.servers.unsent and since <= RELEASE
+        half = self.viewers.busy and since <= LAST + HALF
+        return not (self.engine.held or self.viewers.owed or half or unsent)
 
     def _say(self) -> None:
         counts, viewers, servers = self.engine.counts, self.viewers, self.servers
@@ -174,6 +177,7 @@
         await self.viewers.accept_no_more()
         while not self._done(clock()) and clock() - now < STAY:
             await asyncio.sleep(SETTLE)
+            self._look(clock())
         await self.viewers.close()
         await self.servers.close()
         self.board.close()
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -55,7 +55,10 @@
     def data_received(self, data: bytes) -> None:
         now = self.link.heard_at = clock()
         try:
-            for line in self.lines.feed(data):
+            lines = self.lines.feed(data)
+            if lines:  # what is left has begun only now
+                self.half_since = None
+            for line in lines:
                 if self.link.wire is self:
                     self.link.take(self, line)
         except UnreadableError as problem:
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -72,7 +72,10 @@
         now = clock()
         if why:
             self.viewers.close_wire(self, "unreadable")
-        self.half_since = (self.half_since or now) if self.reader.partial else None
+        if messages or not self.reader.partial:  # what is left has begun only now
+            self.half_since = None
+        if self.reader.partial:
+            self.half_since = self.half_since or now
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.viewers.closed(self)
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -25,8 +25,9 @@
 from ponddoor.front import effects as fx
 from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Ask
-from ponddoor.front.pump import Pump
+from ponddoor.front.pump import Pump, clock
 from ponddoor.node import board as node_board
+from ponddoor.node import process as node_process
 from ponddoor.node import servers as node_servers
 from ponddoor.node import viewers as node_viewers
 from ponddoor.web.timing import within
@@ -345,6 +346,56 @@
     run(world, course)
 
 
+def test_half_a_set_up_that_never_ends_does_not_hold_the_end(world: World) -> None:
+    async def course(world: World) -> None:
+        world.patch.setattr(node_process, "HALF", 50_000)
+        await begun(world, "last=20000", "look=5000")
+        viewer = await proven(world)
+        viewer.send(set_up("1")[:20])
+        while not world.node.viewers.busy:
+            await asyncio.sleep(0)
+        world.node.end()
+        await world.task
+        assert await viewer.hears() == b""
+        viewer.close()
+
+    run(world, course)
+
+
+@pytest.mark.parametrize("side", ["viewer", "server"])
+def test_a_stream_that_is_never_between_messages_is_no_half_message(world: World, side: str) -> None:
+    """Each read ends within a message, whole ones come all the time."""
+
+    async def course(world: World) -> None:
+        await begun(world, "half=40000", "half_a_line=40000")
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        assert (await viewer.hears())[0] == 9
+        sign = b'{"t":"ack","ref":"%s","f":{}}\n' % sess("1").encode()
+        data, begun_at = (TEST, time.monotonic()) if side == "viewer" else (sign, time.monotonic())
+        rest = b""
+        while time.monotonic() < begun_at + 0.4:  # ten times what half a message has
+            if side == "viewer":
+                viewer.send(rest + data + data[:5])
+                assert (await viewer.hears())[0] == 53
+            else:
+                world.named["S"].write(rest + data + data[:5])
+                for _ in range(10):
+                    await asyncio.sleep(0)
+            rest = data[5:]
+            await asyncio.sleep(0.002)
+            world.node._look(clock())
+        if side == "viewer":
+            assert not world.node.viewers.counts.get("half-a-message")
+        else:
+            assert not world.node.servers.counts.get("half-a-line")
+        viewer.close()
+
+    run(world, course)
+
+
 def test_a_release_that_waits_for_a_connection_goes_out_before_the_end(world: World) -> None:
     async def course(world: World) -> None:
         gate, original = asyncio.Event(), within
