--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -104,6 +104,14 @@
         await asyncio.sleep(0)
 
 
+async def connected(world: World) -> None:
+    """To all servers."""
+    for link in world.node.servers.links.values():
+        link.connect()
+    while not all(link.wire for link in world.node.servers.links.values()):
+        await asyncio.sleep(0)
+
+
 async def proven(world: World) -> Raw:
     """A connection that the node has taken in and heard."""
     raw = Raw(world)
@@ -153,10 +161,7 @@
 
     async def course(world: World) -> None:
         await begun(world)
-        for link in world.node.servers.links.values():
-            link.connect()
-        while not all(link.wire for link in world.node.servers.links.values()):
-            await asyncio.sleep(0)
+        await connected(world)
         gone, stays = await proven(world), await proven(world)
         before(world.patch, world.node.engine, "request", lambda *_: gone.close())
         gone.send(set_up("1"))
@@ -177,10 +182,7 @@
 
     async def course(world: World) -> None:
         await begun(world)
-        for link in world.node.servers.links.values():
-            link.connect()
-        while not all(link.wire for link in world.node.servers.links.values()):
-            await asyncio.sleep(0)
+        await connected(world)
         gone, stays = await proven(world), await proven(world)
         gone.send(set_up("1"))
         await world.step("S", "gets", "new", "1")
