A set-up is put to the decisions once all that came with it is read

`Viewers._again` gave the first up with each second copy, so that every other copy began a session anew: 32,078 sessions that were left, beside 1,526 that started. Ruled out: words that tell of changes (9,787 and 6,339, as many as SETUPs call for), pings, refreshes, and classes that do not exist (turned away before the decisions).

Change: a set-up waits for `once_read`, as its SETUP does further down; what takes it back by then, an end or its id again, ends it before any session began. Its time to wait is shortened by that; past the engine's limit in hand it is refused at once as before; the node's end waits for it.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -157,7 +157,7 @@
         # What can't be released at a server within its time never is; half a message has its time as ever
         unsent = self.servers.unsent and since <= RELEASE
         half = self.viewers.busy and since <= LAST + HALF
-        return not (self.engine.held or self.viewers.owed or half or unsent)
+        return not (self.engine.held or self.viewers.coming or self.viewers.owed or half or unsent)
 
     def _say(self) -> None:
         counts, viewers, servers = self.engine.counts, self.viewers, self.servers
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -6,7 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -122,6 +122,7 @@
     wires: dict[_Wire, None] = field(default_factory=dict)
     waiting: dict[str, _Wire] = field(default_factory=dict)
     standing: dict[str, _Wire] = field(default_factory=dict)
+    coming: dict[str, Ask] = field(default_factory=dict)  # set-ups that the decisions do not know yet
     owed: deque[tuple[int, bytes]] = field(default_factory=deque)
     counts: dict[str, int] = field(default_factory=dict)
     _server: asyncio.Server | None = None
@@ -217,7 +218,10 @@
         if wire is not None:
             wire.waiting.pop(sess, None)
         self._ended(sess)
-        self.apply(lambda now: self.engine.left(now, sess))
+        if self.coming.pop(sess, None) is not None:
+            self.count("taken-back")
+        else:
+            self.apply(lambda now: self.engine.left(now, sess))
 
     def _stands(self, sess: str, wire: _Wire) -> None:
         self.standing[sess] = wire
@@ -277,7 +281,7 @@
             False,
             asked.description,
         )
-        sess, known = asked.sess, self.engine.find(asked.sess) is not None
+        sess, known = asked.sess, self._known(asked.sess)
         wire.proven = True
         if asked.at:
             if not known:
@@ -291,7 +295,23 @@
             return
         self.waiting[sess] = wire
         wire.waiting[sess] = None
-        self.apply(lambda now: self.engine.request(now, sess, ask, None)[1])
+        read = clock()
+        self.coming[sess] = ask
+        if len(self.coming) + self.engine.in_hand <= self.engine.gate.limits.in_hand:
+            once_read(lambda: self._request(sess, ask, read))
+        else:  # the engine says that it is too much
+            self._request(sess, ask, read)
+
+    def _request(self, sess: str, ask: Ask, read: int) -> None:
+        """Guards against set-ups that what came with them takes back, or asks again under the same id: each
+        counted as an arrival, by which probes are paced, and put its questions to keepers."""
+        if self.coming.get(sess) is ask:  # else it has ended by now
+            del self.coming[sess]
+            ask = replace(ask, wait=max(ask.wait - (clock() - read), 1))
+            self.apply(lambda now: self.engine.request(now, sess, ask, None)[1])
+
+    def _known(self, sess: str) -> bool:
+        return sess in self.coming or self.engine.find(sess) is not None
 
     def _again(self, wire: _Wire, sess: str) -> None:
         """Guards against an id used twice: the session that has it, if another's, is left as it is."""
@@ -317,7 +337,7 @@
         self.count("unusable")
         if self.counts["unusable"] <= SAID:
             log.info("unusable", session=sess, why=why)
-        if self.engine.find(sess) is not None:
+        if self._known(sess):
             self._again(wire, sess)
         else:
             wire.write(codec.failed(sess))
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -26,10 +26,12 @@
 from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Ask
 from ponddoor.front.pump import Pump, clock
+from ponddoor.interface import words
 from ponddoor.node import board as node_board
 from ponddoor.node import process as node_process
 from ponddoor.node import servers as node_servers
 from ponddoor.node import viewers as node_viewers
+from ponddoor.node import words as node_words
 from ponddoor.web.timing import within
 from tests.front.test_engine import Faulty, engine_of
 
@@ -204,6 +206,53 @@
     only_the_one_that_stays_is_sent_on(world, out, leaves, first=False)
 
 
+@pytest.mark.parametrize("out", OUT)
+def test_set_ups_taken_back_by_the_bytes_behind_them_ask_nobody(world: World, out: bool) -> None:
+    """Given up, or asked again under their id: nobody is asked or told, and none counts as an arrival."""
+    if out:
+        world.patch.setattr(node_viewers, "once_read", at_once)
+    said = list[int]()
+
+    async def course(world: World) -> None:
+        world.facts |= {"balancers": 200, "me": 129}
+        world.facts["reporting"]["how"] = "on_probe"
+        before(world.patch, node_words.Words, "send", lambda _, peer, payload: said.append(payload[0]))
+        await begun(world, "mayTell=true", "probes=true")
+        bad, good = await proven(world), await proven(world)
+        give_up = [message(12, str(n), parameter(143, b"\x10")) for n in range(100)]
+        bad.send(set_up("1") * 60 + b"".join(set_up(str(n)) + give_up[n] for n in range(2, 60)) + TEST)
+        while (await bad.hears())[0] != 53:
+            pass
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert words._Kind.HOLDERS not in said
+        assert not world.node.front.arrivals.kept and world.node.viewers.counts["taken-back"] == 30 + 58
+        good.send(set_up("99"))
+        assert await setups(world, "99") == [sess("99")]
+        assert words._Kind.HOLDERS in said
+
+    run(world, course, out)
+
+
+def test_a_set_up_that_the_decisions_do_not_know_yet_holds_the_end(world: World) -> None:
+    done = list[bool]()
+
+    async def course(world: World) -> None:
+        await begun(world)
+        viewer, node = await proven(world), world.node
+
+        def late(*_: Any) -> None:
+            node._told_to_end = clock() - node_process.LAST - node_viewers.HALF - 1
+            done.append(node._done(clock()))
+            node._told_to_end = None
+
+        before(world.patch, node_viewers.Viewers, "_request", late)
+        viewer.send(set_up("1"))
+        assert await setups(world, "1") == [sess("1")] and done == [False]
+
+    run(world, course)
+
+
 def test_a_server_that_drains_while_it_is_connected_gets_no_set_up(world: World) -> None:
     async def course(world: World) -> None:
         await begun(world)
