--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -17,6 +17,7 @@
 import msgspec
 import structlog
 
+from ponddoor.capacity.commands import capacity as capacity_commands
 from ponddoor.config.commands import config as config_commands
 from ponddoor.config.commands import raft as raft_commands
 from ponddoor.settings.sexpr import SettingsError
@@ -740,6 +741,7 @@
         click.echo(made(main, {}, "ponddoor", "_PONDDOOR_COMPLETE").source())
 
 
+main.add_command(capacity_commands)
 main.add_command(config_commands)
 main.add_command(raft_commands)
 
