Presence looks at who is suspected, not at all fronts, when suspicions end

Each turn went over all members to end suspicions: with 820 fronts most of a front's time, and the whole fleet in virtual time was 9.3 times faster than the clock.

--- a/ponddoor/fleet/presence.py
+++ b/ponddoor/fleet/presence.py
@@ -109,6 +109,7 @@
         # By number: for whom we ping, under which number of its own, whom, until when
         self._relayed: dict[int, tuple[int, int, int, int]] = {}
         self._dead: set[int] = set()
+        self._suspects: set[int] = set()  # who is suspected and not dead yet
         self._words = LONG_AGO  # when any word last came
 
     # What is known
@@ -312,12 +313,14 @@
             changed = member.since is not None or row.life > held or row.front in self._dead
             member.life, member.bump, member.since, member.by = row.life, row.bump, None, set()
             self._dead.discard(row.front)
+            self._suspects.discard(row.front)
             self.version += changed
             if changed and row.life == held:  # a suspicion is answered; of a new life its own words tell
                 self._rumours[row.front] = 0
         if row.accuser is not None and row.accuser not in member.by and len(member.by) <= CONFIRMED:
             if member.since is None:
                 member.since = now
+                self._suspects.add(row.front)
                 self.version += 1
             member.by.add(row.accuser)
             self._rumours[row.front] = 0
@@ -336,16 +339,16 @@
     def _expire(self, now: int) -> None:
         if self.hears(now) in (Hears.NOTHING, Hears.UNHEARD):
             return  # nobody could have answered us
-        for front, member in self.members.items():
-            if member.since is None or front in self._dead:
-                continue
-            if member.met > member.since:
+        for front in list(self._suspects):
+            member = self.members[front]
+            if member.since is None or member.met > member.since:
                 continue  # we have heard it ourselves since
             more = min(len(member.by) - 1, CONFIRMED)
             span = self.timing.most - self.timing.least
             part = 1 - math.log(1 + more) / math.log(1 + CONFIRMED)
             if now - member.since >= self.timing.least + round(span * part):
                 self._dead.add(front)
+                self._suspects.discard(front)
                 self.version += 1
 
     def _rows(self, to: int) -> tuple[words.Row, ...]:
