--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -100,7 +100,11 @@
     by = one.figure / one.limit.most
     if one.verdict is Verdict.OVER:
         return f"**over**, {_digits(by)} times"
-    return f"{one.verdict.value}, {by:.0%} of it" if one.verdict is Verdict.WITHIN else "open"
+    return f"{one.verdict.value}, {_part(by)} of it" if one.verdict is Verdict.WITHIN else "open"
+
+
+def _part(by: float) -> str:
+    return "under 1%" if by < 0.01 else f"{by:.0%}"
 
 
 def _carried(module: str, root: Path) -> str:
@@ -167,7 +171,7 @@
         known = [one for one in parts if one.mark is not Mark.NONE]
         total, most = sum(one.figure for one in known), held[name].most
         out = [one.row.need for one in parts if one.mark is Mark.NONE]
-        shown = f"{total / most:.0%}" if known else "-"
+        shown = _part(total / most) if known else "-"
         figure = told(total, held[name].unit) if known else Mark.NONE.value
         rows.append((name, figure, told(most, held[name].unit), shown, ", ".join(out) or "nothing"))
     return _table(("limit of a front node", "all of it, calm", "limit", "part of it", "not in the sum"), rows)
@@ -224,29 +228,32 @@
 
 
 def _failures(target: Target, found: Found) -> str:
+    def cell(name: str, under: str) -> str:
+        held = found.get((name, under, "fronts"))
+        return f"{_figure(held[0])} ({_known(held[0])})" if held and held[0].series else Mark.NONE.value
+
     rows = []
     for one in target.failures:
         under = _OF_FAILURES.get(one.name, "")
-        cells = []
-        for name in ("know.dead.half", "know.dead.p99", "know.alive.p99"):
-            held = found.get((name, under, "fronts"))
-            cells.append(
-                f"{_figure(held[0])} ({_known(held[0])})" if held and held[0].series else "not measured"
-            )
-        reached = viewers_reached(target, one.fronts)
+        reached, often = viewers_reached(target, one.fronts), a_day(one.often, one.span)
         apart = one.lasts and not one.fronts
+        cut = one.name in ("zone", "apart")
         rows.append(
             (
                 one.name,
-                f"{_digits(a_day(one.often, one.span))}",
+                _digits(often),
                 f"{one.fronts}",
-                "none loses its front" if apart else f"{_digits(reached)}",
-                "-" if apart else f"{_digits(a_day(one.often, one.span) * reached)}",
-                *cells,
+                "none loses its front" if apart else f"{_digits(reached)}; {_digits(often * reached)} a day",
+                "-" if apart else f"{one.fronts / (target.fronts - one.fronts):.1%}",
+                cell("know.dead.half", under),
+                cell("know.dead.p99", under),
+                cell("know.alive.p99", under),
+                cell("config.in-force", "zone-cut") if cut else "-",
             )
         )
-    head = ("failure", "a day", "fronts lost", "viewers reached (reckoned)", "viewers a day (reckoned)",
-            "half of the others know", "99% know", "99% take who is back for alive")  # fmt: skip
+    head = ("failure", "a day", "fronts lost", "viewers reached (reckoned)",
+            "more on each other front (reckoned)", "half of the others know after", "99% know after",
+            "once back, 99% know after", "once back, the configuration is in force after")  # fmt: skip
     return _table(head, rows)
 
 
@@ -290,7 +297,7 @@
         then = at_size(one.row, fronts, one.series, held[limit])
         of_node = then.figure * needed
         by = of_node / held[limit].most
-        verdict = f"**over**, {_digits(by)} times" if by > 1 else f"within, {by:.0%} of it"
+        verdict = f"**over**, {_digits(by)} times" if by > 1 else f"within, {_part(by)} of it"
         rows.append((key[0], told(of_node, held[limit].unit), verdict, _known(then)))
     return (
         f"Where each process is a front of the fleet there are {fronts:,} of them, and one front node needs "
--- a/ponddoor/capacity/plot.py
+++ b/ponddoor/capacity/plot.py
@@ -1,4 +1,5 @@
-"""Need over size with the limits drawn in (matplotlib): one panel a need, its worst conditions as lines.
+"""Need over size with the limits drawn in (matplotlib): all needs as multiples of their limits over the
+fleet's size, then one panel a need, its worst conditions as lines.
 
 The picture names the digest of what it was drawn from, so that a picture left behind is found."""
 
@@ -40,8 +41,8 @@
         for row in role.rows:
             for one in found[row.what, row.under, row.of]:
                 if one.limit is not None and one.series is not None:
-                    drawn.setdefault(f"{row.need}, {role.title.split(',')[0].split(' (')[0].lower()}"
-                                     f", over {row.of}", []).append(one)  # fmt: skip
+                    whose = role.mark.replace("-", " ")
+                    drawn.setdefault(f"{whose}: {row.need}, over {row.of}", []).append(one)
     return drawn
 
 
@@ -54,14 +55,12 @@
 
     held = panels(project(target, records))
     wide = 3
-    high = max(1, -(-len(held) // wide))
-    drawn, axes = plt.subplots(high, wide, figsize=(5 * wide, 3.4 * high), squeeze=False)
-    for axis, (name, several) in zip(axes.flat, held.items(), strict=False):
-        _panel(axis, name, several)
-    for axis in axes.flat[len(held) :]:
-        axis.axis("off")
-    if not held:
-        axes[0, 0].text(0.0, 0.5, "no record has a limit yet")
+    high = 1 + -(-len(held) // wide)
+    drawn = plt.figure(figsize=(5 * wide, 3.2 * (high + 1)))
+    grid = drawn.add_gridspec(high + 1, wide)
+    _all(drawn.add_subplot(grid[0:2, 0:2]), held, target)
+    for number, (name, several) in enumerate(held.items()):
+        _panel(drawn.add_subplot(grid[2 + number // wide, number % wide]), name, several)
     drawn.tight_layout()
     picture.parent.mkdir(parents=True, exist_ok=True)
     drawn.savefig(picture, dpi=80, metadata={_TITLE: digest(target, records), "Software": None})
@@ -69,12 +68,63 @@
     return len(held)
 
 
+def _all(axis: Any, held: Mapping[str, list[Projection]], target: Target) -> None:
+    """Each need's worst condition as a multiple of its limit, over fronts that grow in step with all else."""
+    if not held:
+        axis.text(0.02, 0.5, "no need with a limit has a record yet", transform=axis.transAxes)
+        return
+    styles = ("-", "--", "-.", ":")
+    for number, (name, several) in enumerate(held.items()):
+        one = max(several, key=lambda each: each.figure)
+        if one.limit is None or one.series is None:
+            continue
+        scale, by = target.fronts / one.size, one.factor / one.limit.most
+        sizes: list[float] = one.series.sizes
+        if one.fit is not None:
+            shown = np.geomspace(
+                max(1.0, min(one.size / target.fronts, sizes[0])), max(one.size, sizes[-1]), 200
+            )
+            figures = [one.fit.at(size) * by for size in shown]
+        else:
+            shown, figures = np.array(sizes), [one.series.mean(size) * by for size in sizes]
+        label = f"{name} ({one.row.under})" + ("" if one.fit else ", no fit")
+        line = axis.plot(
+            shown * scale, np.maximum(figures, 1e-9), styles[number // 10 % 4], lw=1.2, label=label
+        )
+        means = [max(1e-9, one.series.mean(size) * by) for size in sizes]
+        axis.plot(np.array(sizes) * scale, means, ".", markersize=4, color=line[0].get_color())
+    axis.axhline(1.0, color="red", lw=1.2)
+    axis.text(0.005, 1.0, "limit", color="red", fontsize=8, va="bottom", transform=axis.get_yaxis_transform())
+    axis.axvline(target.fronts, color="grey", lw=0.9, ls=":")
+    _logarithmic(axis, True)
+    axis.set_xlim(1, 3 * target.fronts)
+    axis.set_title("all needs as multiples of their limits", fontsize=9)
+    axis.set_xlabel(
+        "fronts, all other amounts in step; the target is dotted; points are measured", fontsize=8
+    )
+    axis.set_ylabel("times the limit", fontsize=8)
+    # It lies in the empty third of its rows: the layout of all panels must not make room for it.
+    axis.legend(fontsize=7, loc="center left", bbox_to_anchor=(1.0, 0.5)).set_in_layout(False)
+
+
+def _logarithmic(axis: Any, both: bool) -> None:
+    from matplotlib.ticker import NullFormatter
+
+    axis.set_xscale("log")
+    axis.xaxis.set_minor_formatter(NullFormatter())
+    if both:
+        axis.set_yscale("log")
+        axis.yaxis.set_minor_formatter(NullFormatter())
+    axis.tick_params(labelsize=7)
+
+
 def _panel(axis: Any, name: str, several: list[Projection]) -> None:
     first = several[0]
     assert first.limit is not None
     most = first.limit.most
-    # The worst conditions alone: a panel of more lines can't be read.
-    chosen = sorted(several, key=lambda one: -one.figure)[:_LINES]
+    # The worst conditions alone: a panel of more lines can't be read. Two values of one target are one line.
+    worst = sorted(several, key=lambda one: (-one.size, -one.figure))
+    chosen = list({one.row: one for one in reversed(worst)}.values())[::-1][:_LINES]
     for one in chosen:
         if one.series is None:
             continue
@@ -85,11 +135,11 @@
             markersize=4,
             label=one.row.under,
         )
-        colour = points[0].get_color()
         last = max(one.size, one.series.sizes[-1])
         if one.fit is not None:
             sizes = np.geomspace(one.series.sizes[0], last, 60)
-            axis.plot(sizes, [one.fit.at(size) * one.factor for size in sizes], "-", lw=0.9, color=colour)
+            figures = [one.fit.at(size) * one.factor for size in sizes]
+            axis.plot(sizes, figures, "-", lw=0.9, color=points[0].get_color())
             crossing = one.over_from
             if crossing is not None and crossing > one.series.sizes[0]:
                 axis.plot([crossing], [most], "x", color="red", markersize=8)
@@ -98,14 +148,11 @@
               va="bottom", transform=axis.get_yaxis_transform())  # fmt: skip
     for size in dict.fromkeys(one.size for one in several):
         axis.axvline(size, color="grey", lw=0.8, ls=":")
-    axis.set_xscale("log")
     least = min((p.figure * one.factor for one in chosen if one.series for p in one.series.points), default=0)
-    if least > 0:
-        axis.set_yscale("log")
-    axis.set_title(name, fontsize=8)
+    _logarithmic(axis, least > 0)
+    axis.set_title(name.rpartition(", over ")[0], fontsize=8)
     axis.set_xlabel(first.row.of, fontsize=8)
     axis.set_ylabel(first.unit, fontsize=8)
-    axis.tick_params(labelsize=7)
     axis.legend(fontsize=6, loc="best")
 
 
