--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -248,7 +248,7 @@
                 cell("know.dead.half", under),
                 cell("know.dead.p99", under),
                 cell("know.alive.p99", under),
-                cell("config.in-force", "zone-cut") if cut else "-",
+                cell("config.in-force.all", "zone-cut") if cut else "-",
             )
         )
     head = ("failure", "a day", "fronts lost", "viewers reached (reckoned)",
@@ -318,7 +318,8 @@
             since = first.row.since
             built = since and (root / since).exists()
             why = f"no mechanism before; since then `{since}`" if built else "no mechanism"
-            limit = min((p.limit for p in one.projections if p.limit), key=lambda each: not each.stated)
+            every = [p.limit for p in one.projections if p.limit]
+            limit = min(every, key=lambda each: not each.stated) if every else None
         else:
             why = f"{_figure(first)} at {_digits(first.size)} {first.row.of} ({_known(first)})"
         rows.append(
--- a/ponddoor/capacity/project.py
+++ b/ponddoor/capacity/project.py
@@ -1,5 +1,6 @@
 """Reckons the target from records: each figure measured, interpolated or extrapolated, and how far."""
 
+import re
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -7,11 +8,24 @@
 from math import ceil, isfinite
 from pathlib import Path
 
+import msgspec
+
 from ponddoor.capacity.fits import LEAST_REPETITIONS, LEAST_SIZES, Fit, Point, enough, fitted
 from ponddoor.capacity.records import Record, RecordError, read
 from ponddoor.capacity.rows import ROLES, Limit, Row, amounts, limits
 from ponddoor.capacity.targets import SECOND, Target
 
+UNITS = {  # as runs write them: in the rows', and by how much
+    "words/s/front": ("1/s", 1.0),
+    "words/s": ("1/s", 1.0),
+    "bytes/s/front": ("B/s", 1.0),
+    "B/s a front": ("B/s", 1.0),
+    "B/s an instance, most": ("B/s", 1.0),
+    "cores an instance, most": ("core", 1.0),
+    "MB, most": ("B", 1e6),
+    "MB": ("B", 1e6),
+}
+_KNOWN = re.compile(r"know\.([a-z0-9-]+)\.(dead|alive)\.(50|99)")
 UNREACHED = "-unreached"  # behind a condition: the run ended before it came about
 SAME = 0.005  # a size counts as measured where it lies off by no more
 
@@ -121,12 +135,26 @@
             if not (isfinite(record.size) and record.size > 0 and isfinite(record.figure)):
                 told = f"size {record.size}, figure {record.figure}"
                 raise RecordError(f"{place}: {told}: finite ones, a size over 0")
-            first = units.setdefault(record.what, (record.unit, place))
-            if record.unit != first[0]:
-                raise RecordError(f"{place}: {record.what} in {record.unit}, but in {first[0]} at {first[1]}")
+            same = canonical(record)
+            first = units.setdefault(same.what, (same.unit, place))
+            if same.unit != first[0]:
+                raise RecordError(f"{place}: {same.what} in {same.unit}, but in {first[0]} at {first[1]}")
     return found
 
 
+def canonical(record: Record) -> Record:
+    """A record in the names and units of the rows: runs that write their tables themselves say more in their
+    units (`B/s a front`), and put a failure into the name of a time to know."""
+    unit, by = UNITS.get(record.unit, (record.unit, 1.0))
+    what, under = record.what, record.under
+    known = _KNOWN.fullmatch(what)
+    if known is not None:
+        what, under = f"know.{known[2]}.{'half' if known[3] == '50' else 'p99'}", known[1]
+    if (what, under, unit) == (record.what, record.under, record.unit):
+        return record
+    return msgspec.structs.replace(record, what=what, under=under, unit=unit, figure=record.figure * by)
+
+
 def series_of(records: Iterable[Record]) -> dict[Key, list[Series]]:
     """Records by need, one series for each way of running, the fullest first.
 
@@ -136,6 +164,7 @@
     for record in records:
         if record.how == "trial":
             continue
+        record = canonical(record)
         under = record.under.removesuffix(UNREACHED)
         held = kept[record.what, under, record.of, record.how, record.size]
         if held and held[-1].commit != record.commit:
@@ -146,9 +175,14 @@
         grouped[what, under, of, how] += held
     found: dict[Key, list[Series]] = defaultdict(list)
     for (what, under, of, how), held in grouped.items():
-        points = tuple(Point(one.size, one.repetition, one.figure) for one in held)
+        # Runs by hand number each seed 0: a repetition is the place among those of its size.
+        counts: dict[float, int] = defaultdict(int)
+        points = []
+        for one in held:
+            points.append(Point(one.size, counts[one.size], one.figure))
+            counts[one.size] += 1
         late = frozenset(one.size for one in held if one.under.endswith(UNREACHED))
-        found[what, under, of].append(Series(what, under, of, held[0].unit, how, points, late))
+        found[what, under, of].append(Series(what, under, of, held[0].unit, how, tuple(points), late))
     for several in found.values():
         several.sort(key=lambda one: (not enough(one.points), -len(one.sizes), -one.sizes[-1], one.how))
     return dict(found)
@@ -221,7 +255,7 @@
     missing: dict[str, list[Projection]] = defaultdict(list)
     over: dict[tuple[str, str], list[tuple[float, Projection]]] = defaultdict(list)
     for one in projections:
-        if one.limit is None:
+        if one.limit is None and one.row.module:
             continue
         if not one.row.module or not (root / one.row.module).exists():
             missing[one.row.module or one.row.since].append(one)
--- a/ponddoor/capacity/rows.py
+++ b/ponddoor/capacity/rows.py
@@ -106,7 +106,7 @@
         for under in CONDITIONS
     )
     follows = (
-        ("bytes for the configuration", "config.bytes", "B/s", "control-bytes"),
+        ("bytes for the configuration", "config.bytes.with-headers", "B/s", "control-bytes"),
         ("processor for the configuration", "config.cpu", "core", "control-core"),
     )
     config = tuple(
@@ -181,12 +181,18 @@
         (
             *(Row("changes committed", "config.changes", under, "fronts", "1/s", RAFT)
               for under in ("calm", "fast")),
-            *(Row("processor of the busiest", "config.instance-cpu", under, "fronts", "core", API, "instance")
+            *(Row(need, f"config.instance-{what}", under, "fronts", unit, API, limit)
+              for need, what, unit, limit in (
+                  ("processor of the busiest", "cpu", "core", "instance"),
+                  ("memory of the largest", "memory", "B", ""),
+                  ("bytes of the busiest", "bytes", "B/s", ""),
+              )
               for under in CHANGES),
-            *(Row("in force everywhere after", "config.in-force", under, "fronts", "s", FOLLOWER, "in-force")
+            *(Row("in force everywhere after", "config.in-force.all", under, "fronts", "s", FOLLOWER,
+                  "in-force")
               for under in CHANGES),
-            Row("in force everywhere after, fronts as they were", "config.in-force", "no-follow", "fronts",
-                "s", "", "in-force", since=FOLLOWER),
+            Row("fronts that ever have a change in force, as they were", "config.in-force", "no-follow",
+                "fronts", "fronts", "", since=FOLLOWER),
             *(Row("99.9% have it after", "config.in-force.p999", under, "fronts", "s", FOLLOWER, "in-force")
               for under in CHANGES),
             *(Row("most a second over the mean", "config.herd", under, "fronts", "times", FOLLOWER)
--- a/tests/capacity/test_projection.py
+++ b/tests/capacity/test_projection.py
@@ -72,8 +72,8 @@
 
 
 def test_a_time_that_was_not_reached_is_a_lower_bound_and_no_point_of_a_curve(target: Target) -> None:
-    held = records("config.in-force", "calm", "fronts", "s", SIZES, lambda n: 3.0)
-    held += records("config.in-force", "calm-unreached", "fronts", "s", (820,), lambda n: 8.0, 1)
+    held = records("config.in-force.all", "calm", "fronts", "s", SIZES, lambda n: 3.0)
+    held += records("config.in-force.all", "calm-unreached", "fronts", "s", (820,), lambda n: 8.0, 1)
     one = only(target, held)
     assert one.fit is None and one.more and one.verdict is Verdict.OPEN
 
@@ -96,6 +96,15 @@
     assert not series_of(tried)
 
 
+def test_runs_that_name_their_units_and_failures_otherwise_fill_the_same_rows(target: Target) -> None:
+    seen = records("control.bytes", "calm", "fronts", "bytes/s/front", (820,), lambda n: 90.0, how="sockets")
+    assert only(target, seen).figure == 90
+    know = records("know.zone.dead.99", "any-day", "fronts", "s", (820,), lambda n: 94.0, how="sockets")
+    assert project(target, know)["know.dead.p99", "zone", "fronts"][0].figure == 94
+    large = records("config.instance-memory", "calm", "fronts", "MB, most", (820,), lambda n: 55.0)
+    assert only(target, large).figure == pytest.approx(55e6)
+
+
 def test_another_unit_than_the_row_s_is_refused(target: Target) -> None:
     with pytest.raises(RecordError, match="control.cpu calm: records in s, expected core"):
         project(target, records("control.cpu", "calm", "fronts", "s", SIZES, lambda n: 1.0))
@@ -114,7 +123,7 @@
             (tmp_path / one.row.module).touch()
     found = ranking(every, target, tmp_path)
     assert [(one.first.row.what, one.missing) for one in found] == [
-        ("config.bytes", True), ("control.cpu", False), ("resize.stretch", False)]  # fmt: skip
+        ("config.bytes.with-headers", True), ("control.cpu", False), ("resize.stretch", False)]  # fmt: skip
     assert found[0].fronts == 1
     assert found[1].fronts == pytest.approx(100) and found[1].first.row.under == "roll"
     assert found[2].fronts == pytest.approx(0.2 / 1.4e-5 / target.sessions * 820)
