--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -232,6 +232,7 @@
         held = found.get((name, under, "fronts"))
         return f"{_figure(held[0])} ({_known(held[0])})" if held and held[0].series else Mark.NONE.value
 
+    each = found["decide.cpu", "request", "sessions"][0]
     rows = []
     for one in target.failures:
         under = _OF_FAILURES.get(one.name, "")
@@ -245,6 +246,7 @@
                 f"{one.fronts}",
                 "none loses its front" if apart else f"{_digits(reached)}; {_digits(often * reached)} a day",
                 "-" if apart else f"{one.fronts / (target.fronts - one.fronts):.1%}",
+                "-" if apart else _returned(target, one.fronts, each),
                 cell("know.dead.half", under),
                 cell("know.dead.p99", under),
                 cell("know.alive.p99", under),
@@ -252,11 +254,20 @@
             )
         )
     head = ("failure", "a day", "fronts lost", "viewers reached (reckoned)",
-            "more on each other front (reckoned)", "half of the others know after", "99% know after",
-            "once back, 99% know after", "once back, the configuration is in force after")  # fmt: skip
+            "more on each other front (reckoned)", "their requests decided there after (reckoned)",
+            "half of the others know after", "99% know after", "once back, 99% know after",
+            "once back, the configuration is in force after")  # fmt: skip
     return _table(head, rows)
 
 
+def _returned(target: Target, fronts: int, each: Projection) -> str:
+    """How long a core of each other front decides the requests of those who come back to it."""
+    if each.mark is Mark.NONE:
+        return Mark.NONE.value
+    requests = viewers_reached(target, fronts) / (target.fronts - fronts)
+    return f"{told(requests * each.figure, 's')} ({_known(each)})"
+
+
 def _machines(target: Target, found: Found) -> str:
     held = processes(target, found)
     if not held.counted:
