--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -324,13 +324,11 @@
         first = one.first
         needs = ", ".join(dict.fromkeys(p.row.need for p in one.projections))
         under = ", ".join(dict.fromkeys(p.row.under for p in one.projections))
-        limit = first.limit
+        bounds = list(dict.fromkeys(p.limit for p in one.projections if p.limit))
         if one.missing:
             since = first.row.since
             built = since and (root / since).exists()
             why = f"no mechanism before; since then `{since}`" if built else "no mechanism"
-            every = [p.limit for p in one.projections if p.limit]
-            limit = min(every, key=lambda each: not each.stated) if every else None
         else:
             why = f"{_figure(first)} at {_digits(first.size)} {first.row.of} ({_known(first)})"
         rows.append(
@@ -338,8 +336,8 @@
                 f"{number}",
                 f"{needs} ({under})",
                 why,
-                "" if limit is None else told(limit.most, limit.unit),
-                "operators" if limit is not None and limit.stated else "ours",
+                ", ".join(told(limit.most, limit.unit) for limit in bounds) or "-",
+                "operators" if any(limit.stated for limit in bounds) or one.missing else "ours",
                 f"{one.fronts:,.0f}",
             )
         )
