--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -329,6 +329,9 @@
             since = first.row.since
             built = since and (root / since).exists()
             why = f"no mechanism before; since then `{since}`" if built else "no mechanism"
+            why += "".join(
+                f"; {_figure(p)} {_known(p)}" for p in one.projections if not p.row.module and p.series
+            )
         else:
             why = f"{_figure(first)} at {_digits(first.size)} {first.row.of} ({_known(first)})"
         rows.append(
--- a/ponddoor/capacity/project.py
+++ b/ponddoor/capacity/project.py
@@ -226,8 +226,10 @@
     if series.unreached:
         return "not reached within the run"
     if not enough(series.points):
-        shown = f"{len(series.sizes)} sizes, {series.repetitions} repetitions"
-        return f"{shown}; {LEAST_SIZES} and {LEAST_REPETITIONS} are needed"
+        return (
+            f"sizes: {len(series.sizes)} of {LEAST_SIZES}, repetitions: {series.repetitions} of "
+            f"{LEAST_REPETITIONS} that a fit needs"
+        )
     return "no form fits"
 
 
@@ -290,8 +292,8 @@
     under the limit; what was not measured bounds nothing, and the page says so."""
     bounds: list[tuple[str, float, Projection]] = []
     cpu = _one(found, ("delivery.cpu", "delivering", "connections"))
-    if cpu is not None and cpu.figure > 0:
-        bounds.append(("processor of deliveries", target.sessions * target.fill / cpu.figure, cpu))
+    if cpu is not None and cpu.series is not None:
+        bounds.append(("processor of deliveries", _filled(target, cpu, cpu.series), cpu))
     for key, name in (
         (("delivery.p99", "delivering", "connections"), "99 in 100 deliveries in time"),
         (("resize.stretch", "all", "sessions"), "longest stretch of the loop"),
@@ -299,11 +301,12 @@
         one = _one(found, key)
         if one is None or one.series is None or one.limit is None:
             continue
-        from_size = one.over_from
-        if from_size is not None:
-            bounds.append((name, from_size, one))
-        elif one.mark is Mark.LAST:
-            bounds.append((name, one.series.sizes[-1], one))  # no more is claimed than what was measured
+        if one.fit is None:
+            # No more is claimed than what was measured to be in time; the least size where none was.
+            within = [size for size in one.series.sizes if one.series.mean(size) <= one.limit.most]
+            bounds.append((name, max(within, default=one.series.sizes[0]), one))
+        elif one.over_from is not None:
+            bounds.append((name, one.over_from, one))
     needed = max((ceil(target.sessions / bound) for _, bound, _ in bounds), default=0)
     memory = _one(found, ("viewers.memory", "delivering", "connections"))
     total = 0.0
@@ -312,6 +315,21 @@
     return Processes(tuple(bounds), needed, total)
 
 
+def _filled(target: Target, cpu: Projection, series: Series) -> float:
+    """The connections at which one process spends the `fill` of a core on its deliveries."""
+
+    def spent(connections: float) -> float:
+        return at_size(cpu.row, connections, series, None).figure * connections / target.each
+
+    low, high = 1.0, target.sessions
+    if spent(high) <= target.fill:
+        return high
+    for _ in range(60):
+        middle = (low + high) / 2
+        low, high = (low, middle) if spent(middle) > target.fill else (middle, high)
+    return low
+
+
 def _one(found: Mapping[Key, list[Projection]], key: Key) -> Projection | None:
     held = found.get(key)
     return held[0] if held and held[0].mark is not Mark.NONE else None
--- a/tests/capacity/test_projection.py
+++ b/tests/capacity/test_projection.py
@@ -138,5 +138,9 @@
     assert found.needed == 6  # 10,000 connections by the percentile; 25,519 by the processor
     assert found.memory == pytest.approx(6 * 4e7 + 2e4 * target.sessions, rel=0.01)
     assert not processes(target, project(target, [])).counted
+    growing = records("delivery.cpu", "delivering", "connections", "s", sizes, lambda n: 1e-8 * n)
+    assert processes(target, project(target, growing)).needed == 3  # a core is half full at 22,592
+    few = records("delivery.p99", "delivering", "connections", "s", (1e3, 1e4, 2e4), lambda n: 1.9e-5 * n)
+    assert processes(target, project(target, few)).needed == 6  # 10,000 were in time; 20,000 were not
     tight = replace(target, delivery_within=100_000)
     assert processes(tight, project(tight, held)).needed == 12
