--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -18,6 +18,7 @@
 import structlog
 
 from ponddoor.capacity.commands import capacity as capacity_commands
+from ponddoor.capacity.measure_commands import measure as measure_capacity
 from ponddoor.config.commands import config as config_commands
 from ponddoor.config.commands import raft as raft_commands
 from ponddoor.settings.sexpr import SettingsError
@@ -741,6 +742,7 @@
         click.echo(made(main, {}, "ponddoor", "_PONDDOOR_COMPLETE").source())
 
 
+capacity_commands.add_command(measure_capacity)
 main.add_command(capacity_commands)
 main.add_command(config_commands)
 main.add_command(raft_commands)
