--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -35,6 +35,7 @@
     "zone": "zone",
     "apart": "apart-3600",
 }
+_PATH = re.compile(r"(?<=\s)/\S*/(?=docs/)")
 MOST_BYTES = 4_000_000
 Found = Mapping[Key, list[Projection]]
 
@@ -391,7 +392,8 @@
 def _sources(files: Mapping[str, list[Record]]) -> str:
     rows = []
     for name, records in files.items():
-        commands = list(dict.fromkeys(record.command for record in records))
+        # Where a file lay on the machine that measured says nothing to who measures anew.
+        commands = list(dict.fromkeys(_PATH.sub("", record.command) for record in records))
         more = f" and {len(commands) - 1} more" if len(commands) > 1 else ""
         rows.append(
             (
