API: a version's place and digest, apart in beats, reports of fronts in one table of routes

Fronts are to follow the committed configuration by the watch as it stands. What it lacked: the place of a new item (service groups are known by their order), the digest of the whole state (of versions, and of /config/file in Config-Digest), and whether the instance hears a leader (raft/core.py: apart, after 2 s without a leader that leads; a usual election is over sooner). A line is encoded once a version. POST /config/fronts takes a front's report, GET /config/fronts tells them; config/rollout.py merges them by (life, number). Difference keeps its form.

--- a/ponddoor/config/api.py
+++ b/ponddoor/config/api.py
@@ -2,7 +2,10 @@
 
 Versions are entity tags with If-Match and If-None-Match (RFC 9110), problems are problem details (RFC 9457),
 a repeat under one Idempotency-Key is answered as the first. What only a leader can do is redirected there
-(307). The routes are one table, from which requests are dispatched and the OpenAPI document is made."""
+(307). The routes are one table, from which requests are dispatched and the OpenAPI document is made.
+
+Fronts follow by the watch, and tell by reports what they have in force (rollout.py). A version's line is made
+once, however many watch."""
 
 import asyncio
 import re
@@ -13,16 +16,18 @@
 
 import msgspec
 
-from ponddoor.config.machine import Change, Machine, Outcome, Version, shown
+from ponddoor.config.machine import MOST_HISTORY, Change, Machine, Outcome, Version, shown
+from ponddoor.config.rollout import Report, Reports, Row, Told
 from ponddoor.raft.core import Member, Members, as_voter, with_learner, without
 from ponddoor.raft.member import ClusterMember, NotTakenError
 from ponddoor.web.server import Reply, Request
 from ponddoor.web.timing import within
 
 ANSWER_WITHIN = 5.0
-MOST_WATCHERS = 500
+MOST_WATCHERS = 1000  # 820 fronts at the one instance that is left, and people
 WATCH_AHEAD = 100
 PAGE, MOST_PAGE = 100, 1000
+MOST_FRONT = 65_535
 _BEAT = 1.0
 STATUS = {"stale": 412, "no-such-key": 404, "malformed": 422, "unusable": 422, "changes-nothing": 200,
           "ident-used-otherwise": 422, "not-leading": 503, "handing-over": 503, "too-many-proposals": 503,
@@ -121,7 +126,11 @@
     Route("POST", "/config/rollback", "rollback", "Make things as they were, as a new version", Back,
           ("dry-run",), _WRITES),
     Route("GET", "/config/watch", "watch", "Versions after one, as they are committed: a JSON object a line",
-          query=("after",), answers=(200, 410, 503)),
+          query=("after", "front"), answers=(200, 410, 503)),
+    Route("POST", "/config/fronts", "report", "What a front has in force, told by itself", Report,
+          answers=(204, 409, 422, 503)),
+    Route("GET", "/config/fronts", "fronts", "What fronts have told this member, a page at a time",
+          query=("after", "limit")),
     Route("GET", "/config/items/{key}", "item", "One key", answers=(200, 304, 404)),
     Route("PUT", "/config/items/{key}", "put", "Set one key", Put, ("dry-run",), _WRITES),
     Route("DELETE", "/config/items/{key}", "drop", "Take one key out", Drop, ("dry-run",), _WRITES),
@@ -170,9 +179,19 @@
 
 
 def _described(status: int) -> str:
-    return {200: "done", 304: "not changed", 307: "the leader answers", 404: "not there", 409: "not now",
-            410: "not kept any more", 412: "at another version", 422: "can't be used", 503: "not now",
-            504: "not known whether it was committed"}[status]  # fmt: skip
+    return {200: "done", 204: "taken", 304: "not changed", 307: "the leader answers", 404: "not there",
+            409: "not now", 410: "not kept any more", 412: "at another version", 422: "can't be used",
+            503: "not now", 504: "not known whether it was committed"}[status]  # fmt: skip
+
+
+@dataclass(slots=True, eq=False)
+class Watcher:
+    """Whoever follows the versions; `front` is None where none is named. None in the queue ends its
+    stream."""
+
+    front: int | None
+    queue: "asyncio.Queue[bytes | None]" = field(default_factory=asyncio.Queue)
+    last: int = 0  # the newest version in the queue
 
 
 @dataclass(slots=True)
@@ -182,11 +201,18 @@
     member: ClusterMember
     apis: dict[Member, tuple[str, int]]
     wall: Callable[[], int] = lambda: time.time_ns() // 1000
-    watchers: set["asyncio.Queue[Version | None]"] = field(default_factory=set)
+    clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000
+    most_watchers: int = MOST_WATCHERS
+    watchers: set[Watcher] = field(default_factory=set)
     dropped_watchers: int = 0
+    reports: Reports = field(default_factory=Reports)
+    _named: dict[int, Watcher] = field(default_factory=dict)  # by front
+    _encoded: dict[int, bytes] = field(default_factory=dict)  # lines of the newest versions
+    _beat: tuple[tuple[int, bool], bytes] = ((-1, False), b"")
+    _since: tuple[int, int] = (0, 0)  # the newest version, and when it was applied here
 
     def __post_init__(self) -> None:
-        self.member.committed = self._committed
+        self.member.committed, self.member.restored = self._committed, self._restored
 
     @property
     def machine(self) -> Machine:
@@ -204,7 +230,7 @@
                     allowed.append(route.method)
                     continue
                 work: Callable[..., Awaitable[Reply]] = getattr(self, f"_{route.name}")
-                body = [_decoded(request.body, route.body)] if route.body is not None else []
+                body = [self._body(request, route)] if route.body is not None else []
                 return await work(request, *found.groups(), *body)
             if allowed:
                 raise ProblemError(405, "method", headers=(("Allow", ", ".join(allowed)),))
@@ -214,6 +240,15 @@
         except NotTakenError as problem:
             return self._not_taken(problem, request).reply()
 
+    def _body(self, request: Request, route: Route) -> msgspec.Struct:
+        assert route.body is not None
+        try:
+            return _decoded(request.body, route.body)
+        except ProblemError:
+            if route.body is Report:
+                self.reports.count("bad")
+            raise
+
     def _not_taken(self, problem: NotTakenError, request: Request) -> ProblemError:
         status = STATUS.get(problem.why, 503)
         leader = self.apis.get(problem.leader) if problem.leader is not None else None
@@ -243,8 +278,10 @@
         return Reply(200, {"key": key, "text": item.text, "version": item.version}, (("ETag", tag),))
 
     async def _file(self, request: Request) -> Reply:
-        headers = (("Content-Type", "text/plain; charset=utf-8"), ("ETag", _tag(self.machine.number)))
-        return Reply(200, shown(self.machine.items).encode(), headers)
+        machine = self.machine  # text, version and digest are of one moment: nothing is awaited between them
+        headers = (("Content-Type", "text/plain; charset=utf-8"), ("ETag", _tag(machine.number)),
+                   ("Config-Digest", machine.digest))  # fmt: skip
+        return Reply(200, shown(machine.items).encode(), headers)
 
     async def _history(self, request: Request) -> Reply:
         after, limit = _whole(request, "after", 0), _whole(request, "limit", PAGE, MOST_PAGE)
@@ -258,7 +295,8 @@
             steps = self.machine.difference(_whole(request, "from", max(new - 1, 0)), new)
         except KeyError as problem:
             raise ProblemError(404, "no-such-version", str(problem.args[0])) from None
-        return Reply(200, {"steps": [msgspec.to_builtins(step) for step in steps]})
+        rows = [{"key": step.key, "before": step.before, "after": step.after} for step in steps]
+        return Reply(200, {"steps": rows})
 
     async def _openapi(self, request: Request) -> Reply:
         return Reply(200, openapi())
@@ -364,41 +402,125 @@
     # Watching
 
     def _committed(self, version: Version) -> None:
-        for queue in list(self.watchers):
-            if queue.qsize() < WATCH_AHEAD:
-                queue.put_nowait(version)
-            else:  # it is too far behind: its stream ends, and it comes again from where it was
-                self.dropped_watchers += 1
-                self.watchers.discard(queue)
-                queue.put_nowait(None)
+        self._since = (version.number, self.clock())
+        line = self._line(version)
+        for watcher in list(self.watchers):
+            self._queue(watcher, version.number, line)
+
+    def _restored(self) -> None:
+        """A snapshot has brought several versions at once: who watches is told those that are kept."""
+        self._encoded.clear()
+        self._since = (self.machine.number, self.clock())
+        for watcher in list(self.watchers):
+            self._catch_up(watcher)
+
+    def _catch_up(self, watcher: Watcher) -> None:
+        if watcher.last < self._oldest():
+            self._end(watcher)  # some are not kept: it comes again and is told so
+            return
+        for version in self.machine.history:
+            if version.number > watcher.last:
+                self._queue(watcher, version.number, self._line(version), MOST_HISTORY)
+
+    def _queue(self, watcher: Watcher, number: int, line: bytes, most: int = WATCH_AHEAD) -> None:
+        if watcher.queue.qsize() < most:
+            watcher.queue.put_nowait(line)
+            watcher.last = number
+        else:  # it is too far behind: its stream ends, and it comes again from where it was
+            self.dropped_watchers += 1
+            self._end(watcher)
+
+    def _end(self, watcher: Watcher) -> None:
+        self._forget(watcher)
+        watcher.queue.put_nowait(None)
+
+    def _forget(self, watcher: Watcher) -> None:
+        self.watchers.discard(watcher)
+        if watcher.front is not None and self._named.get(watcher.front) is watcher:
+            del self._named[watcher.front]
+
+    def _oldest(self) -> int:
+        """The oldest version after which all are kept."""
+        return self.machine.history[0].number - 1 if self.machine.history else self.machine.number
+
+    def _line(self, version: Version) -> bytes:
+        line = self._encoded.get(version.number)
+        if line is None:
+            told = {**_row(version), "steps": version.steps}
+            told |= {"digest": version.digest} if version.digest else {}
+            line = msgspec.json.encode(told) + b"\n"
+            if version.number > self.machine.number - WATCH_AHEAD:
+                self._encoded[version.number] = line
+            for number in [n for n in self._encoded if n <= self.machine.number - WATCH_AHEAD]:
+                del self._encoded[number]
+        return line
+
+    def _beat_line(self) -> bytes:
+        about = (self.machine.number, self.member.apart)
+        if about != self._beat[0]:
+            self._beat = (about, msgspec.json.encode({"beat": about[0], "apart": about[1]}) + b"\n")
+        return self._beat[1]
 
     async def _watch(self, request: Request) -> Reply:
         after = _whole(request, "after", self.machine.number)
-        oldest = self.machine.history[0].number - 1 if self.machine.history else self.machine.number
+        front = _whole(request, "front", -1, MOST_FRONT)
+        oldest = self._oldest()
         if not oldest <= after <= self.machine.number:
             raise ProblemError(410, "not-kept", f"versions after {oldest} to {self.machine.number} are")
-        if len(self.watchers) >= MOST_WATCHERS:
+        if len(self.watchers) >= self.most_watchers:
             raise ProblemError(503, "too-many-watchers", headers=(("Retry-After", "1"),))
-        queue: asyncio.Queue[Version | None] = asyncio.Queue()
-        for version in self.machine.history:
-            if version.number > after:
-                queue.put_nowait(version)
-        self.watchers.add(queue)
-        return Reply(200, lines=self._lines(queue))
-
-    async def _lines(self, queue: "asyncio.Queue[Version | None]") -> AsyncIterator[bytes]:
+        watcher = Watcher(front if front >= 0 else None, last=after)
+        if watcher.front is not None:
+            before = self._named.get(watcher.front)
+            if before is not None:  # guards against what a cut left behind: a front watches once
+                self._end(before)
+            self._named[watcher.front] = watcher
+        self.watchers.add(watcher)
+        self._catch_up(watcher)
+        return Reply(200, lines=self._lines(watcher))
+
+    async def _lines(self, watcher: Watcher) -> AsyncIterator[bytes]:
         try:
+            if watcher.queue.empty():
+                yield self._beat_line()  # at once: whoever comes learns whether this member is apart
             while True:
                 try:
-                    version = await within(_BEAT, queue.get())
+                    line = await within(_BEAT, watcher.queue.get())
                 except TimeoutError:
-                    yield msgspec.json.encode({"beat": self.machine.number}) + b"\n"
-                    continue
-                if version is None:
+                    line = self._beat_line()
+                if line is None:
                     return
-                yield msgspec.json.encode({**_row(version), "steps": version.steps}) + b"\n"
+                yield line
         finally:
-            self.watchers.discard(queue)
+            self._forget(watcher)
+
+    # What fronts have in force
+
+    async def _report(self, request: Request, body: Report) -> Reply:
+        why = self.reports.take(self.clock(), body)
+        if why:
+            status, headers = (409, ()) if why == "old" else (503, (("Retry-After", "60"),))
+            raise ProblemError(
+                status, f"{why}-report" if why == "old" else "too-many-fronts", headers=headers
+            )
+        return Reply(204)
+
+    async def _fronts(self, request: Request) -> Reply:
+        after, limit = _whole(request, "after", -1), _whole(request, "limit", PAGE, MOST_PAGE)
+        held, now, machine = self.reports.held, self.clock(), self.machine
+        numbers = sorted(number for number in {*held, *self._named} if number > after)
+        rows = [self._front(number, now) for number in numbers[:limit]]
+        since = (now - self._since[1]) // 1000 if self._since[0] == machine.number and machine.number else -1
+        more = numbers[limit - 1] if len(numbers) > limit else None
+        told = Told(
+            self.member.identity.me, machine.number, machine.digest, since, self.member.apart, rows, more,
+            {**self.reports.counts, "dropped-watchers": self.dropped_watchers},
+        )  # fmt: skip
+        return Reply(200, told)
+
+    def _front(self, number: int, now: int) -> Row:
+        report, came = self.reports.held.get(number, (None, now))
+        return Row(number, number in self._named, (now - came) // 1000, report)
 
 
 def _row(version: Version) -> dict[str, Any]:
--- a/ponddoor/config/machine.py
+++ b/ponddoor/config/machine.py
@@ -58,16 +58,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """What one version changed of a key; None where it was not there, or is not any more."""
+    """What one version changed of a key; None where it was not there, or is not any more. `place` is the
+    item's after it, so that of two that are new each copy of the configuration puts the same one first."""
 
     key: str
     before: str | None
     after: str | None
+    place: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Version:
-    """One version: its number, the index of its entry, and where it came from."""
+    """One version: its number, the index of its entry, and where it came from. `digest` is of the whole
+    configuration as of it; empty for those that an earlier release kept."""
 
     number: int
     index: int
@@ -75,6 +78,16 @@
     why: str
     when_us: int
     steps: tuple[Step, ...]
+    digest: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Made:
+    """What a change would make of the configuration."""
+
+    items: dict[str, Item]
+    site: Site
+    digest: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +110,7 @@
     items: dict[str, Item] = field(default_factory=dict)
     history: deque[Version] = field(default_factory=lambda: deque(maxlen=MOST_HISTORY))
     site: Site | None = None
+    digest: str = ""  # of all items, as `digest_of` has it; empty while there are none
     idents: dict[str, tuple[int, bytes]] = field(default_factory=dict)  # ident: its version, what was sent
 
     def tried(self, change: Change) -> Outcome:
@@ -113,21 +127,21 @@
         if known is not None:
             same = known[1] == _digest(change)
             return Outcome(known[0], "repeated") if same else Outcome(0, "ident-used-otherwise")
-        outcome, items, site = self._work_out(change)
-        if not outcome.version:
+        outcome, made = self._work_out(change)
+        if made is None:
             return outcome
         if change.ident:
             self.idents[change.ident] = (outcome.version, _digest(change))
             if len(self.idents) > MOST_IDENTS:
                 del self.idents[next(iter(self.idents))]
-        touched = sorted({*change.sets, *change.drops})
+        touched, items = sorted({*change.sets, *change.drops}), made.items
         steps = tuple(
-            Step(key, self._text(self.items, key), self._text(items, key))
+            Step(key, self._text(self.items, key), self._text(items, key), self._place(items, key))
             for key in touched
             if self._text(self.items, key) != self._text(items, key)
         )
-        self.number, self.items, self.site = outcome.version, items, site
-        version = Version(outcome.version, index, change.who, change.why, change.when_us, steps)
+        self.number, self.items, self.site, self.digest = outcome.version, items, made.site, made.digest
+        version = Version(outcome.version, index, change.who, change.why, change.when_us, steps, made.digest)
         self.history.append(version)
         return outcome
 
@@ -135,16 +149,20 @@
         item = items.get(key)
         return None if item is None else item.text
 
-    def _work_out(self, change: Change) -> tuple[Outcome, dict[str, Item], Site | None]:
+    def _place(self, items: Mapping[str, Item], key: str) -> int:
+        item = items.get(key)
+        return 0 if item is None else item.place
+
+    def _work_out(self, change: Change) -> tuple[Outcome, _Made | None]:
         stale = tuple(
             (key, self._at(key)) for key, wanted in sorted(change.needs.items()) if self._at(key) != wanted
         )
         if stale:
             # Guards against a change that was thought out on what is not there any more: it is not merged.
-            return Outcome(0, "stale", stale=stale), {}, None
+            return Outcome(0, "stale", stale=stale), None
         missing = tuple(key for key in change.drops if key not in self.items)
         if missing:
-            return Outcome(0, "no-such-key", missing), {}, None
+            return Outcome(0, "no-such-key", missing), None
         number, items = self.number + 1, dict(self.items)
         problems: list[str] = []
         for key in sorted(change.drops):
@@ -160,15 +178,16 @@
         if len(items) > MOST_KEYS:
             problems.append(f"{len(items)} keys, {MOST_KEYS} at most")
         if problems:
-            return Outcome(0, "malformed", tuple(problems)), {}, None
+            return Outcome(0, "malformed", tuple(problems)), None
         if all(self._text(items, key) == self._text(self.items, key) for key in {*items, *self.items}):
-            return Outcome(0, "changes-nothing"), {}, None
+            return Outcome(0, "changes-nothing"), None
         try:
-            site = check([assembled(items)], "<configuration>", self.folder)
+            whole = assembled(items)
+            site = check([whole], "<configuration>", self.folder)
         except SettingsError as problem:
             told = tuple(f"{one.found}, expected {one.expected}" for one in problem.problems)
-            return Outcome(0, "unusable", told), {}, None
-        return Outcome(number), items, site
+            return Outcome(0, "unusable", told), None
+        return Outcome(number), _Made(items, site, digest_of(whole))
 
     def _at(self, key: str) -> int:
         item = self.items.get(key)
@@ -232,10 +251,12 @@
             items = {k: Item(str(text), int(at), int(place)) for k, (text, at, place) in raw["items"].items()}
             history = msgspec.convert(raw["history"], list[Version])
             idents = {ident: (int(at), bytes(digest)) for ident, (at, digest) in raw["idents"].items()}
-            site = check([assembled(items)], "<configuration>", self.folder) if items else None
+            whole = assembled(items) if items else None
+            site = check([whole], "<configuration>", self.folder) if whole is not None else None
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError, SettingsError) as problem:
             raise MalformedError(f"a snapshot that can't be read: {problem}") from None
         self.number, self.items, self.site = int(raw["number"]), items, site
+        self.digest = digest_of(whole) if whole is not None else ""
         self.history, self.idents = deque(history, maxlen=MOST_HISTORY), idents
 
 
@@ -327,6 +348,12 @@
     return Listing((*names, *(Listing(tuple(parts), NOWHERE) for parts in top.values())), NOWHERE)
 
 
+def digest_of(listing: Listing) -> str:
+    """The digest of a whole configuration, as `assembled` or read from a file: of its text without spaces
+    and comments, so that all who hold the same have the same."""
+    return xxhash.xxh3_64_hexdigest(str(listing))
+
+
 def _number(key: str) -> int:
     """The number of a part that is named by one: front 10 follows front 9, whenever it was added."""
     inner = key.partition("/")[2]
--- a/ponddoor/raft/core.py
+++ b/ponddoor/raft/core.py
@@ -82,6 +82,7 @@
     reads: int = 1000
     clients: int = 10_000
     caught_up: int = 16  # a learner so few entries behind may be made a voter
+    apart: int = 40  # without a leader that leads for so long, a member is apart; an election takes less
 
 
 # Messages
@@ -299,6 +300,7 @@
         self.votes: dict[Member, bool] = {}
         self.standing_pre = False
         self.elapsed = self.timeout = 0
+        self.alone = 0  # ticks since it last was, or knew, a leader with a majority
         self.beat = self.round = 0
         self.reads: deque[Reading] = deque()
         self.transfer: Member | None = None
@@ -395,6 +397,7 @@
 
     def tick(self) -> list[Effect]:
         """A tick of the clock has passed."""
+        self.alone = 0 if self._in_touch() else self.alone + 1
         if self.role is not Role.LEADER:
             self.elapsed += 1
             if self.elapsed >= self.timeout and self.me in self.members.voters:
@@ -404,8 +407,7 @@
         for progress in self.progress.values():
             progress.heard += 1
             progress.waits += 1
-        heard = sum(self.progress[m].heard <= self.limits.election for m in self._other_voters())
-        if heard + (self.me in self.members.voters) < self.members.quorum():
+        if not self._heard_by_majority():
             # Guards against a leader that is cut off and does not know (6.2): clients must look elsewhere.
             return self._follow(self.term, None)
         if self.transfer is not None:
@@ -418,6 +420,23 @@
             out += self._round()
         return out
 
+    def _heard_by_majority(self) -> bool:
+        """Whether a majority has answered this leader lately."""
+        heard = sum(self.progress[m].heard <= self.limits.election for m in self._other_voters())
+        return heard + (self.me in self.members.voters) >= self.members.quorum()
+
+    def _in_touch(self) -> bool:
+        """Whether it leads a majority, or has heard a leader lately."""
+        if self.role is Role.LEADER:
+            return self._heard_by_majority()
+        return self.leader is not None and self.elapsed <= self.limits.election
+
+    @property
+    def apart(self) -> bool:
+        """Whether what it knows to be committed may be old: for a while it has neither heard a leader nor led
+        a majority. A usual election is over sooner, so one that dies sends nobody elsewhere."""
+        return self.alone >= self.limits.apart
+
     def _other_voters(self) -> list[Member]:
         return [member for member in sorted(self.members.voters) if member != self.me]
 
--- a/ponddoor/raft/member.py
+++ b/ponddoor/raft/member.py
@@ -73,7 +73,7 @@
 @dataclass(slots=True)
 class ClusterMember:
     """One member. `start`, then `change`, `read` and `members`, then `stop`. `committed` is told each
-    version."""
+    version, `restored` that a snapshot has brought several at once."""
 
     identity: Identity
     first: Members  # who begins the cluster; what the journal says later counts more
@@ -81,6 +81,7 @@
     folder: Path
     limits: Limits = field(default_factory=Limits)
     committed: Callable[[Version], None] = lambda version: None
+    restored: Callable[[], None] = lambda: None
     machine: Machine = field(default_factory=Machine)
     raft: Raft = field(init=False)
     transport: Transport = field(init=False)
@@ -162,6 +163,11 @@
         self.addresses = addresses
         self.transport.know(addresses)
 
+    @property
+    def apart(self) -> bool:
+        """Whether what is committed elsewhere may not come here: no leader with a majority is known."""
+        return bool(self.failed) or self.raft.apart
+
     def status(self) -> dict[str, Any]:
         """For operators."""
         raft = self.raft
@@ -169,6 +175,7 @@
             "me": raft.me, "role": raft.role.value, "leader": raft.leader, "term": raft.term,
             "last": raft.last_index, "commit": raft.commit, "applied": raft.applied,
             "snapshot": raft.snapshot.index, "version": self.machine.number, "failed": self.failed,
+            "apart": self.apart,
             "voters": sorted(raft.members.voters), "learners": sorted(raft.members.learners),
             "match": {str(member): progress.match for member, progress in raft.progress.items()},
             "heard_ticks": {str(member): progress.heard for member, progress in raft.progress.items()},
@@ -256,6 +263,7 @@
                 self.machine.restore(snapshot.data)
                 self._applied = snapshot.index
                 self._lose_old(snapshot.index)
+                self.restored()
             case Accepted(ticket, index, term):
                 if ticket in self._calls:
                     self._calls[ticket].index, self._calls[ticket].term = index, term
