Configuration: a digest of a state, forms that are parsed once, the word a front tells

For fronts that follow: digest_of is the same whichever form comes first in a file, since a front that took the whole state knows places only by their order. assembled takes parsed forms where they are at hand: 26 items cost 5 ms to parse each time otherwise.

--- a/ponddoor/config/machine.py
+++ b/ponddoor/config/machine.py
@@ -259,6 +259,11 @@
 
 def formed(key: str, text: str) -> str:
     """The text of an item as it is kept: one form, that its key names. Raises MalformedError."""
+    return str(form_of(key, text))
+
+
+def form_of(key: str, text: str) -> Listing:
+    """The form of an item, that its key names. Raises MalformedError."""
     outer, _, inner = key.partition("/")
     if len(text) > MOST_TEXT:
         raise MalformedError(f"{key}: {len(text)} characters, {MOST_TEXT} at most")
@@ -275,7 +280,7 @@
         raise MalformedError(f"{key}: ({head} {_own_name(nodes[0])} ...), expected ({head} {inner} ...)")
     if not inner and outer in NESTED and any(_part(outer, node) for node in nodes[0].items):
         raise MalformedError(f"{key}: a ({NESTED[outer]} ...) in it, expected it under {outer}/NAME")
-    return str(nodes[0])
+    return nodes[0]
 
 
 def _part(outer: str, node: Node) -> bool:
@@ -311,13 +316,14 @@
     return items
 
 
-def assembled(items: Mapping[str, Item]) -> Listing:
-    """The site file that the items make, in the order of their places; numbered parts by number."""
+def assembled(items: Mapping[str, Item], forms: Mapping[str, Listing] | None = None) -> Listing:
+    """The site file that the items make, in the order of their places; numbered parts by number. `forms` has
+    the parsed form of each item where they are at hand."""
     top: dict[str, list[Node]] = {}
     names: list[Node] = [word("site")]
     for key in sorted(items, key=lambda key: (_number(key), items[key].place, key)):
         outer, _, inner = key.partition("/")
-        [node] = parse(items[key].text, key)
+        [node] = parse(items[key].text, key) if forms is None else [forms[key]]
         if key == "site":
             names += node.items[1:]
         elif inner:
@@ -327,6 +333,14 @@
     return Listing((*names, *(Listing(tuple(parts), NOWHERE) for parts in top.values())), NOWHERE)
 
 
+def digest_of(listing: Listing) -> str:
+    """What two copies of one state have in common: their forms, whichever comes first in the file. The order
+    of parts within a form counts: service groups and tenants are known by it."""
+    forms = sorted((node for node in listing.items if isinstance(node, Listing)), key=lambda node: node.head)
+    names = tuple(node for node in listing.items if not isinstance(node, Listing))
+    return xxhash.xxh3_64_hexdigest(str(Listing((*names, *forms), NOWHERE)))
+
+
 def _number(key: str) -> int:
     """The number of a part that is named by one: front 10 follows front 9, whenever it was added."""
     inner = key.partition("/")[2]
