--- a/ponddoor/front/coming.py
+++ b/ponddoor/front/coming.py
@@ -47,6 +47,7 @@
     grace: int
     seed: int
     step: int = SECOND  # the longest wait after the first failure; less where the rules leave less
+    even: int = 0  # the period of tries in a long outage, at a place by number; 0: waits that grow
     tries: int = 0  # that failed since anything was heard
     losses: dict[str, int] = field(default_factory=dict)
     out_since: int | None = None
@@ -78,10 +79,19 @@
         if first:  # all that had it lose it together
             return now + max(stay_away, LEAST) + self._place(left // 3)
         self.tries = min(self.tries + 1, 30)
+        if self.even and now - self.out_since >= MOVED:
+            return self._next_even(now, stay_away)
         wait = self._chance.draw(self._cap(now, left))
         # Who is told when to come back is told the same as all others: chance goes on top
         return now + stay_away + max(wait, LEAST)
 
+    def _next_even(self, now: int, stay_away: int) -> int:
+        """The next moment of this front's own in each period. Guards against a fleet that was cut off
+        together and comes back in one second: its tries stay as even as its numbers are."""
+        assert self.out_since is not None
+        since, mine = now + stay_away + LEAST - self.out_since, self.even * self.me // max(self.fronts, 1)
+        return self.out_since + mine + -(-(since - mine) // self.even) * self.even
+
     def _cap(self, now: int, left: int) -> int:
         """The longest wait: grown with each failure, short of what the rules leave until that has passed."""
         assert self.out_since is not None
