--- a/ponddoor/config/api.py
+++ b/ponddoor/config/api.py
@@ -466,7 +466,8 @@
         front = _whole(request, "front", -1, MOST_FRONT)
         oldest = self._oldest()
         if not oldest <= after <= self.machine.number:
-            raise ProblemError(410, "not-kept", f"versions after {oldest} to {self.machine.number} are")
+            kept = f"versions after {oldest} to {self.machine.number} are"
+            raise ProblemError(410, "not-kept", kept, (("ETag", _tag(self.machine.number)),))
         if len(self.watchers) >= self.most_watchers:
             raise ProblemError(503, "too-many-watchers", headers=(("Retry-After", "1"),))
         watcher = Watcher(front if front >= 0 else None, last=after)
--- a/ponddoor/config/commands.py
+++ b/ponddoor/config/commands.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import getpass
+import resource
 import secrets
 import signal
 import sys
@@ -14,15 +15,18 @@
 
 import click
 import msgspec
+import structlog
 
-from ponddoor.config.api import Api
+from ponddoor.config.api import MOST_WATCHERS, Api
 from ponddoor.config.machine import Machine, MalformedError, taken_apart
+from ponddoor.config.rollout import Rollout, Told, lines, merged, to_json
 from ponddoor.raft.core import Members
 from ponddoor.raft.member import ClusterMember, ForeignDiskError
 from ponddoor.raft.storage import UnknownRecordError
 from ponddoor.raft.wire import Identity
+from ponddoor.settings.check import TIMES, Form
 from ponddoor.settings.cluster import ClusterFile, load_cluster
-from ponddoor.settings.sexpr import SettingsError, read
+from ponddoor.settings.sexpr import Atom, Listing, Place, Problem, SettingsError, read
 from ponddoor.store.files import DiskError, LockedError
 from ponddoor.store.journal import DamagedError
 from ponddoor.web.client import Answer, BrokenError, LateError, NotSentError, Pool
@@ -30,6 +34,10 @@
 
 TRIES = 20
 PAUSE = 0.3
+log = structlog.get_logger("config")
+ASK_AGAIN = 0.25  # s, between two rounds over all instances
+CONNECTIONS = 2000  # of one instance: each of 820 fronts has a watch, and a report now and then
+BESIDE = 64  # descriptors for the journal, the peers and the rest
 
 
 class Client:
@@ -256,6 +264,74 @@
     asyncio.run(follow())
 
 
+@config.command()
+@CLUSTER
+@click.option("--version", type=click.IntRange(min=1), help="Which version; the newest if left out.")
+@click.option(
+    "--within", default="9s", show_default=True, help="How long it is waited for: a time with unit."
+)
+@click.option("--fronts", type=click.IntRange(1, 65_536), help="So many fronts there are, numbered from 0.")
+@JSON
+def rollout(cluster: Path, version: int | None, within: str, fronts: int | None, as_json: bool) -> None:
+    """How many fronts have a version in force, who has not, since when; exit 1 if not all have it in time."""
+    held: ClusterFile = _usable(lambda: load_cluster(cluster))
+    limit = _time(within)
+
+    async def ask(number: int) -> list[Told] | str:
+        """All pages of one instance, or why it can't be asked."""
+        pool, pages, after = Pool(*held.members[number].api, 1, 1.0, most_body=4_000_000), list[Told](), -1
+        try:
+            while True:
+                query = f"?after={after}&limit=1000" if after >= 0 else "?limit=1000"
+                answer = await pool.request("GET", f"/config/fronts{query}", None, 2.0)
+                if answer.status != 200:
+                    return f"status {answer.status}"
+                page = msgspec.json.decode(answer.body, type=Told)
+                pages.append(page)
+                if page.next is None or page.next <= after:
+                    return pages
+                after = page.next
+        except (NotSentError, BrokenError, LateError, msgspec.MsgspecError) as problem:
+            return str(problem)
+        finally:
+            pool.close()
+
+    async def ask_all() -> Rollout:
+        numbers = sorted(held.members)
+        got = await asyncio.gather(*map(ask, numbers))
+        told = [page for pages in got if not isinstance(pages, str) for page in pages]
+        out = {number: why for number, why in zip(numbers, got, strict=True) if isinstance(why, str)}
+        return merged(told, out, version, fronts)
+
+    async def work() -> Rollout:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit
+        while True:
+            found = await ask_all()
+            if found.whole or loop.time() >= end:
+                return found
+            await asyncio.sleep(min(ASK_AGAIN, max(end - loop.time(), 0)))
+
+    found = asyncio.run(work())
+    if as_json:
+        click.echo(msgspec.json.encode(to_json(found)))
+    else:
+        for line in lines(found):
+            click.echo(line)
+    sys.exit(0 if found.whole else 1)
+
+
+def _time(text: str) -> float:
+    """Seconds of a time with its unit; exit 2 where it is none."""
+    problems: list[Problem] = []
+    atom = Atom(text, False, Place("--within", 1, 1))
+    got = Form(Listing((), atom.place), problems).measure(atom, TIMES, 0, 3_600_000_000)
+    if got is None:
+        click.echo(f"--within: found {problems[0].found}, expected {problems[0].expected}", err=True)
+        sys.exit(2)
+    return got / 1e6
+
+
 @click.group()
 def raft() -> None:
     """The instances that agree on the configuration."""
@@ -278,8 +354,10 @@
     addresses = {number: one.peers for number, one in held.members.items()}
     identity, machine = Identity(held.name, me, place.generation, held.key), Machine(cluster.parent)
     member = ClusterMember(identity, first, addresses, folder, machine=machine)
+    connections = _connections()
     api = Api(member, {number: one.api for number, one in held.members.items()})
-    web = Server(api.handle, Bounds(connections=2000, per_address=2000))
+    api.most_watchers = min(MOST_WATCHERS, connections // 2)
+    web = Server(api.handle, Bounds(connections=connections, per_address=connections))
 
     async def work() -> None:
         told = asyncio.Event()
@@ -313,6 +391,18 @@
     asyncio.run(work())
 
 
+def _connections() -> int:
+    """How many connections the descriptors at hand allow; said where they are fewer than wanted, since one
+    instance alone may have to serve all fronts."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= CONNECTIONS + BESIDE:
+        return CONNECTIONS
+    found = max(soft - BESIDE, BESIDE)
+    log.warning("few-descriptors", at_hand=soft, wanted=CONNECTIONS + BESIDE, connections=found,
+                fronts=min(MOST_WATCHERS, found // 2))  # fmt: skip
+    return found
+
+
 @raft.command()
 @CLUSTER
 @JSON
--- a/ponddoor/config/rollout.py
+++ b/ponddoor/config/rollout.py
@@ -28,7 +28,7 @@
     life: Count
     number: Count
     version: Count
-    digest: Annotated[str, msgspec.Meta(max_length=32)]
+    digest: Annotated[str, msgspec.Meta(max_length=40)]
     age_ms: Count
     head: Count
     refused: Count = 0
--- a/ponddoor/settings/site.py
+++ b/ponddoor/settings/site.py
@@ -10,10 +10,11 @@
 from ponddoor.interface import facts as fx
 from ponddoor.settings.check import Form, top_form
 from ponddoor.settings.limits import Limits
-from ponddoor.settings.sexpr import Node, Problem, SettingsError, parse, read
+from ponddoor.settings.sexpr import Listing, Node, Problem, SettingsError, parse, read, word
 
 Address = tuple[str, int]
 SECOND = 1_000_000
+MOST_INSTANCES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +75,16 @@
     age: int
 
 
+@dataclass(frozen=True, slots=True)
+class FollowSide:
+    """Where the front follows the shared configuration: the APIs of the instances that agree on it. Times in
+    microseconds: `silence` after which one is left, `report_every` between two reports to them."""
+
+    instances: tuple[Address, ...]
+    silence: int
+    report_every: int
+
+
 @dataclass(frozen=True, slots=True)
 class SeatTerms:
     """How many may play at once by (tenant, entitlement), and how long seats and shares run
@@ -104,6 +115,7 @@
     seats: SeatTerms
     hints: bool
     node: tuple[Node, ...]
+    follow: FollowSide | None = None
 
     def facts_of(self, me: int, seed: int | None = None) -> fx.SiteFacts:
         """What front `me` is told at its start. Raises IndexError for a front the file does not have."""
@@ -180,6 +192,7 @@
         seats,
         top.flag("hints", True),
         (top.node,),
+        _follow(top),
     )
     top.done(words=1)
     return site
@@ -435,6 +448,35 @@
     return asked, side
 
 
+def _follow(top: Form) -> FollowSide | None:
+    held = top.one("follow", needed=False)
+    if held is None:
+        return None
+    instances: list[Address] = []
+    for one in held.many("instance"):
+        address = _address(one)
+        if address in instances:
+            one.problem(one.place, f"instance {address[0]}:{address[1]} again", "each instance once")
+        instances.append(address)
+    if not instances:
+        held.problem(held.place, "no instance", '(instance "HOST:PORT") once at least')
+    if len(instances) > MOST_INSTANCES:
+        held.problem(held.place, f"{len(instances)} instances", f"{MOST_INSTANCES} at most")
+    side = FollowSide(
+        tuple(instances),
+        held.time("silence", 3 * SECOND, 1_100_000),  # a beat comes each second
+        held.time("report-every", 5 * SECOND, 100_000),
+    )
+    held.done()
+    return side
+
+
+def _address(held: Form) -> Address:
+    """The address that a field (name "HOST:PORT") holds."""
+    inner = Form(Listing((word("in"), held.node), held.place), held.problems)
+    return inner.address(held.node.head)
+
+
 def _fronts(top: Form, zones: list[str]) -> tuple[FrontPlace, ...]:
     held = top.one("fronts")
     places: list[FrontPlace] = []
--- a/ponddoor/web/client.py
+++ b/ponddoor/web/client.py
@@ -26,11 +26,16 @@
 
 
 class TurnedAwayError(BrokenError):
-    """An answer that is no stream: its status, and the seconds that its Retry-After asks to stay away."""
+    """An answer that is no stream: its status and headers, and the seconds that its Retry-After asks to stay
+    away."""
 
-    def __init__(self, status: int, stay_away: float) -> None:
+    def __init__(self, status: int, stay_away: float, headers: dict[str, str] | None = None) -> None:
         super().__init__(f"status {status}")
-        self.stay_away = stay_away
+        self.status, self.stay_away, self.headers = status, stay_away, headers or {}
+
+
+class OversizeError(BrokenError):
+    """A line or an answer over its bound; what came of it is thrown away."""
 
 
 class LateError(Exception):
@@ -179,7 +184,7 @@
                 raise BrokenError("closed in the middle of an answer")
             text += event.data
             if len(text) > self.most_body:
-                raise BrokenError(f"an answer of more than {self.most_body} bytes")
+                raise OversizeError(f"an answer of more than {self.most_body} bytes")
         return Answer(head.status_code, _headers(head), bytes(text))
 
     async def lines(
@@ -193,8 +198,10 @@
                 await wire.send("GET", path, f"{self.host}:{self.port}", b"", ())
                 head = await wire.head()
             if head.status_code != 200:
-                told = _headers(head).get("retry-after", "")
-                raise TurnedAwayError(head.status_code, min(int(told), MOST_AWAY) if told.isdigit() else 0.0)
+                headers = _headers(head)
+                told = headers.get("retry-after", "")
+                away = min(int(told), MOST_AWAY) if told.isdigit() else 0.0
+                raise TurnedAwayError(head.status_code, away, headers)
             text = b""
             while True:
                 async with asyncio.timeout(silence):
@@ -204,7 +211,7 @@
                 text += bytes(event.data)
                 *whole, text = text.split(b"\n")
                 if len(text) > most_line:
-                    raise BrokenError(f"a line of more than {most_line} bytes")
+                    raise OversizeError(f"a line of more than {most_line} bytes")
                 for line in whole:
                     yield line
         except TimeoutError:
