A front takes versions in service: between two turns of the engine, under stable numbers

FrontProcess begins by the version it kept, takes a new one through Pump.apply, and shows it (metrics, log). The decisions are told by one event, so a trace has it and its replay too.

A request is decided under one version: viewers look at one set of terms; where the seat's wait lets a version by, nothing has been asked of the decisions yet and all of the request is checked again. A repeat is the same if the viewer said the same: home, span and top are the site's word and not compared, the rung that the viewer named now is. A session keeps its service group and ladder, also where hints and rates are told; a SETUP of a front that follows tells the server its group's name and its rungs' rates.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -401,7 +401,7 @@
 
     def gain(self, sess: Sess, rung: int) -> float:
         """Utility per rate of the step from the rung below."""
-        ladder = self.facts.ladder
+        ladder = sess.ladder
         step = sess.rate(rung) - sess.rate(rung - 1)
         return sess.group.utility * (ladder.utility[rung] - ladder.utility[rung - 1]) / max(step, 1e-9)
 
@@ -711,7 +711,7 @@
         """What a change of rung earns over the time the session is likely to have left, less its cost.
 
         That is all time played over the ends seen: those that end first, early on, are the short ones."""
-        ladder, played, hint = self.facts.ladder, self.now - (sess.began or self.now), sess.req.length_hint
+        ladder, played, hint = sess.ladder, self.now - (sess.began or self.now), sess.req.length_hint
         left = max(self.played // (self.over + 1), self.resize_every)
         left = left if hint is None else max(hint - played, 0)
         more = ladder.utility[rung] - ladder.utility[sess.rung]
--- a/ponddoor/front/effects.py
+++ b/ponddoor/front/effects.py
@@ -5,20 +5,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """A viewer's request for a session, checked against the site."""
+    """A viewer's request for a session, checked against the site. Two are equal where the viewer said the
+    same, whatever the site said of it meanwhile."""
 
     title: str
     service_group: int
     tenant: int
-    home: int
-    span: int
-    top: int
+    home: int = field(compare=False)  # by the version in force as it came, as are `span` and `top`
+    span: int = field(compare=False)
+    top: int = field(compare=False)
     wait: int = field(compare=False)  # a repeat has less of it left
     length: int | None = None
     viewer: int = 0
     again: bool = False
     moved: bool = False
     description: str = ""  # passed on to the server as it is
+    asked_top: int = 255  # the rung that the viewer named
 
 
 @dataclass(frozen=True, slots=True)
--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -19,7 +19,7 @@
 from ponddoor.front.limits import Gate
 from ponddoor.interface import actions as act
 from ponddoor.interface import events as ev
-from ponddoor.interface.facts import SiteFacts
+from ponddoor.interface.facts import Ladder, ServiceGroup, SiteFacts
 from ponddoor.runtime.driver import Decisions, Driver
 
 ENDS = {"over": ev.Result.SERVED, "viewer-gone": ev.Result.CANCELLED, "lost": ev.Result.RESET}
@@ -35,13 +35,16 @@
 
 @dataclass(slots=True)
 class Held:
-    """A session as the engine knows it. `out` is the attempt that no outcome has come for."""
+    """A session as the engine knows it. `out` is the attempt that no outcome has come for. `group` and
+    `ladder` are those in force as it came: it keeps them to its end."""
 
     sess: str
     req_id: int
     ask: Ask
     asked_at: int
     repeat: tuple[int, str] | None
+    group: ServiceGroup
+    ladder: Ladder
     phase: Phase = Phase.WAITING
     answer: Answer | None = None
     attempt: int = -1
@@ -51,6 +54,11 @@
     rung: int = 0
     end: str = ""
 
+    @property
+    def rate_kb(self) -> float:
+        """What its rung takes, kB a second."""
+        return self.ladder.rate_kb[self.rung] * self.group.rate_factor
+
 
 @dataclass(slots=True)
 class Counts:
@@ -105,15 +113,20 @@
     def find(self, sess: str) -> Held | None:
         return self._held.get(sess) or self._ended.get(sess)
 
-    def repeated(self, ask: Ask, repeat_key: str | None) -> Held | None:
+    def repeated(self, tenant: int, repeat_key: str | None) -> Held | None:
         """The session that a repeat of a request would find."""
-        return None if repeat_key is None else self._repeats.get((ask.tenant, repeat_key))
+        return None if repeat_key is None else self._repeats.get((tenant, repeat_key))
 
     def playing_at(self, server: int) -> list[Held]:
         return list(self._at_server.get(server, {}).values())
 
     # What happens
 
+    def new_terms(self, now: int, facts: SiteFacts) -> list[Effect]:
+        """Another version of the site is in force for who asks from here on."""
+        self.facts = facts
+        return self._feed(now, ev.NewTerms(facts), None)
+
     def request(
         self, now: int, sess: str, ask: Ask, repeat_key: str | None, means: ev.Means | None = None
     ) -> tuple[Held | None, list[Effect]]:
@@ -130,7 +143,8 @@
             self.counts.add(self.counts.answers, f"limit {refusal}")
             come_back = self.facts.permissions.max_come_back // 2
             return None, [fx.Reply(sess, Answer("busy", come_back=come_back, why=refusal))]
-        held = Held(sess, next(self._req_ids), ask, now, repeat)
+        group, ladder = self.facts.groups[ask.service_group], self.facts.ladder
+        held = Held(sess, next(self._req_ids), ask, now, repeat, group, ladder)
         self._held[sess] = self._by_req[held.req_id] = held
         if repeat is not None:
             self._repeats[repeat] = held
@@ -141,9 +155,11 @@
         """A session that plays already; one that is held already stays as it is."""
         if sess in self._held or self.held >= self.gate.limits.held:
             return []
+        group, ladder = self.facts.groups[ask.service_group], self.facts.ladder
         held = Held(
-            sess, next(self._req_ids), ask, now, None, Phase.PLAYING, Answer("playing", server), 0, server
-        )
+            sess, next(self._req_ids), ask, now, None, group, ladder, Phase.PLAYING,
+            Answer("playing", server), 0, server,
+        )  # fmt: skip
         self._held[sess] = self._by_req[held.req_id] = held
         self._at_server.setdefault(server, {})[sess] = held
         return self._feed(now, ev.HandedOver(self._request_event(held, None), server), held)
--- a/ponddoor/front/following.py
+++ b/ponddoor/front/following.py
@@ -97,11 +97,15 @@
 
     async def close(self) -> None:
         """End. What is being written is written whole."""
+        await asyncio.gather(*self.end(), return_exceptions=True)
+
+    def end(self) -> "list[asyncio.Task[None]]":
+        """End at once, as a killed process does; returns what ends a little later."""
         self._close_timer()
         tasks = [task for task in (self._runner, self._link, *self._beside) if task is not None]
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        return tasks
 
     # Into the core
 
--- a/ponddoor/front/hinting.py
+++ b/ponddoor/front/hinting.py
@@ -68,9 +68,7 @@
         if held is None or held.phase is not Phase.PLAYING:
             self.intake.over(sess)
         else:
-            group = self.site.facts.groups[held.ask.service_group]
-            rate = self.site.facts.ladder.rate_kb[held.rung] * group.rate_factor
-            self.intake.playing(now, sess, *self._source(held.ask), held.server, rate)
+            self.intake.playing(now, sess, *self._source(held.ask), held.server, held.rate_kb)
 
     def _source(self, ask: Ask) -> tuple[str, str]:
         """The viewer and the tenant by which a session's hints are judged, empty where none is named."""
@@ -133,10 +131,8 @@
 
     def dynamic(self, held: Held) -> str:
         """CMSD-Dynamic for a session that plays: its rung in force is the most it should ask for."""
-        group = self.site.facts.groups[held.ask.service_group]
-        rate = self.site.facts.ladder.rate_kb[held.rung] * group.rate_factor
         said = self.servers.get(held.server)
-        values: Values = {"mb": round(rate / KB_PER_KBIT)}
+        values: Values = {"mb": round(held.rate_kb / KB_PER_KBIT)}
         if said is not None:
             values["du"] = said.duress
             if said.throughput_kb is not None:
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -19,6 +19,8 @@
 from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
+from ponddoor.front.follower import Follower, Take
+from ponddoor.front.following import Following
 from ponddoor.front.hinting import Hinting
 from ponddoor.front.limits import SAMPLE, Gate, LagMeter
 from ponddoor.front.listing import ListKeeper
@@ -28,6 +30,7 @@
 from ponddoor.front.sealed import Seal
 from ponddoor.front.seating import Seating
 from ponddoor.front.servers import Servers
+from ponddoor.front.taking import Terms, at_start, begun, taken, unusable, unusable_at_start
 from ponddoor.front.trace import Tracer
 from ponddoor.front.viewers import Viewers
 from ponddoor.front.words import WordSocket, wall
@@ -37,7 +40,7 @@
 from ponddoor.seats.core import Seats, Timing
 from ponddoor.settings.limits import Limits
 from ponddoor.settings.sexpr import SettingsError
-from ponddoor.settings.site import Site, load
+from ponddoor.settings.site import FollowSide, Site, load
 from ponddoor.web.server import Bounds, Server
 from ponddoor.web.timing import within
 
@@ -58,7 +61,13 @@
     def __init__(self, site: Site, me: int, kept: Path | None = None, seed: int | None = None,
                  deciding: Deciding = Front, log_requests: bool = False,
                  trace: Path | None = None, noted: Callable[..., None] | None = None) -> None:  # fmt: skip
-        self.site, self.me, self._log_requests = site, me, log_requests
+        self._own, self.site, self.me, self._log_requests = site, site, me, log_requests
+        seed = secrets.randbits(64) if seed is None else seed
+        self._terms: Terms | None = None
+        self.following = self._followed(site.follow, seed, kept) if site.follow is not None else None
+        if self.following is not None:
+            self.following.recover()  # what was in force is the site, before anything is made of it
+        site, terms = self.site, self._terms or begun(self.site)
         now = clock()
         facts = replace(site.facts_of(me, seed), wall=wall() - now)
         self.decisions = deciding(facts, now)
@@ -73,11 +82,12 @@
         offset = now - wall()
         roster = Roster(site.zones, site.kinds, facts.plant.cells, offset)
         self.servers = Servers(site, me, secrets.randbits(48), self.engine, self.apply)
+        self.servers.tells_terms = self.following is not None
         coming = Coming(me, facts.fronts, facts.rules.drain_grace, facts.seed, site.listing.retry)
         self.listing = ListKeeper(site, me, roster, self.engine, self.apply, self.servers.learn, kept, coming)
         seal = Seal(site.words.key, me, len(site.fronts), site.words.age)
         self.words = WordSocket(site, me, seal, self._heard)
-        self.viewers = Viewers(site, self.engine, self.apply, self._address, self.metrics.answered)
+        self.viewers = Viewers(terms, self.engine, self.apply, self._address, self.metrics.answered)
         self.seating = self._seats(kept) if site.seats.limits else None
         if self.seating is not None and noted is not None:
             self.seating.noted = noted
@@ -91,6 +101,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = asyncio.Event()
         self.port = 0
+        self._terms = terms
 
     # What the engine wants
 
@@ -144,6 +155,8 @@
             self.seating.start()
         self.gate.lag.due = clock() + SAMPLE
         self.listing.begin()
+        if self.following is not None:
+            self.following.begin()
         self.port = await self.web.start(*place.viewers)
         await self.metrics_web.start(*place.metrics)
         self._tasks = [asyncio.create_task(self._sample_lag()), asyncio.create_task(self._look())]
@@ -169,7 +182,12 @@
             reached = now_reached
 
     def reload(self, path: Path) -> bool:
-        """Take over what can change in service: the limits. A file with problems changes nothing."""
+        """Take over what can change in service: the limits. A file with problems changes nothing, nor does
+        any where a version of the shared configuration is in force: the limits are that one's."""
+        if self.terms.version:
+            counts = f"version {self.terms.version} of the shared configuration counts, not the file"
+            log.warning("reload-refused", problems=[counts])
+            return False
         try:
             fresh = load(path)
         except SettingsError as problem:
@@ -182,12 +200,61 @@
         other = [name for name in parts if getattr(fresh, name) != getattr(self.site, name)]
         if other:
             log.warning("reload-needs-restart", parts=other)
-        self.site = self.viewers.site = kept
+        self.site = kept
+        self._terms = self.viewers.terms = replace(self.terms, site=kept)
         self.gate.limits = fresh.limits
         self.web.bounds = bounds_of(fresh.limits)
         log.info("reloaded")
         return True
 
+    # The shared configuration
+
+    @property
+    def terms(self) -> Terms:
+        """What who comes now is decided by."""
+        return self._terms or begun(self.site)
+
+    def _followed(self, side: FollowSide, seed: int, kept: Path | None) -> Following:
+        grace = self._own.facts.rules.drain_grace
+        core = Follower(
+            self.me, len(self._own.fronts), len(side.instances), seed, grace, side.folder, self._unusable,
+            side.silence, side.report_every,
+        )  # fmt: skip
+        file = kept.with_suffix(".config") if kept is not None else None
+        return Following(core, side.instances, self._take, file)
+
+    def _unusable(self, version: Site) -> tuple[str, ...]:
+        """Why this front can't take a version now; called beside the loop as well."""
+        held = self._terms
+        return unusable_at_start(self._own, version) if held is None else unusable(held, version)
+
+    def _take(self, version: Take) -> None:
+        """Put a version in force: before the start it is the site, later it is taken between two turns of the
+        engine, whole before anything else runs."""
+        if self._terms is None:
+            self.site = at_start(self._own, version.site)
+            self._terms = begun(self.site, version.number, version.digest)
+        else:
+            self.apply(lambda now: self._put_in_force(now, version))
+        log.info("config-in-force", version=version.number, digest=version.digest)
+
+    def _put_in_force(self, now: int, version: Take) -> list[Effect]:
+        held = self.terms
+        self._terms = self.viewers.terms = fresh = taken(held, version.site, version.number, version.digest)
+        self.site = site = fresh.site
+        if self.hinting is not None:
+            self.hinting.site = site
+        self.gate.limits, self.web.bounds = site.limits, bounds_of(site.limits)
+        if self.seating is not None and site.seats != held.site.seats:
+            self.seating.set_limits(site.seats.limits)
+        # What is told at each start, and what is this front's own, stays as it was
+        old = self.engine.facts
+        facts = replace(
+            old, groups=site.facts.groups, tenants=site.facts.tenants, ladder=site.facts.ladder,
+            over_share_utility=site.facts.over_share_utility,
+        )  # fmt: skip
+        return self.engine.new_terms(now, facts) if facts != old else []
+
     def drain(self) -> None:
         """No new requests; the second call ends it."""
         if self.gate.draining:
@@ -221,6 +288,8 @@
         await asyncio.sleep(0)
         await self.servers.close(1.0)
         await self.listing.close()
+        if self.following is not None:
+            await self.following.close()
         if self.seating is not None:
             await self.seating.close()
         self.words.close()
@@ -239,6 +308,8 @@
         """End as a killed process does: sockets close, nobody is told (tests)."""
         for task in [*self._tasks, *self.servers.tasks]:
             task.cancel()
+        if self.following is not None:
+            self.following.end()
         self._pump.close()
 
     # What metrics show
@@ -300,6 +371,8 @@
             "why",
             _floats(seal.refused),
         )
+        if self.following is not None:
+            yield from self._config_samples(self.following)
         if self.seating is not None:
             yield from self._seat_samples(self.seating.core)
         if self.hinting is not None:
@@ -387,6 +460,19 @@
         yield "counter", "lent_refused", "Parts refused: of an earlier life.", "", {"": fleet.shares.fenced}
         yield "counter", "counts_refused", "Words on counts that were old.", "", {"": fleet.counts.refused}
 
+    def _config_samples(self, following: Following) -> Iterator[Sample]:
+        core = following.follower
+        apart = 0.0 if core.apart_since is None else (clock() - core.apart_since) / SECOND
+        for name, text, value in (
+            ("config_version", "Version of the shared configuration in force; 0: none yet.", core.version),
+            ("config_head", "Newest version known here.", core.head),
+            ("config_refused", "A newer version that can't be used here; 0: none.", core.refused[0]),
+            ("config_apart_seconds", "For how long no instance with a leader was heard.", apart),
+        ):  # fmt: skip
+            yield "gauge", name, text, "", {"": float(value)}
+        counts = {**core.counts, **following.counts}
+        yield "counter", "config_follow", "What came of following, by kind.", "what", _floats(counts)
+
     def _seat_samples(self, core: Seats) -> Iterator[Sample]:
         held = sum(len(share.seats) for share in core.shares.values())
         yield "gauge", "seats_held", "Seats granted by this front that run.", "", {"": held}
--- a/ponddoor/front/servers.py
+++ b/ponddoor/front/servers.py
@@ -84,6 +84,7 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     dropped_teardowns: int = 0
     hinting: Hinting | None = None
+    tells_terms: bool = False  # the site may change: a server is told by what terms a session plays
 
     def learn(self, entries: dict[int, Entry]) -> None:
         """The list in hand has changed: connect to who is new, let go of who is gone and holds nothing."""
@@ -150,6 +151,10 @@
             "title": ask.title, "group": ask.service_group, "rung": effect.rung, "top": ask.top,
             "timeout_us": effect.timeout, "attach_us": self.site.servers.attach_time,
         }  # fmt: skip
+        held = self.engine.find(effect.sess) if self.tells_terms else None
+        if held is not None:
+            rates = [rate * held.group.rate_factor for rate in held.ladder.rate_kb]
+            body |= {"group_name": held.group.name, "rates_kb": rates}
         try:
             # the engine's own timer ends the wait; this one only guards against a lost timer
             answer = await link.pool.request("POST", "/setups", body, effect.timeout / SECOND + 5)
--- a/ponddoor/front/trace.py
+++ b/ponddoor/front/trace.py
@@ -23,7 +23,7 @@
 _KINDS = (ev.ServerNews, ev.SessionRequest, ev.HandedOver, ev.Note, ev.Started, ev.Ended, ev.ViewerLeft)
 EVENTS: dict[str, type[Any]] = {
     kind.__name__: kind
-    for kind in (*_KINDS, ev.Probed, ev.PeerMessage, ev.TimerDue, ev.PlayerHint, ev.ServerHint)
+    for kind in (*_KINDS, ev.Probed, ev.PeerMessage, ev.TimerDue, ev.PlayerHint, ev.ServerHint, ev.NewTerms)
 }
 
 
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -15,10 +15,10 @@
 from ponddoor.front.engine import Engine, Held, Phase, RepeatError, number_of
 from ponddoor.front.hinting import Hinting
 from ponddoor.front.seating import Seating
+from ponddoor.front.taking import Terms
 from ponddoor.hints import cmsd
 from ponddoor.seats.core import Granted, Key, Refused
 from ponddoor.seats.tokens import Token, TokenError, opened
-from ponddoor.settings.site import Site
 from ponddoor.web.server import HttpError, Reply, Request, decoded
 from ponddoor.web.timing import within
 
@@ -55,9 +55,9 @@
 
 @dataclass(slots=True)
 class Viewers:
-    """The HTTP side of one front."""
+    """The HTTP side of one front. `terms` is what who comes now is decided by; all of it changes at once."""
 
-    site: Site
+    terms: Terms
     engine: Engine
     apply: Callable[[Callable[[int], list[Effect]]], None]
     address_of: Callable[[int], str]
@@ -69,12 +69,6 @@
     seating: Seating | None = None
     hinting: Hinting | None = None
     seats: dict[str, tuple[Key, str, str]] = field(default_factory=dict)  # session: entitlement, seat, viewer
-    names: tuple[str, ...] = ()
-    tenants: tuple[str, ...] = ()
-
-    def __post_init__(self) -> None:
-        self.names = self.site.group_names()
-        self.tenants = tuple(tenant.name for tenant in self.site.facts.tenants)
 
     async def handle(self, request: Request) -> Reply:
         match request.method, request.path:
@@ -139,17 +133,26 @@
             raise HttpError(404, "no-such-session", sess[:100])
         return held
 
+    def _asked(self, body: SessionAsk, key: str | None) -> Ask:
+        """What a request asks for, under the terms of now. A repeat is answered as the first was, whatever
+        has become of its title or service group since: only what the viewer says of it is looked at."""
+        group, tenant = self.terms.number_of_group(body.group), self.terms.number_of_tenant(body.tenant)
+        known = self.engine.repeated(tenant, key) if tenant is not None else None
+        if known is None or group is None or tenant is None:
+            return self._checked(body)
+        return replace(known.ask, title=body.title, service_group=group, tenant=tenant, **_said(body))
+
     def _checked(self, body: SessionAsk) -> Ask:
-        names, facts = self.names, self.site.facts
+        names, tenants, site = self.terms.groups, self.terms.tenants, self.terms.site
+        facts = site.facts
         if body.group not in names:
             raise HttpError(422, "no-such-service-group", f"{body.group}: one of {', '.join(names)}")
-        tenants = self.tenants
         if tenants and body.tenant not in tenants:
             raise HttpError(422, "no-such-tenant", f"{body.tenant!r}: one of {', '.join(tenants)}")
-        place = self.site.titles.find(body.title)
+        place = site.titles.find(body.title)
         if place is None:
             raise HttpError(404, "no-such-title", body.title)
-        number = names.index(body.group)
+        number = names[body.group]
         group = facts.groups[number]
         top = min(body.top, group.top, len(facts.ladder.rate_kb) - 1)
         if top < group.floor:
@@ -158,28 +161,36 @@
             )
         wait = group.setup_timeout if body.wait_ms is None else round(body.wait_ms * 1000)
         return Ask(
-            body.title, number, tenants.index(body.tenant) if tenants else 0, place.home, place.span, top,
-            min(wait, group.setup_timeout), None if body.length_ms is None else round(body.length_ms * 1000),
-            number_of(body.viewer) if body.viewer else 0, body.again, body.moved,
+            body.title, number, tenants[body.tenant] if tenants else 0, place.home, place.span, top,
+            min(wait, group.setup_timeout), **_said(body),
         )  # fmt: skip
 
     async def _ask(self, request: Request) -> Reply:
         began = asyncio.get_running_loop().time()
         body = decoded(request.body, SessionAsk)
-        ask = self._checked(body)
-        key = request.headers.get("idempotency-key")
+        key, terms = request.headers.get("idempotency-key"), self.terms
+        ask = self._asked(body, key)
         if key is not None and not 1 <= len(key) <= 200:
             raise HttpError(400, "malformed-key", "an idempotency key has 1 to 200 characters")
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         sess = secrets.token_hex(12)
         granted: Granted | None = None
         if body.entitlement:
-            known = self.engine.repeated(ask, key)
+            known = self.engine.repeated(ask.tenant, key)
             sess = known.sess if known is not None else sess
             taken = await self._take_seat(body, sess)
             if isinstance(taken, Refused):
                 return self._reply("", Answer("busy", come_back=taken.come_back, why=taken.why))
             granted = taken
+            if self.terms is not terms:
+                # Guards against a request of which one half is decided by one version and one by the next:
+                # nothing of it has been asked of the decisions yet, so all of it is looked at anew.
+                try:
+                    ask = self._asked(body, key)
+                except HttpError:
+                    if self.engine.find(sess) is None:
+                        self._drop_seat(sess)
+                    raise
             # Guards against a viewer whose time is up while the decisions still count all of it.
             spent = round((asyncio.get_running_loop().time() - began) * SECOND)
             ask = replace(ask, wait=max(0, ask.wait - spent))
@@ -272,7 +283,8 @@
         except TokenError as problem:
             raise HttpError(403, problem.why, "the token is not to be trusted") from None
         if token.front != self._seating().me:
-            place = self.site.fronts[token.front].viewers if token.front < len(self.site.fronts) else None
+            fronts = self.terms.site.fronts
+            place = fronts[token.front].viewers if token.front < len(fronts) else None
             where = f"http://{place[0]}:{place[1]}/seats/renew" if place else ""
             raise HttpError(307, "another-front", "the front that granted it answers", (("Location", where),))
         return token
@@ -338,7 +350,7 @@
 
     def _state(self, held: Held) -> dict[str, Any]:
         state: dict[str, Any] = {"session": held.sess, "state": held.phase.value, "title": held.ask.title,
-                                 "group": self.names[held.ask.service_group]}  # fmt: skip
+                                 "group": held.group.name}  # fmt: skip
         if held.phase is Phase.PLAYING:
             state |= {"server": self.address_of(held.server), "rung": held.rung}
         if held.phase is Phase.ENDED:
@@ -346,7 +358,7 @@
         return state
 
     def _follow(self, held: Held) -> Reply:
-        if self.following >= self.site.limits.followers:
+        if self.following >= self.terms.site.limits.followers:
             raise HttpError(
                 503, "too-many-followers", f"{self.following} streams of events", (("Retry-After", "1"),)
             )
@@ -373,3 +385,12 @@
             self.followers[sess].remove(queue)
             if not self.followers[sess]:
                 del self.followers[sess]
+
+
+def _said(body: SessionAsk) -> dict[str, Any]:
+    """The fields of an ask that are the viewer's own word."""
+    return {
+        "length": None if body.length_ms is None else round(body.length_ms * 1000),
+        "viewer": number_of(body.viewer) if body.viewer else 0,
+        "again": body.again, "moved": body.moved, "asked_top": body.top,
+    }  # fmt: skip
--- a/ponddoor/interface/events.py
+++ b/ponddoor/interface/events.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ponddoor.interface.facts import SiteFacts
+
 
 class ServerState(Enum):
     """What the list says of a server."""
@@ -191,5 +193,12 @@
     cookie: int
 
 
+@dataclass(frozen=True, slots=True)
+class NewTerms:
+    """The site is another one from here on, for who asks now; sessions that there are keep their terms."""
+
+    facts: SiteFacts
+
+
 Event = (ServerNews | SessionRequest | HandedOver | Note | Started | Ended | ViewerLeft | Probed
-         | PeerMessage | TimerDue | PlayerHint | ServerHint)
+         | PeerMessage | TimerDue | PlayerHint | ServerHint | NewTerms)
--- a/ponddoor/runtime/driver.py
+++ b/ponddoor/runtime/driver.py
@@ -8,17 +8,21 @@
     Ended,
     Event,
     HandedOver,
+    NewTerms,
     PeerMessage,
     SessionRequest,
     Started,
     TimerDue,
     ViewerLeft,
 )
+from ponddoor.interface.facts import SiteFacts
 from ponddoor.interface.script import Resumed, Script
 
 
 class Decisions(Protocol):
-    """What the driver needs of the module that decides."""
+    """What the driver needs of the module that decides. `facts` is looked at when a session is opened."""
+
+    facts: SiteFacts
 
     def clock(self, now: int) -> None: ...
     def observe(self, event: Event) -> None: ...
@@ -46,6 +50,10 @@
         if isinstance(event, TimerDue):
             self._wake(event.cookie, out)
             return out
+        if isinstance(event, NewTerms):
+            # Between two events, so no script sees it change under its feet; a session keeps what it began by
+            self._front.facts = event.facts
+            return out
         self._front.observe(event)
         match event:
             case SessionRequest():
--- a/ponddoor/settings/site.py
+++ b/ponddoor/settings/site.py
@@ -78,11 +78,13 @@
 @dataclass(frozen=True, slots=True)
 class FollowSide:
     """Where the front follows the shared configuration: the APIs of the instances that agree on it. Times in
-    microseconds: `silence` after which one is left, `report_every` between two reports to them."""
+    microseconds: `silence` after which one is left, `report_every` between two reports to them. `folder` is
+    where paths in the versions count from."""
 
     instances: tuple[Address, ...]
     silence: int
     report_every: int
+    folder: Path = Path()
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,7 +194,7 @@
         seats,
         top.flag("hints", True),
         (top.node,),
-        _follow(top),
+        _follow(top, folder),
     )
     top.done(words=1)
     return site
@@ -448,7 +450,7 @@
     return asked, side
 
 
-def _follow(top: Form) -> FollowSide | None:
+def _follow(top: Form, folder: Path) -> FollowSide | None:
     held = top.one("follow", needed=False)
     if held is None:
         return None
@@ -466,6 +468,7 @@
         tuple(instances),
         held.time("silence", 3 * SECOND, 1_100_000),  # a beat comes each second
         held.time("report-every", 5 * SECOND, 100_000),
+        folder,
     )
     held.done()
     return side
--- a/ponddoor/standins/media.py
+++ b/ponddoor/standins/media.py
@@ -45,6 +45,8 @@
     timeout_us: int
     top: int = 255
     attach_us: int = 5_000_000
+    group_name: str = ""  # where the site may change in service: by what terms this session plays
+    rates_kb: tuple[float, ...] = ()
 
 
 class Rung(msgspec.Struct, frozen=True):
@@ -154,11 +156,14 @@
         slow = self.faults.get("origin_slow")
         return self.uplink_kb / slow.size if slow else self.uplink_kb
 
+    def rates(self, stream: Stream) -> tuple[float, ...]:
+        """What each rung of a session takes: by the terms told with it, else by those of the file."""
+        facts, told = self.site.facts, stream.setup.rates_kb
+        factor = 1.0 if told else facts.groups[stream.setup.group].rate_factor
+        return told or tuple(rate * factor for rate in facts.ladder.rate_kb)
+
     def rate(self, stream: Stream) -> float:
-        facts = self.site.facts
-        return (
-            facts.ladder.rate_kb[stream.taken] * facts.groups[stream.setup.group].rate_factor * stream.factor
-        )
+        return self.rates(stream)[stream.taken] * stream.factor
 
     def asked(self) -> float:
         return sum(self.rate(stream) for stream in self.streams.values())
@@ -256,7 +261,7 @@
                 self.rec.note("rung", sess=sess, attempt=int(attempt), rung=rung, server=self.entry.server)
                 await self.awake.wait()
                 stream = self.streams.get((sess, int(attempt)))
-                if stream is None or not 0 <= rung < len(self.site.facts.ladder.rate_kb):
+                if stream is None or not 0 <= rung < len(self.rates(stream)):
                     raise HttpError(404, "no-such-stream", sess)
                 stream.rung = rung
                 stream.changed.set()
@@ -284,7 +289,7 @@
 
     async def segment(self, sess: str, stream: Stream, request: Request) -> Reply:
         """One second of media at the rung asked for, at the shared rate; a byte stands for a hundred."""
-        rates = self.site.facts.ladder.rate_kb
+        rates = self.rates(stream)
         asked = request.query.get("rung", "")
         stream.fetched = min(int(asked), len(rates) - 1, stream.setup.top) if asked.isdigit() else stream.rung
         said = cmcd.read_headers(request.headers).values
--- a/tests/front/test_engine.py
+++ b/tests/front/test_engine.py
@@ -14,6 +14,7 @@
 from ponddoor.front.limits import Gate, LagMeter
 from ponddoor.interface import actions as act
 from ponddoor.interface import events as ev
+from ponddoor.interface.facts import SiteFacts
 from ponddoor.interface.script import Script
 from ponddoor.settings.site import loads
 
@@ -31,6 +32,8 @@
 class Faulty:
     """Decisions that send one SETUP and then fail."""
 
+    facts: SiteFacts
+
     def clock(self, now: int) -> None: ...
 
     def observe(self, event: ev.Event) -> None: ...
