--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -401,7 +401,7 @@
 
     def gain(self, sess: Sess, rung: int) -> float:
         """Utility per rate of the step from the rung below."""
-        ladder = sess.ladder
+        ladder, rung = sess.ladder, min(rung, len(sess.ladder.rate_kb) - 1)  # a ladder may have one rung
         step = sess.rate(rung) - sess.rate(rung - 1)
         return sess.group.utility * (ladder.utility[rung] - ladder.utility[rung - 1]) / max(step, 1e-9)
 
--- a/ponddoor/front/taking.py
+++ b/ponddoor/front/taking.py
@@ -24,7 +24,7 @@
 FIXED: dict[str, Callable[[Site], object]] = {
     "zones": lambda site: site.zones,
     "kinds": lambda site: (site.kinds, site.facts.plant.streams),
-    "plant": lambda site: site.facts.plant,
+    "plant": lambda site: replace(site.facts.plant, streams=()),
     "rules": lambda site: site.facts.rules,
     "permissions": lambda site: site.facts.permissions,
     "prices": lambda site: site.facts.prices,
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -31,6 +31,11 @@
     "ponddoor.seats",
     "ponddoor.hints",
     "ponddoor.web.server",
+    "ponddoor.config",
+    "ponddoor.settings.site",
+    "ponddoor.front.follower",
+    "ponddoor.front.following",
+    "ponddoor.front.taking",
     "click",
 )
 
