--- /dev/null
+++ b/ponddoor/config/followers.py
@@ -0,0 +1,826 @@
+"""Fronts that follow the configuration under a deterministic simulation: from one seed the same schedule.
+
+The cores of the followers are the real ones. The instances are a bounded model of what Raft promises (its
+own simulation shows that it does, ponddoor/raft/simulation.py): one committed log, by the real state machine;
+instances that have a part of it from its beginning, lag, restart with less than they had, lead a minority for
+a while, and say so late. Between them connections: lines in order, cut anywhere, half open, doubled, lost,
+spoilt, told of late; links cut both ways or one. Fronts crash, also between a writing and its taking up, and
+are back with what is on their disk.
+
+After each step: no front goes back over its whole life, what is put in force is bit for bit what was
+committed, and nothing that the front can't use. The whole state is asked for once in an absence. After quiet
+all are at the newest version that they can use within 9 s; a fleet that was cut off together comes back
+evenly."""
+
+import functools
+import math
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from ponddoor.config.machine import Change, Machine, assembled, digest_of, packed, shown, taken_apart
+from ponddoor.front.coming import Loss
+from ponddoor.front.follower import Effect, Fetch, Follower, Keep, Leave, Phase, Say, State, Take, Tell, Watch
+from ponddoor.settings.sexpr import Listing, parse
+from ponddoor.settings.site import Site, check
+from ponddoor.world import Links, World, first_to_fail, least_of
+
+SECOND = 1_000_000
+RETURN = 9 * SECOND  # after which all have the newest that they can use
+INSTANCES = 5
+MOST_WATCHERS = 500
+WATCH_AHEAD = 100
+CONNECT = SECOND  # how long a connection may take to come up
+APART = 1_500_000  # how long an instance has heard of no leader when it says so
+VERSIONS = 120  # in the log of which a schedule plays a part
+MOST_REQUESTS = 12  # of one front in one second, whatever happens
+BASE = """
+(site harbour (zones east west) (kinds (kind vod (streams 80)))
+  (plant (cells 8) (racks 2) (link-per-weight 100MB/s) (uplink 1GB/s))
+  (ladder (rung (rate 500kB/s) (utility 0.5)) (rung (rate 1MB/s) (utility 1)))
+  (groups (group film (start-target 1s) (setup-timeout 3s)) (group news (start-target 1s) (setup-timeout 2s)))
+  (permissions (max-setups 3)) (limits (held 1000)) (titles (title opera (home 0) (span 2)))
+  (list (address "127.0.0.1:9"))
+  (fronts (front 0 (zone east) (viewers "127.0.0.1:1") (words "127.0.0.1:2") (metrics "127.0.0.1:3"))))
+"""
+
+
+class BoundBrokenError(Exception):
+    """What followers promise was broken. Names the seed, which replays it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """One version as instances tell it."""
+
+    number: int
+    line: bytes
+    text: str
+    digest: str
+    whole: str  # the state in one order of forms
+
+
+@functools.cache
+def committed() -> tuple[Committed, ...]:
+    """The log, by the real state machine: changes of limits, groups and titles, some that no front can use,
+    some that a few can't, and some that no front takes while it serves."""
+    rng, machine = Random(20), Machine()
+    machine.apply(1, packed(Change("a", "begin", 1, taken_apart(parse(BASE, "<base>")))))
+    versions = [_told(machine)]
+    while len(versions) < VERSIONS:
+        sets: dict[str, str] = {}
+        drops: list[str] = []
+        if rng.random() < 0.6:
+            sets["limits"] = f"(limits (held {rng.randint(100, 900)}{rng.choice('0000012367')}))"
+        if rng.random() < 0.3:
+            key, name = rng.choice([("groups", "group"), ("titles", "title")]), f"n{rng.randint(0, 5)}"
+            if f"{key[0]}/{name}" in machine.items and rng.random() < 0.5:
+                drops.append(f"{key[0]}/{name}")
+            elif key[0] == "groups":
+                sets[f"groups/{name}"] = (
+                    f"(group {name} (start-target 1s) (setup-timeout {rng.randint(2, 9)}s))"
+                )
+            else:
+                sets[f"titles/{name}"] = f"(title {name} (home {rng.randint(0, 5)}) (span 2))"
+        if "7" in machine.items["permissions"].text or rng.random() < 0.06:
+            sets["permissions"] = f"(permissions (max-setups {3 if rng.random() < 0.5 else 7}))"
+        index = len(versions) + 1
+        if machine.apply(index, packed(Change("a", "next", index, sets, drops))).version:
+            versions.append(_told(machine))
+    return tuple(versions)
+
+
+def _told(machine: Machine) -> Committed:
+    """As the administration API tells it."""
+    version, listing = machine.history[-1], assembled(machine.items)
+    steps = [
+        {"key": step.key, "before": step.before, "after": step.after,
+         "place": machine.items[step.key].place if step.key in machine.items else 0}
+        for step in version.steps
+    ]  # fmt: skip
+    row = {"version": version.number, "who": version.who, "why": version.why, "when_us": version.when_us,
+           "keys": [step.key for step in version.steps], "steps": steps,
+           "digest": digest_of(listing)}  # fmt: skip
+    text = shown(machine.items)
+    return Committed(version.number, msgspec.json.encode(row), text, digest_of(listing), _canonical(listing))
+
+
+def _canonical(listing: Listing) -> str:
+    return "\n".join(sorted(map(str, listing.items)))
+
+
+class Quick(Follower):
+    """What is parsed and checked again and again for one text is remembered: for speed alone."""
+
+    _known_forms: dict[tuple[str, str], Listing] = {}
+    _known_texts: dict[str, dict[str, Listing]] = {}
+    _known_sites: dict[str, Site] = {}
+
+    def _form(self, key: str, text: str) -> Listing:
+        held = self._known_forms.get((key, text))
+        if held is None:
+            held = self._known_forms[key, text] = super()._form(key, text)
+        return held
+
+    def _forms(self, text: str) -> dict[str, Listing]:
+        held = self._known_texts.get(text)
+        if held is None:
+            held = self._known_texts[text] = super()._forms(text)
+        return dict(held)
+
+    def _checked(self, state: State) -> Site:
+        whole = str(assembled(state.items, state.forms))
+        held = self._known_sites.get(whole)
+        if held is None:
+            held = self._known_sites[whole] = super()._checked(state)
+        for known in (self._known_sites, self._known_forms, self._known_texts):
+            if len(known) > 5000:
+                known.clear()
+        return held
+
+
+def unusable(me: int, site: Site, serving: Site | None) -> tuple[str, ...]:
+    """What a front can't use: some versions no front can, some a part of them, some only while it serves."""
+    last = site.limits.held % 10
+    reasons = ["no front can"] if last == 7 else []
+    reasons += ["this front can't"] if last in (1, 2, 3, 6) and me % 4 == last % 4 else []
+    if serving is not None and serving.facts.permissions.max_attempts != site.facts.permissions.max_attempts:
+        reasons.append("permissions can't change in service")
+    return tuple(reasons)
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """The sizes and chances of one schedule, drawn from its seed."""
+
+    seed: int
+    fronts: int = 5
+    seconds: int = 20
+    versions: int = 20
+    bursts: int = 1  # of up to ten versions in a moment
+    loss: float = 0.1
+    slow: float = 0.05
+    cuts: int = 3
+    splits: int = 2
+    crashes: int = 4
+    kills: int = 3  # of instances
+    lag: float = 0.2  # the chance that an instance applies late
+    breaks: float = 0.01  # of a connection, at a line
+    doubled: float = 0.05
+    dropped: float = 0.01  # of a line, while its connection stands
+    spoilt: float = 0.01
+    sloppy: float = 0.3  # that a connection which was left still tells something
+    disk_errors: float = 0.05
+    hunted: float = 0.1  # that a front crashes at a writing, or just after it takes a version
+    keeps: int = 1000  # versions in an instance's history
+    apart: int = 0  # seconds that all fronts are cut off from all instances, together
+
+
+@dataclass(slots=True)
+class Connection:
+    """One request to an instance and what comes back, in order; `sent` is the version told last."""
+
+    front: "Front"
+    instance: "Instance"
+    wants: Watch | Fetch
+    left: bool = False  # by the front
+    ended: bool = False  # at the instance
+    sent: int = -1  # not accepted yet
+    waiting: deque[tuple[str, Any, bool]] = field(default_factory=deque)
+    pumping: bool = False
+
+
+@dataclass(slots=True)
+class Instance:
+    """One that agrees with the others: how much of the log it has applied."""
+
+    number: int
+    applied: int = 0
+    up: bool = True
+    life: int = 0
+    heard_leader: int = 0
+    slow_until: int = 0
+    connections: list[Connection] = field(default_factory=list)
+    requests: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Front:
+    """One front: what runs there, what is on its disk, and what it ever had in force."""
+
+    number: int
+    follower: Follower | None = None
+    life: int = 0
+    disk: bytes = b""
+    serving: Site | None = None
+    ever: int = 0
+    timer: int = -1
+    connection: Connection | None = None
+    writing: tuple[int, bytes] | None = None
+    wholes: int = 0  # since it last heard a beat, or something that was not right
+    second: tuple[int, int] = (0, 0)  # which one, and requests in it
+
+
+@dataclass(slots=True)
+class Found:
+    """What a run saw."""
+
+    steps: int = 0
+    taken: int = 0
+    refused: int = 0
+    crashes: int = 0
+    wholes: int = 0
+    watches: int = 0
+    reports: int = 0
+    latest: int = 0  # us from quiet until the last front was at the newest
+    busiest: int = 0  # requests of one front in a second
+    herd: float = 0.0  # the busiest second of an instance after a return, over the mean
+    counts: Counter[str] = field(default_factory=Counter)
+
+
+class Simulation(World):
+    """One schedule. `make` builds the core, so that one with a guard taken out can be run as well."""
+
+    def __init__(self, plan: Schedule, make: Callable[..., Follower] = Quick) -> None:
+        super().__init__(plan.seed)
+        self.plan, self.make, self.found = plan, make, Found()
+        self.links = Links(plan.loss, 0.0, plan.slow, 20_000, SECOND)
+        self.log = committed()
+        last = len(self.log) - plan.versions - 15
+        self.head = self.rng.randint(1, max(last, 1))
+        self.instances = [Instance(number, self.head) for number in range(INSTANCES)]
+        self.fronts = [Front(number) for number in range(plan.fronts)]
+        self.cut: set[tuple[int, int]] = set()
+        self.sides: list[int] = [0] * INSTANCES  # the side of a split that each instance is on
+        self.seen: Counter[int] = Counter()
+
+    def fail(self, why: str) -> None:
+        raise BoundBrokenError(f"seed {self.plan.seed}: {why} at {self.now}")
+
+    def apart(self, sender: int, to: int) -> bool:
+        """Instances count from 0, fronts from INSTANCES."""
+        return (sender, to) in self.cut
+
+    def run(self) -> Found:
+        """Play the schedule. Raises BoundBrokenError."""
+        plan, end = self.plan, self.plan.seconds * SECOND
+        for instance in self.instances:
+            self._tick(instance, instance.life)
+        for front in self.fronts:
+            self.after(0, SECOND if plan.apart == 0 else SECOND // 10, lambda f=front: self._start(f))  # type: ignore[misc]
+        for count, what in (
+            (plan.versions, self._commit),
+            (plan.bursts, self._burst),
+            (plan.cuts, self._some_cut),
+            (plan.splits, self._some_split),
+            (plan.crashes, self._some_crash),
+            (plan.kills, self._some_kill),
+        ):
+            for _ in range(count):
+                self.after(SECOND // 2, end, what)
+        if plan.apart:
+            self._all_apart(end)
+        self.until(end)
+        self._quiet()
+        return self.found
+
+    def _all_apart(self, end: int) -> None:
+        """All fronts are cut off from all instances together, as a zone is."""
+        self.until(max(end - self.plan.apart * SECOND, 4 * SECOND))
+        links = [(i, INSTANCES + f) for i in range(INSTANCES) for f in range(len(self.fronts))]
+        self.cut |= {*links, *((b, a) for a, b in links)}
+
+    def _quiet(self) -> None:
+        """The trouble is over: all are at the newest that they can use in time, and so it goes on."""
+        self.faults = False
+        self.cut.clear()
+        self.sides = [0] * INSTANCES
+        for instance in self.instances:
+            instance.up, instance.slow_until = True, 0
+            instance.requests.clear()
+            instance.heard_leader = self.now
+        for front in self.fronts:
+            if front.follower is None:
+                self._start(front)
+        began = self.now
+        while self.now < began + RETURN and not all(self._at_newest(front) for front in self.fronts):
+            self.until(self.now + SECOND // 10)
+        self.found.latest = self.now - began
+        for front in self.fronts:
+            if not self._at_newest(front):
+                self._say_behind(front)
+        if self.plan.apart:
+            self.until(began + RETURN)
+            self._herd(began)
+        least = self.head
+        for _ in range(3):
+            self._commit()
+            self.until(self.now + SECOND // 2)
+        self.until(self.now + 3 * SECOND)
+        for front in self.fronts:
+            self._newest_of(front, least)
+            assert front.follower is not None
+            for reason, count in front.follower.counts.items():
+                self.found.counts[reason] += count
+
+    def _say_behind(self, front: Front) -> None:
+        held = front.follower
+        assert held is not None
+        self.fail(
+            f"front {front.number} is at version {held.version} of {self.head}, refused {held.refused}, "
+            f"knows {held.known.number}, {held.phase.value} instance {held.at}"
+        )
+
+    def _at_newest(self, front: Front) -> bool:
+        held = front.follower
+        if held is None or held.keeping is not None:
+            return False
+        if held.version == self.head:
+            return True
+        why = unusable(front.number, self._site(self.head), front.serving)
+        return held.refused[0] == self.head and bool(why)
+
+    def _newest_of(self, front: Front, least: int) -> None:
+        """Of versions that came one after the other the last good one is in force, and a bad one is told."""
+        held = front.follower
+        assert held is not None
+        if not self._at_newest(front):
+            self._say_behind(front)
+        good = [
+            number
+            for number in range(least + 1, self.head + 1)
+            if not unusable(front.number, self._site(number), front.serving)
+        ]
+        if good and held.version < good[-1]:
+            self.fail(f"front {front.number} is at version {held.version}, {good[-1]} was good")
+
+    @staticmethod
+    @functools.cache
+    def _site(number: int) -> Site:
+        return check(parse(committed()[number - 1].text, "<log>"), "<log>", Path())
+
+    def _herd(self, began: int) -> None:
+        """In no second of the return there are more than twice the mean of requests: at all instances, and at
+        each one, where there are enough to speak of a mean; else chance is given three of its deviations."""
+        asked = [[(at - began) // SECOND for at in one.requests] for one in self.instances]
+        span = 1 + max((second for seconds in asked for second in seconds), default=0)
+        for name, seconds in (*enumerate(asked), ("in all", sum(asked, []))):
+            mean, busiest = len(seconds) / span, max(Counter(seconds).values(), default=0)
+            bound = 2 * mean if mean >= 8 else 2 * mean + 3 * math.sqrt(mean)
+            if mean >= 8:
+                self.found.herd = max(self.found.herd, busiest / mean)
+            if busiest > bound:
+                self.fail(f"{busiest} requests in a second at instance {name}, {mean:.1f} on average")
+
+    # Instances
+
+    def _majority(self) -> set[int]:
+        """The instances that have a leader."""
+        for side in set(self.sides):
+            there = {n for n in range(INSTANCES) if self.sides[n] == side and self.instances[n].up}
+            if len(there) > INSTANCES // 2:
+                return there
+        return set()
+
+    def _commit(self) -> None:
+        there = self._majority()
+        if not there or self.head >= len(self.log):
+            return
+        self.head += 1
+        leads = min(there)
+        for number in there:
+            late = self.rng.randint(1_000, 40_000) if number != leads else 0
+            if self.faults and self.rng.random() < self.plan.lag:
+                late = self.rng.randint(0, 4 * SECOND)
+                self.instances[number].slow_until = max(self.instances[number].slow_until, self.now + late)
+            head, life = self.head, self.instances[number].life
+            self.after(late, late, lambda n=number, h=head, k=life: self._applies(n, h, k))  # type: ignore[misc]
+
+    def _burst(self) -> None:
+        for _ in range(self.rng.randint(2, 10)):
+            self._commit()
+
+    def _applies(self, number: int, head: int, life: int) -> None:
+        instance = self.instances[number]
+        if not instance.up or instance.life != life or head <= instance.applied:
+            return
+        instance.applied = head
+        for connection in list(instance.connections):
+            self._tell_versions(connection)
+
+    def _tick(self, instance: Instance, life: int) -> None:
+        """An instance hears of its leader, and what it lacks."""
+        if instance.up and instance.life == life:
+            if instance.number in self._majority():
+                instance.heard_leader = self.now
+                if instance.applied < self.head and self.now >= instance.slow_until:
+                    self._applies(instance.number, self.head, life)
+            for connection in list(instance.connections):
+                if connection.sent >= 0 and isinstance(connection.wants, Watch):
+                    self._send(connection, "line", self._beat(instance))
+        life = instance.life
+        self.at(self.now + SECOND // 2, lambda: self._tick(instance, life))
+
+    def _beat(self, instance: Instance) -> bytes:
+        apart = self.now - instance.heard_leader > APART
+        return msgspec.json.encode({"beat": instance.applied, "apart": apart})
+
+    def _some_split(self) -> None:
+        """Instances are cut off from one another: a former leader goes on telling what it has."""
+        self.sides = [self.rng.randint(0, 1) for _ in range(INSTANCES)]
+        self.after(SECOND // 2, 8 * SECOND, self._together)
+
+    def _together(self) -> None:
+        self.sides = [0] * INSTANCES
+
+    def _some_kill(self) -> None:
+        instance = self.instances[self.rng.randrange(INSTANCES)]
+        if not instance.up or not self.faults:
+            return
+        instance.up, instance.life = False, instance.life + 1
+        for connection in list(instance.connections):
+            self._break(connection)
+        self.after(SECOND // 5, 4 * SECOND, lambda: self._again(instance))
+
+    def _again(self, instance: Instance) -> None:
+        """It is back with what its disk says is committed, which may be less than it told before."""
+        if instance.up:
+            return
+        instance.up, instance.heard_leader = True, 0
+        instance.applied = self.rng.randint(max(instance.applied - 8, 1), instance.applied)
+        instance.slow_until = self.now + self.rng.randint(0, 2 * SECOND)
+
+    # Connections
+
+    def _connect(self, front: Front, wants: Watch | Fetch) -> None:
+        self._leave(front)
+        connection = Connection(front, self.instances[wants.instance], wants)
+        front.connection = connection
+        second, count = front.second
+        count = count + 1 if second == self.now // SECOND else 1
+        front.second = (self.now // SECOND, count)
+        self.found.busiest = max(self.found.busiest, count)
+        if count > MOST_REQUESTS:
+            self.fail(f"front {front.number} asks {count} times in a second")
+        here, there = INSTANCES + front.number, wants.instance
+        arrives = self.pass_on(here, there, self.links, lambda: self._accept(connection))
+        if not arrives:
+            self.at(self.now + CONNECT, lambda: self._ends(connection, Loss.LATE))
+
+    def _accept(self, connection: Connection) -> None:
+        instance, front = connection.instance, connection.front
+        here, there = INSTANCES + front.number, instance.number
+        if connection.left:
+            return
+        if self.apart(there, here):
+            self.at(self.now + CONNECT, lambda: self._ends(connection, Loss.LATE))
+            return
+        if not instance.up:
+            self.after(500, 20_000, lambda: self._ends(connection, Loss.REFUSED))
+            return
+        instance.requests.append(self.now)
+        if self.faults and self.rng.random() < self.plan.breaks:
+            self._send(connection, "turned-away", None)
+            return
+        connection.sent = 0
+        instance.connections.append(connection)
+        if isinstance(connection.wants, Fetch):
+            self.found.wholes += 1
+            held = self.log[instance.applied - 1]
+            self._send(connection, "whole", (held.number, held.text, held.digest))
+            return
+        self.found.watches += 1
+        after = connection.wants.after
+        if not max(instance.applied - self.plan.keeps, 0) <= after <= instance.applied:
+            known = instance.applied if self.rng.random() < 0.7 else -1
+            self._send(connection, "not-kept", known)
+            return
+        connection.sent = after
+        self._send(connection, "line", self._beat(instance))
+        self._tell_versions(connection)
+
+    def _tell_versions(self, connection: Connection) -> None:
+        if connection.sent < 0 or not isinstance(connection.wants, Watch):
+            return
+        instance = connection.instance
+        if instance.applied - connection.sent > WATCH_AHEAD:
+            self._break(connection)
+            return
+        for number in range(connection.sent + 1, instance.applied + 1):
+            self._send(connection, "line", self.log[number - 1].line)
+        connection.sent = max(instance.applied, connection.sent)
+
+    def _send(self, connection: Connection, what: str, held: Any) -> None:
+        """Something goes to the front, after what went before; it may be spoilt, doubled or lost."""
+        if connection.ended:
+            return
+        plan, draw = self.plan, self.rng.random() if self.faults else 1.0
+        if draw < plan.breaks:
+            self._break(connection)
+            return
+        if draw < plan.breaks + plan.dropped and what == "line":
+            return
+        right = True
+        if plan.breaks + plan.dropped <= draw < plan.breaks + plan.dropped + plan.spoilt:
+            spoilt = self._spoilt(what, held)
+            right, held = spoilt == held, spoilt
+        connection.waiting.append((what, held, right))
+        if self.faults and what == "line" and self.rng.random() < plan.doubled:
+            connection.waiting.append((what, held, right))
+        if not connection.pumping:
+            connection.pumping = True
+            self._pump_later(connection)
+
+    def _spoilt(self, what: str, held: Any) -> Any:
+        """Cut off, altered, or nonsense."""
+        how = self.rng.randint(0, 2)
+        if what == "line":
+            if how == 0:
+                return held[: self.rng.randrange(len(held))]
+            if how == 1:
+                return held.replace(b"held ", b"held 1", 1)
+            return self.rng.choice([b"", b"{}", b"[[", b"\xff\x00", b'{"beat":-4}', b'{"version":0}'])
+        if what == "whole":
+            number, text, digest = held
+            if how == 0:
+                return number, text[: self.rng.randrange(len(text))], digest
+            if how == 1:
+                return number, text.replace("held ", "held 1", 1), digest
+            return number, "", digest
+        return held
+
+    def _pump_later(self, connection: Connection) -> None:
+        late = self.faults and self.rng.random() < self.plan.loss + self.plan.slow
+        self.after(300, 400_000 if late else 8_000, lambda: self._pump(connection))
+
+    def _pump(self, connection: Connection) -> None:
+        """What waits arrives in its order; over a link that is cut it waits on."""
+        front = connection.front
+        if self.apart(connection.instance.number, INSTANCES + front.number):
+            self.after(200_000, 400_000, lambda: self._pump(connection))
+            return
+        connection.pumping = False
+        if connection.waiting:
+            what, held, right = connection.waiting.popleft()
+            if connection.waiting:
+                connection.pumping = True
+                self._pump_later(connection)
+            self._arrives(connection, what, held, right)
+
+    def _break(self, connection: Connection) -> None:
+        """It ends at the instance; the front hears of it, or not."""
+        self._end(connection)
+        connection.waiting.clear()
+        if self.rng.random() < 0.8 or not self.faults:
+            front = connection.front
+            if not self.apart(connection.instance.number, INSTANCES + front.number):
+                self.after(500, 30_000, lambda: self._ends(connection, Loss.BROKEN))
+
+    def _end(self, connection: Connection) -> None:
+        connection.ended = True
+        if connection in connection.instance.connections:
+            connection.instance.connections.remove(connection)
+
+    def _leave(self, front: Front) -> None:
+        connection, front.connection = front.connection, None
+        if connection is None:
+            return
+        connection.left = True
+        self.after(500, 20_000, lambda: self._end(connection))
+
+    def _stale(self, connection: Connection) -> bool:
+        """Whether what comes of a connection is nothing to its front any more."""
+        if not connection.left and connection.front.connection is connection:
+            return False
+        front = connection.front
+        return front.follower is None or not self.faults or self.rng.random() >= self.plan.sloppy
+
+    def _ends(self, connection: Connection, how: Loss) -> None:
+        front = connection.front
+        if self._stale(connection) or front.follower is None:
+            return
+        if front.connection is connection:
+            front.connection = None
+        connection.left = True
+        self._carry_out(front, front.follower.lost(self.now, connection.wants.instance, how))
+
+    def _arrives(self, connection: Connection, what: str, held: Any, right: bool) -> None:
+        front, instance = connection.front, connection.wants.instance
+        if self._stale(connection) or front.follower is None:
+            return
+        core, stale = front.follower, front.connection is not connection
+        if not right:
+            front.wholes = 0
+        match what:
+            case "line":
+                effects = core.line(self.now, instance, held)
+                if right and held.startswith(b'{"beat"') and not stale:
+                    front.wholes = 0
+            case "whole":
+                number, text, digest = held
+                if right and not stale and number >= core.known.number:
+                    front.wholes += 1
+                    if front.wholes > 1:
+                        self.fail(f"front {front.number} asked for the whole state twice in an absence")
+                connection.left = True
+                effects = core.whole(self.now, instance, number, text, digest)
+            case "not-kept":
+                connection.left, front.wholes = True, 0  # there is no other way from here
+                effects = core.not_kept(self.now, instance, held)
+            case _:
+                connection.left = True
+                effects = core.lost(self.now, instance, Loss.TURNED_AWAY, 0, SECOND)
+        self._carry_out(front, effects)
+
+    def _some_cut(self) -> None:
+        """Links between instances and some fronts are cut, all or one way, for a while."""
+        fronts = [INSTANCES + n for n in range(len(self.fronts)) if self.rng.random() < 0.5]
+        instances = [n for n in range(INSTANCES) if self.rng.random() < 0.7]
+        gone = {(a, b) for a in fronts for b in instances}
+        back = {(b, a) for a, b in gone}
+        gone = self.rng.choice([gone, back, gone | back, gone | back])
+        self.cut |= gone
+        self.after(SECOND // 2, 8 * SECOND, lambda: self.cut.difference_update(gone))
+
+    # Fronts
+
+    def _start(self, front: Front) -> None:
+        if front.follower is not None:
+            return
+        front.life += 1
+        front.serving, front.writing, front.timer, front.wholes = None, None, -1, 0
+        number = front.number
+        front.follower = self.make(
+            number, len(self.fronts), INSTANCES, self.rng.getrandbits(32), 3 * SECOND, Path(),
+            lambda site: unusable(number, site, front.serving),
+        )  # fmt: skip
+        self._carry_out(front, front.follower.begin(self.now, self.now + front.life, front.disk))
+
+    def _some_crash(self) -> None:
+        self._crash(self.fronts[self.rng.randrange(len(self.fronts))])
+
+    def _crash(self, front: Front) -> None:
+        if front.follower is None or not self.faults:
+            return
+        self.found.crashes += 1
+        for reason, count in front.follower.counts.items():
+            self.found.counts[reason] += count
+        self._leave(front)
+        if front.writing is not None and self.rng.random() < 0.5:
+            front.disk = front.writing[1]  # it became durable, and nobody was told
+        front.follower, front.serving, front.writing = None, None, None
+        front.life += 1
+        life = front.life
+        self.after(SECOND // 10, 3 * SECOND, lambda: self._start(front) if front.life == life else None)
+
+    def _carry_out(self, front: Front, effects: list[Effect]) -> None:
+        life = front.life
+        for effect in effects:
+            if front.life != life:
+                return
+            match effect:
+                case Watch() | Fetch():
+                    self._connect(front, effect)
+                case Leave():
+                    self._leave(front)
+                case Keep(number, data):
+                    self._keep(front, number, data)
+                case Take():
+                    self._takes(front, effect)
+                case Tell(instance):
+                    self.found.reports += 1
+                    ok = not self.apart(INSTANCES + front.number, instance) and self.instances[instance].up
+                    self.after(1_000, 40_000, lambda k=ok: self._told(front, life, k))  # type: ignore[misc]
+                case Say(_, event, _):
+                    self.found.refused += event == "config-refused"
+        self._timed(front)
+
+    def _told(self, front: Front, life: int, ok: bool) -> None:
+        if front.life == life and front.follower is not None:
+            self._carry_out(front, front.follower.told(self.now, ok))
+
+    def _keep(self, front: Front, number: int, data: bytes) -> None:
+        if front.writing is not None:
+            self.fail(f"front {front.number} writes twice at once")
+        front.writing = (number, data)
+        life = front.life
+        if self.faults and self.rng.random() < self.plan.hunted:
+            self.after(0, 30_000, lambda: self._crash(front) if front.life == life else None)
+        self.after(500, 20_000, lambda: self._durable(front, life))
+
+    def _durable(self, front: Front, life: int) -> None:
+        if front.life != life or front.writing is None or front.follower is None:
+            return
+        (number, data), front.writing = front.writing, None
+        ok = not (self.faults and self.rng.random() < self.plan.disk_errors)
+        if ok:
+            front.disk = data
+        self._carry_out(front, front.follower.kept(self.now, number, ok))
+
+    def _takes(self, front: Front, take: Take) -> None:
+        """A version is in force: it must not be older, must be what was committed, and usable."""
+        self.found.taken += 1
+        again = front.serving is None and take.number == front.ever
+        if take.number <= front.ever and not again:
+            self.fail(f"front {front.number} takes version {take.number} after {front.ever}")
+        if take.number > self.head:
+            self.fail(f"front {front.number} takes version {take.number}, {self.head} are committed")
+        held = self.log[take.number - 1]
+        [listing] = take.site.node
+        assert isinstance(listing, Listing)
+        if _canonical(listing) != held.whole or take.digest != held.digest:
+            self.fail(f"front {front.number} takes a version {take.number} that is not the committed one")
+        why = unusable(front.number, take.site, front.serving)
+        if why:
+            self.fail(f"front {front.number} takes version {take.number}: {why[0]}")
+        front.ever, front.serving = take.number, take.site
+        if self.faults and self.rng.random() < self.plan.hunted / 2:
+            life = front.life
+            self.after(0, 30_000, lambda: self._crash(front) if front.life == life else None)
+
+    def _timed(self, front: Front) -> None:
+        """Have it called when it wants to be."""
+        if front.follower is None:
+            return
+        due = front.follower.next_due
+        if due is None or (self.now <= front.timer <= due):
+            return
+        front.timer = max(due, self.now)
+        life, moment = front.life, front.timer
+        self.at(moment, lambda: self._due(front, life, moment))
+
+    def _due(self, front: Front, life: int, moment: int) -> None:
+        if front.life != life or front.follower is None or front.timer != moment:
+            return
+        front.timer = -1
+        self._carry_out(front, front.follower.due(self.now))
+
+    def checked(self) -> None:
+        """After each step: what a front says is in force is what it took, and it never says less."""
+        self.found.steps = self.steps
+        for front in self.fronts:
+            held = front.follower
+            if held is not None and held.version and (held.version != front.ever or front.serving is None):
+                self.fail(f"front {front.number} says {held.version}, {front.ever} is in force")
+            if held is not None and held.phase is not Phase.AWAY and front.connection is None:
+                self.fail(f"front {front.number} is {held.phase.value} and asks nobody")
+
+
+def drawn(seed: int) -> Schedule:
+    """A schedule of any shape."""
+    rng = Random(seed * 7919 + 11)
+    if seed % 20 == 19:
+        return returning(seed)
+    return Schedule(
+        seed, fronts=rng.choice([1, 2, 4, 4, 6]), seconds=rng.randint(8, 25), versions=rng.randint(5, 30),
+        bursts=rng.randint(0, 3), loss=rng.choice([0, 0.1, 0.3]), slow=rng.choice([0, 0.05, 0.2]),
+        cuts=rng.randint(0, 5), splits=rng.randint(0, 3), crashes=rng.randint(0, 8),
+        kills=rng.randint(0, 6), lag=rng.choice([0, 0.2, 0.5]), breaks=rng.choice([0, 0.01, 0.05]),
+        doubled=rng.choice([0, 0.1]), dropped=rng.choice([0, 0.01, 0.05]), spoilt=rng.choice([0, 0.01, 0.05]),
+        sloppy=rng.choice([0, 0.3]), disk_errors=rng.choice([0, 0.1]), hunted=rng.choice([0, 0.1, 0.4]),
+        keeps=rng.choice([3, 10, 1000]),
+    )  # fmt: skip
+
+
+def returning(seed: int) -> Schedule:
+    """A fleet that is cut off together and comes back, and nothing else."""
+    rng = Random(seed * 7919 + 13)
+    apart = rng.choice([10, 20, 70])
+    return Schedule(
+        seed, fronts=rng.choice([50, 80]), seconds=apart + 6, versions=6, bursts=0, loss=0.0, slow=0.0,
+        cuts=0, splits=0, crashes=0, kills=0, lag=0.0, breaks=0.0, doubled=0.0, dropped=0.0, spoilt=0.0,
+        sloppy=0.0, disk_errors=0.0, hunted=0.0, apart=apart,
+    )  # fmt: skip
+
+
+def explore(
+    first: int, count: int, make: Callable[..., Follower] = Quick, shape: Callable[[int], Schedule] = drawn
+) -> tuple[int, str]:
+    """Run schedules one after the other until one fails; returns how many ran and what failed."""
+    return first_to_fail(first, count, lambda seed: Simulation(shape(seed), make).run(), BoundBrokenError)
+
+
+def shrunk(plan: Schedule, make: Callable[..., Follower] = Quick) -> Schedule:
+    """The least of a failing schedule that still fails."""
+    names = ("crashes", "cuts", "splits", "kills", "bursts", "fronts", "versions", "seconds", "loss", "slow",
+             "lag", "breaks", "doubled", "dropped", "spoilt", "sloppy", "disk_errors", "hunted")  # fmt: skip
+    least = {"fronts": 1, "seconds": 2, "versions": 1}
+    return least_of(plan, names, least, lambda other: Simulation(other, make).run(), BoundBrokenError)
+
+
+def played(first: int, count: int, shape: Callable[[int], Schedule] = drawn) -> Found:
+    """What schedules saw in all. Raises BoundBrokenError."""
+    total = Found()
+    for seed in range(first, first + count):
+        found = Simulation(shape(seed)).run()
+        for name in ("steps", "taken", "refused", "crashes", "wholes", "watches", "reports"):
+            setattr(total, name, getattr(total, name) + getattr(found, name))
+        total.latest, total.busiest = max(total.latest, found.latest), max(total.busiest, found.busiest)
+        total.herd = max(total.herd, found.herd)
+        total.counts += found.counts
+    return total
--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -10,6 +10,7 @@
 is taken and the whole state is asked for. What can't be used leaves the last good version in force, and the
 next is looked at whole. Of what comes, lines, texts and tables have bounds; what is malformed is counted."""
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -38,6 +39,8 @@
 MOST_KEPT = 3 * MOST_BYTES  # of what is read back from disk: two states and what they are written in
 MOST_NUMBER = 2**53
 MOST_WHY = 200  # characters of a reason
+MOST_DIGEST = 40  # characters of a digest
+MOST_BURST = 8  # states of a burst that are at hand, should the newest be one that can't be used
 EVEN = 4 * SECOND  # the period of tries in an outage: two of them fit into the 9 s that a return may take
 HOP = SECOND // 10  # to the next instance where one refused: the way to it stands
 LOOK = 30 * SECOND  # on average between two looks elsewhere while all instances are apart
@@ -206,7 +209,7 @@
     in_force: State = field(default_factory=State)
     known: State = field(default_factory=State)  # the newest whole one that was checked against its digest
     ahead: State = field(default_factory=State)  # `known` with the steps that came since
-    expected: str = ""  # the digest told for `ahead`
+    burst: deque[State] = field(default_factory=lambda: deque(maxlen=MOST_BURST))  # from `known` to `ahead`
 
     at: int = 0
     phase: Phase = Phase.AWAY
@@ -312,7 +315,8 @@
                 state = self._parted(number, text, digest)
             except UnusableError as problem:
                 return self._nonsense(now, "nonsense", str(problem))
-            self.known = self.ahead = state
+            self.known = state
+            self._drop_ahead()
             self.head = max(self.head, number)
             self.decide_at = now
         elif digest and self.known.digest and digest != self.known.digest:
@@ -431,7 +435,7 @@
         """Why a site that passed the file's checks can't be taken here."""
         return self.usable(site)
 
-    def _kept_first(self, state: State, site: Site) -> bool:
+    def _kept_first(self) -> bool:
         """Guards against a front that dies with a version in force which it then knows nothing of."""
         return True
 
@@ -453,7 +457,7 @@
             self.ahead = self._stepped(line)
         except UnusableError as problem:
             return self._nonsense(now, "nonsense", str(problem))
-        self.expected = line.digest
+        self.burst.append(self.ahead)
         self.again, self.missing = False, 0
         if self.decide_at is None:
             # Guards against a burst that is checked a hundred times, and a steady stream that never is
@@ -466,10 +470,10 @@
         for step in line.steps:
             if step.after is not None:
                 try:
-                    forms[step.key] = form_of(step.key, step.after)
+                    forms[step.key] = self._form(step.key, step.after)
                 except (MalformedError, RecursionError) as problem:
                     raise UnusableError(str(problem)[:MOST_WHY]) from None
-        state = self.ahead.copy() if self.ahead is self.known else self.ahead
+        state = self.ahead.copy()
         place = max((item.place for item in state.items.values()), default=0)
         # Places are relative here: what is new comes last, in the order of the places told
         for step in sorted(line.steps, key=lambda step: step.place):
@@ -483,19 +487,15 @@
             state.items[step.key] = Item(text, line.version, place if held is None else held.place)
             state.forms[step.key] = forms[step.key]
             state.size += len(text)
-        state.number = line.version
+        state.number, state.digest = line.version, line.digest[:MOST_DIGEST]
         if len(state.items) > MOST_KEYS or state.size > MOST_BYTES:
-            self.ahead = self.known
             raise UnusableError(f"{len(state.items)} keys of {state.size} characters")
         return state
 
     def _parted(self, number: int, text: str, digest: str) -> State:
         """The state that a site file tells. Raises UnusableError."""
         try:
-            texts = taken_apart(parse(text, "<whole>"))
-            if len(texts) > MOST_KEYS:
-                raise UnusableError(f"{len(texts)} keys, {MOST_KEYS} at most")
-            forms = {key: form_of(key, one) for key, one in texts.items()}
+            forms = self._forms(text)
         except (MalformedError, SettingsError, RecursionError) as problem:
             raise UnusableError(str(problem)[:MOST_WHY]) from None
         items = {key: Item(str(form), number, at) for at, (key, form) in enumerate(forms.items(), 1)}
@@ -505,6 +505,17 @@
             raise UnusableError(f"version {number} has digest {state.digest}, {digest[:40]} was told")
         return state
 
+    def _forms(self, text: str) -> dict[str, Listing]:
+        """The forms of a site file by key. Raises MalformedError, SettingsError, UnusableError."""
+        texts = taken_apart(parse(text, "<whole>"))
+        if len(texts) > MOST_KEYS:
+            raise UnusableError(f"{len(texts)} keys, {MOST_KEYS} at most")
+        return {key: self._form(key, one) for key, one in texts.items()}
+
+    def _form(self, key: str, text: str) -> Listing:
+        """Raises MalformedError."""
+        return form_of(key, text)
+
     def _beat(self, now: int, line: _Line) -> list[Effect]:
         self.counts["beats"] += 1
         self.head = max(self.head, line.beat)
@@ -599,7 +610,7 @@
 
     def _whole_again(self, now: int) -> list[Effect]:
         """Ask for the whole state; an instance whose steps do not lead on from it is left."""
-        self.ahead, self.expected = self.known, ""
+        self._drop_ahead()
         if self.fetched:
             return [Leave(), *self._turn(now, Loss.BROKEN)]
         self.phase, self.heard_at, self.fetched = Phase.FETCHING, now, True
@@ -653,7 +664,7 @@
         out: list[Effect] = [Leave()]
         if self._once(reason):
             out.append(Say("warning", f"config-{reason}", f"instance {self.at}: {what}"))
-        self.ahead, self.expected = self.known, ""
+        self._drop_ahead()
         return out + self._turn(now, Loss.BROKEN)
 
     def _once(self, what: str) -> bool:
@@ -680,24 +691,42 @@
         if self.keeping is not None:
             return []  # `kept` looks again
         if self.ahead is not self.known:
-            digest = digest_of(assembled(self.ahead.items, self.ahead.forms))
-            if not self._same(digest, self.expected):
+            if not self._true(self.ahead):
                 self.counts["differs"] += 1
-                self.ahead, self.expected = self.known, ""
+                self._drop_ahead()
                 return self._whole_again(now) if self.phase is Phase.WATCHING else []
-            self.ahead.digest, self.known, self.fetched = digest, self.ahead, False
-        state = self.known
+            self.known, self.fetched = self.ahead, False
+        state, earlier = self.known, [one for one in self.burst if one is not self.known]
+        self.burst.clear()
         if not self._newer(state.number) or state.number == self.refused[0]:
             return []
         site, why = self._usable(state)
-        if site is not None:
-            if self._kept_first(state, site):
-                return self._keep(state, site)
-            return [self._take(now, state, site), *self._keep(state, None)]
-        self.counts["refused"] += 1
-        self.refused = (state.number, why)
-        self._soon(now)
-        return [Say("warning", "config-refused", f"version {state.number}: {why}"), *self._keep(state, None)]
+        out: list[Effect] = []
+        if site is None:
+            self.counts["refused"] += 1
+            self.refused = (state.number, why)
+            self._soon(now)
+            out.append(Say("warning", "config-refused", f"version {state.number}: {why}"))
+            # The last good one of the burst is what fronts have that saw each version alone
+            for one in reversed(earlier):
+                if self._newer(one.number) and self._true(one) and (site := self._usable(one)[0]):
+                    state = one
+                    break
+        if site is not None and not self._kept_first():
+            out.append(self._take(now, state, site))
+            site = None
+        return [*out, *self._keep(state, site)]
+
+    def _true(self, state: State) -> bool:
+        """Whether a state that steps led to has the digest that was told; from then on it has its own."""
+        digest = digest_of(assembled(state.items, state.forms))
+        same = self._same(digest, state.digest)
+        state.digest = digest
+        return same
+
+    def _drop_ahead(self) -> None:
+        self.ahead = self.known
+        self.burst.clear()
 
     def _usable(self, state: State) -> tuple[Site | None, str]:
         """The site of a state, or why it can't be in force here."""
