Following: guards taken out one by one, and the simulation finds each

The simulation has found, so far: a doubled beat taken for lost lines, a report sent twice within its span.

--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -24,13 +24,28 @@
 import msgspec
 
 from ponddoor.config.machine import Change, Machine, assembled, digest_of, packed, shown, taken_apart
+from ponddoor.config.rollout import Report
 from ponddoor.front.coming import Loss
-from ponddoor.front.follower import Effect, Fetch, Follower, Keep, Leave, Phase, Say, State, Take, Tell, Watch
+from ponddoor.front.follower import (
+    LONG,
+    Effect,
+    Fetch,
+    Follower,
+    Keep,
+    Leave,
+    Phase,
+    Say,
+    State,
+    Take,
+    Tell,
+    Watch,
+)
 from ponddoor.settings.sexpr import Listing, parse
 from ponddoor.settings.site import Site, check
 from ponddoor.world import Links, World, first_to_fail, least_of
 
 SECOND = 1_000_000
+HOUR = 3600 * SECOND
 RETURN = 9 * SECOND  # after which all have the newest that they can use
 INSTANCES = 5
 MOST_WATCHERS = 500
@@ -179,6 +194,7 @@
     hunted: float = 0.1  # that a front crashes at a writing, or just after it takes a version
     keeps: int = 1000  # versions in an instance's history
     apart: int = 0  # seconds that all fronts are cut off from all instances, together
+    parted: int = 0  # seconds that half of the fronts reach two instances alone, which have no leader
 
 
 @dataclass(slots=True)
@@ -188,6 +204,7 @@
     front: "Front"
     instance: "Instance"
     wants: Watch | Fetch
+    life: int  # of the front
     left: bool = False  # by the front
     ended: bool = False  # at the instance
     sent: int = -1  # not accepted yet
@@ -222,8 +239,13 @@
     timer: int = -1
     connection: Connection | None = None
     writing: tuple[int, bytes] | None = None
+    told: Report | None = None  # the newest that came to an instance
+    told_at: int = -HOUR
+    heard_at: int = -HOUR  # when a line that is right came last
+    whole_at: int = -HOUR - 1  # and the whole state
     wholes: int = 0  # since it last heard a beat, or something that was not right
     second: tuple[int, int] = (0, 0)  # which one, and requests in it
+    asked: int = 0
 
 
 @dataclass(slots=True)
@@ -285,16 +307,45 @@
                 self.after(SECOND // 2, end, what)
         if plan.apart:
             self._all_apart(end)
+        if plan.parted:
+            self._parted(end)
         self.until(end)
         self._quiet()
         return self.found
 
     def _all_apart(self, end: int) -> None:
         """All fronts are cut off from all instances together, as a zone is."""
-        self.until(max(end - self.plan.apart * SECOND, 4 * SECOND))
+        self.until(end - self.plan.apart * SECOND)
         links = [(i, INSTANCES + f) for i in range(INSTANCES) for f in range(len(self.fronts))]
         self.cut |= {*links, *((b, a) for a, b in links)}
 
+    def _parted(self, end: int) -> None:
+        """Two instances have no leader, and half of the fronts reach them alone: these stay, say so, and ask
+        seldom; the others move to those that have a leader."""
+        self.until(end - self.plan.parted * SECOND)
+        self.sides = [0, 0, 0, 1, 1]
+        alone = [front for front in self.fronts if front.number % 2]
+        links = [(i, INSTANCES + front.number) for i in range(3) for front in alone]
+        self.cut |= {*links, *((b, a) for a, b in links)}
+        self.until(self.now + 10 * SECOND)
+        before, began = [(front.ever, front.asked) for front in self.fronts], self.now
+        self.until(end)
+        most = 4 + 3 * self.plan.parted // 15
+        for front, (ever, asked) in zip(self.fronts, before, strict=True):
+            held = front.follower
+            assert held is not None
+            if front not in alone:
+                if not self._well(front) or self.sides[held.at]:
+                    self._say_behind(front)
+            elif held.apart_since is None or held.apart_since > began or front.ever != ever:
+                self.fail(
+                    f"front {front.number} is apart since {held.apart_since}, {front.ever} after {ever}"
+                )
+            if front.asked - asked > most:
+                self.fail(
+                    f"front {front.number} asks {front.asked - asked} times while apart, {most} at most"
+                )
+
     def _quiet(self) -> None:
         """The trouble is over: all are at the newest that they can use in time, and so it goes on."""
         self.faults = False
@@ -308,26 +359,36 @@
             if front.follower is None:
                 self._start(front)
         began = self.now
-        while self.now < began + RETURN and not all(self._at_newest(front) for front in self.fronts):
+        while self.now < began + RETURN:
             self.until(self.now + SECOND // 10)
-        self.found.latest = self.now - began
+            if not all(self._well(front) for front in self.fronts):
+                self.found.latest = self.now - began
         for front in self.fronts:
-            if not self._at_newest(front):
+            if not self._well(front):
                 self._say_behind(front)
-        if self.plan.apart:
-            self.until(began + RETURN)
+        if self.plan.apart or self.plan.parted:
             self._herd(began)
-        least = self.head
-        for _ in range(3):
+        least, together = self.head, self.rng.random() < 0.5
+        for _ in range(4):
             self._commit()
-            self.until(self.now + SECOND // 2)
-        self.until(self.now + 3 * SECOND)
+            self.until(self.now + (0 if together else SECOND // 2))
+        self.until(self.now + RETURN)
         for front in self.fronts:
             self._newest_of(front, least)
+            self._known(front)
             assert front.follower is not None
             for reason, count in front.follower.counts.items():
                 self.found.counts[reason] += count
 
+    def _known(self, front: Front) -> None:
+        """What is in force at a front is known by its report."""
+        held, told = front.follower, front.told
+        assert held is not None
+        here = (front.life, held.version, held.digest, held.refused[0], 0)
+        there = told and (told.life, told.version, told.digest, told.refused, told.apart_ms)
+        if here != there:
+            self.fail(f"front {front.number} is at {here}, it has told {there}")
+
     def _say_behind(self, front: Front) -> None:
         held = front.follower
         assert held is not None
@@ -345,6 +406,12 @@
         why = unusable(front.number, self._site(self.head), front.serving)
         return held.refused[0] == self.head and bool(why)
 
+    def _well(self, front: Front) -> bool:
+        """At the newest, and with an instance that has a leader."""
+        held = front.follower
+        well = held is not None and held.phase is Phase.WATCHING and held.met and held.apart_since is None
+        return well and self._at_newest(front)
+
     def _newest_of(self, front: Front, least: int) -> None:
         """Of versions that came one after the other the last good one is in force, and a bad one is told."""
         held = front.follower
@@ -459,11 +526,11 @@
 
     def _connect(self, front: Front, wants: Watch | Fetch) -> None:
         self._leave(front)
-        connection = Connection(front, self.instances[wants.instance], wants)
+        connection = Connection(front, self.instances[wants.instance], wants, front.life)
         front.connection = connection
         second, count = front.second
         count = count + 1 if second == self.now // SECOND else 1
-        front.second = (self.now // SECOND, count)
+        front.second, front.asked = (self.now // SECOND, count), front.asked + 1
         self.found.busiest = max(self.found.busiest, count)
         if count > MOST_REQUESTS:
             self.fail(f"front {front.number} asks {count} times in a second")
@@ -495,6 +562,9 @@
             self._send(connection, "whole", (held.number, held.text, held.digest))
             return
         self.found.watches += 1
+        long = self.now - front.heard_at > LONG + SECOND
+        if long and connection.wants.after < instance.applied and front.whole_at <= front.heard_at:
+            self.fail(f"front {front.number} makes up for a long absence step by step")
         after = connection.wants.after
         if not max(instance.applied - self.plan.keeps, 0) <= after <= instance.applied:
             known = instance.applied if self.rng.random() < 0.7 else -1
@@ -595,6 +665,8 @@
 
     def _stale(self, connection: Connection) -> bool:
         """Whether what comes of a connection is nothing to its front any more."""
+        if connection.life != connection.front.life:
+            return True
         if not connection.left and connection.front.connection is connection:
             return False
         front = connection.front
@@ -616,6 +688,8 @@
         core, stale = front.follower, front.connection is not connection
         if not right:
             front.wholes = 0
+        elif not stale and what == "line":
+            front.heard_at = self.now
         match what:
             case "line":
                 effects = core.line(self.now, instance, held)
@@ -623,8 +697,9 @@
                     front.wholes = 0
             case "whole":
                 number, text, digest = held
-                if right and not stale and number >= core.known.number:
-                    front.wholes += 1
+                awaited = core.phase is Phase.FETCHING and core.at == instance and not stale
+                if right and awaited and number >= core.known.number:
+                    front.wholes, front.whole_at = front.wholes + 1, self.now
                     if front.wholes > 1:
                         self.fail(f"front {front.number} asked for the whole state twice in an absence")
                 connection.left = True
@@ -654,12 +729,13 @@
             return
         front.life += 1
         front.serving, front.writing, front.timer, front.wholes = None, None, -1, 0
+        front.told_at = -HOUR
         number = front.number
         front.follower = self.make(
             number, len(self.fronts), INSTANCES, self.rng.getrandbits(32), 3 * SECOND, Path(),
             lambda site: unusable(number, site, front.serving),
         )  # fmt: skip
-        self._carry_out(front, front.follower.begin(self.now, self.now + front.life, front.disk))
+        self._carry_out(front, front.follower.begin(self.now, front.life, front.disk))
 
     def _some_crash(self) -> None:
         self._crash(self.fronts[self.rng.randrange(len(self.fronts))])
@@ -692,14 +768,24 @@
                     self._keep(front, number, data)
                 case Take():
                     self._takes(front, effect)
-                case Tell(instance):
-                    self.found.reports += 1
-                    ok = not self.apart(INSTANCES + front.number, instance) and self.instances[instance].up
-                    self.after(1_000, 40_000, lambda k=ok: self._told(front, life, k))  # type: ignore[misc]
+                case Tell(instance, report):
+                    self._tell(front, instance, report)
                 case Say(_, event, _):
                     self.found.refused += event == "config-refused"
         self._timed(front)
 
+    def _tell(self, front: Front, instance: int, report: Report) -> None:
+        self.found.reports += 1
+        if self.now < front.told_at + 5 * SECOND:
+            self.fail(f"front {front.number} reports again after {self.now - front.told_at} us")
+        front.told_at, life = self.now, front.life
+        away = self.apart(INSTANCES + front.number, instance) or not self.instances[instance].up
+        ok = not away and (not self.faults or self.rng.random() >= self.plan.loss)
+        newest = front.told is None or (report.life, report.number) > (front.told.life, front.told.number)
+        if ok and newest:
+            front.told = report
+        self.after(1_000, 40_000, lambda: self._told(front, life, ok))
+
     def _told(self, front: Front, life: int, ok: bool) -> None:
         if front.life == life and front.follower is not None:
             self._carry_out(front, front.follower.told(self.now, ok))
@@ -788,13 +874,15 @@
 
 
 def returning(seed: int) -> Schedule:
-    """A fleet that is cut off together and comes back, and nothing else."""
+    """A fleet that is cut off together, or a half of it with a minority, and comes back; nothing else."""
     rng = Random(seed * 7919 + 13)
-    apart = rng.choice([10, 20, 70])
+    away, parted = rng.choice([10, 20, 70]), rng.random() < 0.4
+    away += 40 if parted else 0
     return Schedule(
-        seed, fronts=rng.choice([50, 80]), seconds=apart + 6, versions=6, bursts=0, loss=0.0, slow=0.0,
-        cuts=0, splits=0, crashes=0, kills=0, lag=0.0, breaks=0.0, doubled=0.0, dropped=0.0, spoilt=0.0,
-        sloppy=0.0, disk_errors=0.0, hunted=0.0, apart=apart,
+        seed, fronts=20 if parted else rng.choice([50, 80]), seconds=away + 6, versions=6, bursts=0,
+        loss=0.0, slow=0.0, cuts=0, splits=0, crashes=0, kills=0, lag=0.0, breaks=0.0, doubled=0.0,
+        dropped=0.0, spoilt=0.0, sloppy=0.0, disk_errors=0.0, hunted=0.0,
+        apart=0 if parted else away, parted=away if parted else 0,
     )  # fmt: skip
 
 
--- /dev/null
+++ b/ponddoor/config/followers_mutants.py
@@ -0,0 +1,171 @@
+"""The core of a follower with one guard taken out each, and schedules where it matters: the simulation must
+find every one (tests, `ponddoor config followers simulate --without`)."""
+
+from dataclasses import replace
+from typing import Any
+
+from ponddoor.config.followers import Quick, Schedule, drawn, returning
+from ponddoor.front.follower import State
+from ponddoor.settings.site import Site
+
+
+class GoesBack(Quick):
+    """Takes what an instance has, older or newer."""
+
+    def _newer(self, number: int) -> bool:
+        return number != self.version
+
+    def _lags(self, number: int) -> bool:
+        return False
+
+    def _advances(self, number: int) -> bool:
+        return number != self.known.number
+
+
+class Partial(Quick):
+    """Takes what comes, whatever it follows, finds or adds up to."""
+
+    def _next(self, line: Any) -> bool:
+        return True
+
+    def _follows(self, line: Any) -> bool:
+        return True
+
+    def _same(self, digest: str, told: str) -> bool:
+        return True
+
+
+class Gullible(Quick):
+    """Does not look at the digest."""
+
+    def _same(self, digest: str, told: str) -> bool:
+        return True
+
+
+class Careless(Quick):
+    """Takes what this front can't use."""
+
+    def _reasons(self, site: Site) -> tuple[str, ...]:
+        return ()
+
+
+class Forgetful(Quick):
+    """Begins with nothing, whatever was kept."""
+
+    def _restored(self, kept: bytes) -> tuple[State, State]:
+        return State(), State()
+
+
+class Hasty(Quick):
+    """A version is in force first and kept afterwards."""
+
+    def _kept_first(self) -> bool:
+        return False
+
+
+class Content(Quick):
+    """Beats alone are enough."""
+
+    def _misses(self, now: int) -> bool:
+        return False
+
+
+class Patient(Quick):
+    """Waits for ever for an instance that has fallen silent."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.silence = 3600 * 1_000_000
+
+
+class Greedy(Quick):
+    """Asks for the whole state wherever it comes to."""
+
+    def _long_absent(self, now: int) -> bool:
+        return True
+
+
+class StepByStep(Quick):
+    """Never asks for the whole state by itself: an absence is made up for step by step."""
+
+    def _long_absent(self, now: int) -> bool:
+        return False
+
+
+class LastOnly(Quick):
+    """Of a burst it looks at the last alone."""
+
+    def _earlier(self) -> list[State]:
+        return []
+
+
+class Growing(Quick):
+    """Waits as for the list: longer with each failure, by chance."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.coming.even = 0
+
+
+class Homeless(Quick):
+    """Asks around as fast while all are apart as when one is."""
+
+    def _apart(self, now: int) -> list[Any]:
+        self.bad.clear()
+        return super()._apart(now)
+
+
+class Loyal(Quick):
+    """Stays with an instance that has heard of no leader."""
+
+    def _apart(self, now: int) -> list[Any]:
+        out = super()._apart(now)
+        self.move_at = None
+        return out
+
+
+class Mute(Quick):
+    """Tells what it has in force when it comes to an instance, and not when it changes."""
+
+    def _soon(self, now: int) -> None:
+        if not self.reports:
+            super()._soon(now)
+
+
+def restarting(seed: int) -> Schedule:
+    """Fronts and instances that crash often."""
+    return replace(drawn(seed - seed % 20), seed=seed, crashes=10, kills=8, hunted=0.4, fronts=4, lag=0.5)
+
+
+def spoilt(seed: int) -> Schedule:
+    """Much that comes is spoilt."""
+    return replace(drawn(seed - seed % 20), seed=seed, spoilt=0.1, breaks=0.0, versions=30, fronts=4)
+
+
+def dropping(seed: int) -> Schedule:
+    """Lines are lost while connections stand, and connections are half open."""
+    return replace(drawn(seed - seed % 20), seed=seed, dropped=0.1, breaks=0.05, fronts=4)
+
+
+def away(seed: int) -> Schedule:
+    """Fleets that were cut off together."""
+    return returning(seed * 20 + 19)
+
+
+MUTANTS: dict[str, tuple[type[Quick], Any]] = {
+    "never back": (GoesBack, restarting),
+    "whole or not at all": (Partial, spoilt),
+    "the digest": (Gullible, spoilt),
+    "refusal kept": (Careless, drawn),
+    "the floor after a restart": (Forgetful, restarting),
+    "kept before in force": (Hasty, restarting),
+    "lines that are missing": (Content, dropping),
+    "silence": (Patient, dropping),
+    "the whole state once": (Greedy, dropping),
+    "the whole state after an absence": (StepByStep, away),
+    "the last good of a burst": (LastOnly, drawn),
+    "an even return": (Growing, away),
+    "a seldom look while apart": (Homeless, away),
+    "another than one that is apart": (Loyal, away),
+    "a report of each change": (Mute, drawn),
+}
--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -45,6 +45,7 @@
 HOP = SECOND // 10  # to the next instance where one refused: the way to it stands
 LOOK = 30 * SECOND  # on average between two looks elsewhere while all instances are apart
 LONG = 60 * SECOND  # an absence after which the whole state is asked for, not each step
+MISSES = SECOND // 2  # between two beats that tell of a version, and it does not come
 KEEP_AGAIN = 5 * SECOND  # after a failed write
 FORMAT = 1
 
@@ -230,7 +231,7 @@
     again: bool = False  # likewise, the watch was opened anew
     met: bool = False  # something was heard in this visit
     hops: int = 0
-    missing: int = 0  # beats in a row that tell of versions which do not come
+    misses_since: int | None = None  # when a beat first told of versions that did not come since
     lags_since: int | None = None
     keeping: tuple[int, State, Site | None] | None = None  # the writing under way, and what it lets in force
     fallback: tuple[State, Site] | None = None  # at a start: what is taken where the writing fails
@@ -310,7 +311,7 @@
             return self._nonsense(now, "oversize", f"version {number} of {len(text)} characters")
         if self._lags(number):
             return self._behind(now, number)
-        if number > self.known.number:
+        if self._advances(number):
             try:
                 state = self._parted(number, text, digest)
             except UnusableError as problem:
@@ -415,9 +416,12 @@
     def _lags(self, number: int) -> bool:
         return number < max(self.known.number, self.floor)
 
-    def _watched(self, instance: int, phase: Phase) -> bool:
-        """Guards against two instances whose lines cross where the front turns from one to the other."""
-        return instance == self.at and self.phase is phase
+    def _advances(self, number: int) -> bool:
+        return number > self.known.number
+
+    def _next(self, line: _Line) -> bool:
+        """Guards against a version that is left out."""
+        return line.version == self.ahead.number + 1
 
     def _follows(self, line: _Line) -> bool:
         """Guards against steps that lead elsewhere from what is held."""
@@ -435,19 +439,38 @@
         """Why a site that passed the file's checks can't be taken here."""
         return self.usable(site)
 
+    def _misses(self, now: int) -> bool:
+        """Guards against lines that were lost while the connection stands: beats alone would do for ever."""
+        return self.misses_since is not None and now - self.misses_since >= MISSES
+
+    def _long_absent(self, now: int) -> bool:
+        """Guards against a long absence that is made up for step by step, and a whole state that is asked for
+        twice in one."""
+        long = self.last_heard is None or now - self.last_heard > LONG or not self.known.number
+        return long and not self.came_whole
+
+    def _earlier(self) -> list[State]:
+        """The states of a burst before its last. Guards against a bad version that hides a good one which
+        came just before it."""
+        return [one for one in self.burst if one is not self.known]
+
     def _kept_first(self) -> bool:
         """Guards against a front that dies with a version in force which it then knows nothing of."""
         return True
 
     # Lines
 
+    def _watched(self, instance: int, phase: Phase) -> bool:
+        """Guards against two instances whose lines cross where the front turns from one to the other."""
+        return instance == self.at and self.phase is phase
+
     def _version(self, now: int, line: _Line) -> list[Effect]:
         self.counts["lines"] += 1
         self.head = max(self.head, line.version)
         if line.version <= self.ahead.number:
             self.counts["doubled"] += 1
             return self._heard(now)
-        if line.version > self.ahead.number + 1:
+        if not self._next(line):
             self.counts["gap"] += 1
             return self._watch_again(now)
         if not self._follows(line):
@@ -458,7 +481,7 @@
         except UnusableError as problem:
             return self._nonsense(now, "nonsense", str(problem))
         self.burst.append(self.ahead)
-        self.again, self.missing = False, 0
+        self.again, self.misses_since = False, None
         if self.decide_at is None:
             # Guards against a burst that is checked a hundred times, and a steady stream that never is
             self.decide_at = now + self.settle
@@ -522,9 +545,8 @@
         if self._lags(line.beat):
             return [Leave(), *self._behind(now, line.beat)]
         if line.beat > self.ahead.number:
-            # Guards against lines that were lost while the connection stands: beats alone would do for ever
-            self.missing += 1
-            if self.missing > 1:
+            self.misses_since = now if self.misses_since is None else self.misses_since
+            if self._misses(now):
                 self.counts["missing-lines"] += 1
                 return self._watch_again(now)
         elif line.beat < self.head and not line.apart:
@@ -537,7 +559,7 @@
                 # Guards against a number that one told and nobody has: all others would be left for ever
                 self.head = max(self.known.number, line.beat)
         else:
-            self.missing, self.lags_since = 0, None
+            self.misses_since = self.lags_since = None
             self.short.clear()
         self.came_whole = False
         out = self._heard(now)
@@ -590,9 +612,8 @@
     def _open(self, now: int) -> list[Effect]:
         """Come to the instance at hand: for what is missing, or for all of it after a long absence."""
         self.met = self.fetched = self.again = False
-        self.missing, self.lags_since, self.next_try = 0, None, None
-        long = self.last_heard is None or now - self.last_heard > LONG or not self.known.number
-        if long and not self.came_whole:
+        self.misses_since = self.lags_since = self.next_try = None
+        if self._long_absent(now):
             return self._whole_again(now)
         return self._watch(now)
 
@@ -605,7 +626,7 @@
         """Ask for what is missing; twice in a row the instance does not have it."""
         if self.again:
             return [Leave(), *self._turn(now, Loss.BROKEN)]
-        self.again, self.missing = True, 0
+        self.again, self.misses_since = True, None
         return self._watch(now)
 
     def _whole_again(self, now: int) -> list[Effect]:
@@ -696,7 +717,7 @@
                 self._drop_ahead()
                 return self._whole_again(now) if self.phase is Phase.WATCHING else []
             self.known, self.fetched = self.ahead, False
-        state, earlier = self.known, [one for one in self.burst if one is not self.known]
+        state, earlier = self.known, self._earlier()
         self.burst.clear()
         if not self._newer(state.number) or state.number == self.refused[0]:
             return []
@@ -707,7 +728,6 @@
             self.refused = (state.number, why)
             self._soon(now)
             out.append(Say("warning", "config-refused", f"version {state.number}: {why}"))
-            # The last good one of the burst is what fronts have that saw each version alone
             for one in reversed(earlier):
                 if self._newer(one.number) and self._true(one) and (site := self._usable(one)[0]):
                     state = one
@@ -826,10 +846,12 @@
         if self.phase is Phase.AWAY or not self.met:
             self.tell_at = None  # it is told when an instance is heard
             return []
-        late = self.last_told is not None and now >= self.last_told + 2 * self.report_every
-        if self.telling and not late:
-            self.tell_at = now + self.report_every
-            return []
+        if self.last_told is not None:
+            # One that is not answered is given up after another time between two
+            next_one = self.last_told + (2 if self.telling else 1) * self.report_every
+            if now < next_one:
+                self.tell_at = next_one
+                return []
         self.tell_at = None
         return [self._report(now)]
 
