--- a/ponddoor/config/commands.py
+++ b/ponddoor/config/commands.py
@@ -18,6 +18,7 @@
 import structlog
 
 from ponddoor.config.api import MOST_WATCHERS, Api
+from ponddoor.config.followers_commands import followers
 from ponddoor.config.machine import Machine, MalformedError, taken_apart
 from ponddoor.config.rollout import Rollout, Told, lines, merged, to_json
 from ponddoor.raft.core import Members
@@ -332,6 +333,9 @@
     return got / 1e6
 
 
+config.add_command(followers)
+
+
 @click.group()
 def raft() -> None:
     """The instances that agree on the configuration."""
--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -278,8 +278,8 @@
         self.instances = [Instance(number, self.head) for number in range(INSTANCES)]
         self.fronts = [Front(number) for number in range(plan.fronts)]
         self.cut: set[tuple[int, int]] = set()
+        self.touched: list[Front] = []  # in this step
         self.sides: list[int] = [0] * INSTANCES  # the side of a split that each instance is on
-        self.seen: Counter[int] = Counter()
 
     def fail(self, why: str) -> None:
         raise BoundBrokenError(f"seed {self.plan.seed}: {why} at {self.now}")
@@ -755,6 +755,7 @@
         self.after(SECOND // 10, 3 * SECOND, lambda: self._start(front) if front.life == life else None)
 
     def _carry_out(self, front: Front, effects: list[Effect]) -> None:
+        self.touched.append(front)
         life = front.life
         for effect in effects:
             if front.life != life:
@@ -849,7 +850,8 @@
     def checked(self) -> None:
         """After each step: what a front says is in force is what it took, and it never says less."""
         self.found.steps = self.steps
-        for front in self.fronts:
+        touched, self.touched = self.touched, []
+        for front in touched:
             held = front.follower
             if held is not None and held.version and (held.version != front.ever or front.serving is None):
                 self.fail(f"front {front.number} says {held.version}, {front.ever} is in force")
@@ -876,13 +878,18 @@
 def returning(seed: int) -> Schedule:
     """A fleet that is cut off together, or a half of it with a minority, and comes back; nothing else."""
     rng = Random(seed * 7919 + 13)
-    away, parted = rng.choice([10, 20, 70]), rng.random() < 0.4
-    away += 40 if parted else 0
+    away, minority = rng.choice([10, 20, 70]), rng.random() < 0.4
+    if minority:
+        return absence(seed, 20, away + 40, True)
+    return absence(seed, rng.choice([50, 80]), away, False)
+
+
+def absence(seed: int, fronts: int, away: int, minority: bool) -> Schedule:
+    """The trouble is one absence of so many seconds, while versions go on."""
     return Schedule(
-        seed, fronts=20 if parted else rng.choice([50, 80]), seconds=away + 6, versions=6, bursts=0,
-        loss=0.0, slow=0.0, cuts=0, splits=0, crashes=0, kills=0, lag=0.0, breaks=0.0, doubled=0.0,
-        dropped=0.0, spoilt=0.0, sloppy=0.0, disk_errors=0.0, hunted=0.0,
-        apart=0 if parted else away, parted=away if parted else 0,
+        seed, fronts=fronts, seconds=away + 6, versions=6, bursts=0, loss=0.0, slow=0.0, cuts=0, splits=0,
+        crashes=0, kills=0, lag=0.0, breaks=0.0, doubled=0.0, dropped=0.0, spoilt=0.0, sloppy=0.0,
+        disk_errors=0.0, hunted=0.0, apart=0 if minority else away, parted=away if minority else 0,
     )  # fmt: skip
 
 
