--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -194,6 +194,8 @@
 @click.option("--seed", type=int, default=1)
 @click.option("--warm", is_flag=True, help="It has run for long.")
 @click.option("--work-ms", type=float, help="Every set-up takes so long.")
+@click.option("--part", type=click.FloatRange(0, 1, min_open=True), default=1.0,
+              help="Of what it bears, the part that is for who asks here.")  # fmt: skip
 def media(
     site: Path,
     record: Path | None,
@@ -208,6 +210,7 @@
     seed: int,
     warm: bool,
     work_ms: float | None,
+    part: float,
 ) -> None:
     """A media server whose link and rack's uplink are shared among its streams."""
     from ponddoor.audit.records import Recorder
@@ -224,7 +227,7 @@
         )
         sys.exit(2)
     entry = Entry(number, f"{host}:{port}", zone, kind, cell, "ready", weight)
-    server = MediaServer(held, entry, Recorder(record, f"media {number}"), seed, warm)
+    server = MediaServer(held, entry, Recorder(record, f"media {number}"), seed, warm, part)
     if work_ms is not None:
         server.work_ms = (work_ms, work_ms)
 
@@ -292,6 +295,36 @@
     beside.replace(out)
 
 
+@standin.command()
+@SITE_OPTION
+@click.option("--day", required=True, type=click.Path(path_type=Path), help="The day, as rehearse wrote it.")
+@click.option("--first", type=int, required=True, help="Number of the first front of this process.")
+@click.option("--count", type=int, required=True, help="How many.")
+@click.option("--control", type=int, required=True, help="Port that takes orders and tells.")
+@click.option("--until", type=float, required=True, help="When it ends, by the monotonic clock.")
+@click.option("--out", type=click.Path(path_type=Path), help="Where it writes at its end what it would tell.")
+def hollow(
+    site: Path, day: Path, first: int, count: int, control: int, until: float, out: Path | None
+) -> None:
+    """Fronts without viewers, many in one process, as rehearse starts them."""
+    from ponddoor.rehearse.day import load_day
+    from ponddoor.rehearse.hollow_process import HollowProcess
+    from ponddoor.settings.site import load
+
+    told = msgspec.json.decode(day.read_bytes(), type=dict[str, Any])
+    held = usable(lambda: load(site))
+    played = usable(lambda: load_day(Path(told["file"]), told["seed"], told.get("hints"), told.get("shares")))
+    if not played.fronts <= first <= first + count <= len(held.fronts):
+        click.echo(f"{site}: no hollow fronts {first} to {first + count - 1}", err=True)
+        sys.exit(2)
+    process = HollowProcess(held, played, tuple(range(first, first + count)), until)
+    try:
+        asyncio.run(process.run(control, out))
+    except OSError as problem:
+        click.echo(f"hollow fronts from {first}: {problem}", err=True)
+        sys.exit(1)
+
+
 @main.command()
 @click.argument("day", type=click.Path(dir_okay=False, path_type=Path))
 @click.option("--seed", type=int, multiple=True, help="Play with this seed; may be given several times.")
@@ -307,6 +340,10 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 @click.option("--fronts", type=click.IntRange(1, 300), help="So many fronts, whatever the day says.")
+@click.option(
+    "--records", type=click.Path(dir_okay=False, path_type=Path),
+    help="Add the words, costs and times to know of a day with hollow fronts to this file of records.",
+)
 @click.option(
     "--tree",
     type=click.Path(exists=True, file_okay=False, path_type=Path),
@@ -321,11 +358,16 @@
     hints: bool | None,
     as_json: bool,
     fronts: int | None,
+    records: Path | None,
     tree: Path | None,
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
+    from ponddoor.capacity.records import commit_of
+    from ponddoor.capacity.records import write as write_records
     from ponddoor.rehearse.day import load_day
+    from ponddoor.rehearse.hollow_run import HollowRehearsal
     from ponddoor.rehearse.nodes import NodeRehearsal
+    from ponddoor.rehearse.reckoning import TooLargeError
     from ponddoor.rehearse.report import as_dict, table
     from ponddoor.rehearse.run import Rehearsal, RehearsalError
 
@@ -334,14 +376,16 @@
         for number in seed or (None,):
             shares = {"fronts": fronts} if fronts else None
             held = usable(partial(load_day, day, number, hints, shares))
-            runs = ("ponddoor", "random") if baseline else ("ponddoor",)
+            runs = ("ponddoor", "random") if baseline and not held.hollow else ("ponddoor",)
             if held.shell == "node":  # these play their own decisions, alone or beside another tree's
                 runs = ("ponddoor", "other-tree") if tree else ("ponddoor",)
             for decisions in runs:
                 folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
                 folder.mkdir(parents=True, exist_ok=True)
                 (folder / "day.json").write_bytes(
-                    msgspec.json.encode({"file": str(day.resolve()), "seed": held.seed, "hints": hints})
+                    msgspec.json.encode(
+                        {"file": str(day.resolve()), "seed": held.seed, "hints": hints, "shares": shares}
+                    )
                 )
                 label = f"{held.name}, seed {held.seed}, {decisions}"
                 with click.progressbar(length=1000, label=label, file=sys.stderr, show_eta=False) as bar:
@@ -350,6 +394,7 @@
                         bar.update(round(part * 1000) - bar.pos)
 
                     played = NodeRehearsal if held.shell == "node" else Rehearsal
+                    played = HollowRehearsal if held.hollow else played
                     playing = played(held, folder, decisions, move, trace)
                     if isinstance(playing, NodeRehearsal) and decisions == "other-tree":
                         playing.tree = tree
@@ -358,6 +403,14 @@
                     except RehearsalError as problem:
                         click.echo(f"\n{problem}", err=True)
                         sys.exit(1)
+                    except TooLargeError as problem:
+                        click.echo(f"\n{problem}", err=True)
+                        sys.exit(2)
+                    except asyncio.CancelledError:
+                        click.echo("\ninterrupted: what was started is ended", err=True)
+                        sys.exit(130)
+                    if records is not None and isinstance(playing, HollowRehearsal):
+                        write_records(records, playing.records(commit_of(Path(__file__).parent)))
     click.echo(msgspec.json.encode([as_dict(result) for result in results]) if as_json else table(results))
     if any(result.breaches for result in results if result.decisions == "ponddoor"):
         sys.exit(1)
--- a/ponddoor/front/acting.py
+++ b/ponddoor/front/acting.py
@@ -7,7 +7,7 @@
 import structlog
 
 from ponddoor.decide import Front
-from ponddoor.fleet.presence import Hears
+from ponddoor.fleet.presence import Hears, Presence
 from ponddoor.interface.events import ServerState
 
 log = structlog.get_logger("mechanisms")
@@ -39,6 +39,21 @@
         ]  # fmt: skip
 
 
+@dataclass(slots=True)
+class Standings:
+    """Whom a front took for dead when last looked, to tell from outside when that changes."""
+
+    version: int = -1
+    dead: frozenset[int] = frozenset()
+
+    def look(self, presence: Presence) -> dict[int, bool]:
+        """Who is taken for dead, or for alive again, since the last look."""
+        if presence.version == self.version:
+            return {}
+        self.version, before, self.dead = presence.version, self.dead, frozenset(presence.dead())
+        return {front: front in self.dead for front in sorted(self.dead ^ before)}
+
+
 @dataclass(slots=True)
 class Acting:
     """What acted when last looked: words such as `rest 17`."""
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import secrets
 import signal
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -15,7 +16,7 @@
 from ponddoor.fleet.presence import Hears
 from ponddoor.fleet.shown import shown
 from ponddoor.front import effects as fx
-from ponddoor.front.acting import Acting, looking
+from ponddoor.front.acting import Acting, Standings, looking
 from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
@@ -87,7 +88,7 @@
             self.hinting = self.viewers.hinting = self.servers.hinting = hinting
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
         self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
-        self.acting = Acting()
+        self.acting, self.standings, self._noted = Acting(), Standings(), noted
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = asyncio.Event()
         self.port = 0
@@ -154,6 +155,9 @@
             await asyncio.sleep(max(self.gate.lag.due - clock(), 0) / SECOND)
             late = self.gate.lag.tick(clock())
             self.metrics.lagged(late / SECOND)
+            if self._noted is not None and isinstance(self.decisions, Front):
+                for front, dead in self.standings.look(self.decisions.fleet.presence).items():
+                    self._noted("stands", front=front, dead=dead)
             if late > self.site.limits.loop_lag:
                 log.warning("loop-late", ms=late // 1000)
 
@@ -363,7 +367,9 @@
         front, now = self.decisions, clock()
         with looking(front, now):
             servers = [n for n, s in front.servers.items() if s.row.state is not ServerState.GONE]
-            return shown(front.fleet, servers)
+            words = {"out": self.words.out.kinds, "in": self.words.come.kinds}
+            used = {"words": words, "processor_s": time.process_time(), "at_us": now}
+            return shown(front.fleet, servers) | used
 
     def _fleet_samples(self, front: Front, now: int) -> Iterator[Sample]:
         fleet, stands = front.fleet, dict[str, float]()
--- a/ponddoor/front/words.py
+++ b/ponddoor/front/words.py
@@ -8,8 +8,10 @@
 import structlog
 
 from ponddoor.front.sealed import Seal, WordTooLongError
+from ponddoor.interface.words import kind_of
 from ponddoor.settings.site import Site
 
+HEADERS = 28  # bytes of IPv4 and UDP around a datagram (RFC 791, RFC 768)
 log = structlog.get_logger("words")
 
 
@@ -18,6 +20,18 @@
     return time.time_ns() // 1000
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Words one way by kind: of each how many, and their bytes with the headers around them."""
+
+    kinds: dict[str, list[int]] = field(default_factory=dict)
+
+    def add(self, payload: bytes, datagram: bytes) -> None:
+        held = self.kinds.setdefault(kind_of(payload), [0, 0])
+        held[0] += 1
+        held[1] += len(datagram) + HEADERS
+
+
 @dataclass(slots=True)
 class WordSocket(asyncio.DatagramProtocol):
     """Sends and receives words. A datagram must come from its sender's configured address."""
@@ -28,6 +42,8 @@
     heard: Callable[[int, bytes], None]
     lost: dict[str, int] = field(default_factory=dict)
     told: int = 0
+    out: Traffic = field(default_factory=Traffic)
+    come: Traffic = field(default_factory=Traffic)
     _transport: asyncio.DatagramTransport | None = None
     _said: set[int] = field(default_factory=set)
 
@@ -49,6 +65,7 @@
         if addr[:2] != self.site.fronts[peer].words:
             self._count("address")
             return
+        self.come.add(payload, data)
         self.heard(peer, payload)
 
     def error_received(self, exc: Exception) -> None:
@@ -62,13 +79,19 @@
                 self._count("nobody")
                 continue
             try:
-                self._transport.sendto(self.seal.seal(wall(), payload), self.site.fronts[number].words)
+                datagram = self.seal.seal(wall(), payload)
+                self._put(number, datagram)
                 self.told += 1
+                self.out.add(payload, datagram)
             except WordTooLongError:
                 self._count("too-long")
             except OSError:
                 self._count("unreachable")
 
+    def _put(self, number: int, datagram: bytes) -> None:
+        if self._transport is not None:
+            self._transport.sendto(datagram, self.site.fronts[number].words)
+
     def _count(self, why: str) -> None:
         self.lost[why] = self.lost.get(why, 0) + 1
 
--- a/ponddoor/interface/words.py
+++ b/ponddoor/interface/words.py
@@ -45,6 +45,10 @@
     SAW = 13  # changes, with what came to the teller
 
 
+_NAMES = {kind.value: kind.name.lower().replace("_", "-") for kind in _Kind}
+KINDS = tuple(_NAMES.values())
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
     """What was reported or noted of a server, and how long ago."""
@@ -259,6 +263,11 @@
         return None
 
 
+def kind_of(payload: bytes) -> str:
+    """The name of a message's kind, to be counted under; `other` where it is none of these."""
+    return _NAMES.get(payload[0], "other") if payload else "other"
+
+
 def _unpack(kind: int, body: bytes) -> Word | None:
     match kind:
         case _Kind.CHANGES | _Kind.ALL | _Kind.SAW:
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -9,6 +9,7 @@
 
 import numpy as np
 
+from ponddoor.rehearse.places import MOST_HOLLOW, Layout
 from ponddoor.settings.check import Form, top_form
 from ponddoor.settings.sexpr import Problem, SettingsError, read
 from ponddoor.settings.site import Site, load
@@ -47,7 +48,12 @@
     "link_slow": {"part": (0, 1, 1), "size": (0, 60, 0.2)},
     "link_narrow": {"part": (0, 1, 1), "size": (100, 1e9, 10_000)},
     "link_reset": {"part": (0, 1, 1)},
+    "place_killed": {"which": (-1, 10_000, -1)},
+    "place_stopped": {"which": (-1, 10_000, -1)},
+    "place_cut": {"which": (-1, 10_000, -1)},
+    "place_moved": {"which": (-1, 10_000, -1)},
 }
+_PLACES = ("machine", "rack", "zone", "region")
 _LINKS = ("list", "servers", "fronts", "list-out", "servers-out", "fronts-out", "list-in", "servers-in",
           "fronts-in")  # fmt: skip
 
@@ -55,6 +61,8 @@
     "answer_lost": ("silent", "reset"),
     "hint_lies": ("idle", "duress"),
     **{kind: _LINKS for kind in TROUBLES if kind.startswith("link_")},
+    **{kind: _PLACES for kind in TROUBLES if kind.startswith("place_")},
+    "place_cut": (*_PLACES, *(f"{place}-{way}" for place in _PLACES for way in ("out", "in"))),
 }
 
 
@@ -101,6 +109,9 @@
     answers: float = 0.0  # what the list bears a second (0: all), its queue, and how long it stays fallen
     queue: int = 100
     fall: int = 5 * SECOND
+    hollow: int = 0  # fronts without viewers beside the real ones, numbered after them
+    layout: Layout = Layout()
+    count_from: int = 0  # words are counted from this moment to the day's end
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +126,7 @@
     title: str
     top: int
     stay: int
+    front: int = -1  # where it asks; -1: at any of its zone
 
 
 def load_day(
@@ -173,7 +185,14 @@
     answers, queue = bears.number("answers", 0.0, 0, 1e6), bears.whole("queue", 100, 1, 1_000_000)
     day = replace(day, answers=answers, queue=queue, fall=bears.time("fall", 5 * SECOND))
     bears.done()
+    hollow = top.whole("hollow", 0, 0, MOST_HOLLOW)
+    day = replace(day, hollow=hollow, layout=_layout(top.section("places"), site))
+    day = replace(day, count_from=top.time("count-from", day.length // 4, 0, day.length))
     day = replace(day, **(shares or {}))  # type: ignore[arg-type]
+    each = top.number("each", 0.0, 0, 1000)
+    if each:
+        day = replace(day, rate=each * (day.fronts + day.hollow))
+    _fits_hollow(top, day)
     top.done(words=1)
     if day.servers < site.facts.plant.cells:
         found = f"{day.servers} servers for {site.facts.plant.cells} cells of {site.name}"
@@ -185,6 +204,39 @@
     return replace(day, seed=seed)
 
 
+def _layout(held: Form, site: Site) -> Layout:
+    """(places (machine FRONTS) (rack MACHINES) (regions N))"""
+    zones = tuple([place.zone for place in site.fronts] or [0])
+    machine, rack = held.whole("machine", 4, 1, 1000), held.whole("rack", 5, 1, 1000)
+    made = Layout(zones, machine, rack, held.whole("regions", 1, 1, 100))
+    held.done()
+    return made
+
+
+def _fits_hollow(top: Form, day: Day) -> None:
+    """Hollow fronts are played with what they follow, and troubles by place with the fronts they strike."""
+    if not day.hollow:
+        if any(trouble.kind.startswith("place_") for trouble in day.troubles):
+            top.problem(top.place, "a trouble by place without hollow fronts", "(hollow N)")
+        return
+    wants = {
+        "(shell front)": day.shell == "front",
+        "a site without hints: (hints no)": not day.site.hints,
+        "no entitlement": not day.entitlement,
+        "words between fronts: (messages yes)": day.site.facts.permissions.messages,
+        "(at-once no)": not day.at_once,
+    }
+    for wanted, kept in wants.items():
+        if not kept:
+            top.problem(top.place, f"hollow fronts in {day.name}", wanted)
+    for trouble in day.troubles:
+        if trouble.kind.startswith("place_") and trouble.figures["which"] >= 0:
+            most = day.layout.count(trouble.how.partition("-")[0], day.fronts + day.hollow)
+            if trouble.figures["which"] >= most:
+                found = f"{trouble.how} {trouble.figures['which']:g}"
+                top.problem(top.place, found, f"one of 0 to {most - 1}")
+
+
 def _span(top: Form, name: str, default: tuple[int, int]) -> tuple[int, int]:
     held = top.one(name, needed=False)
     if held is None:
@@ -227,8 +279,34 @@
     return made
 
 
+def viewers_of(day: Day, front: int) -> list[Viewer]:
+    """The viewers of one front of a day with hollow ones: one in each slot of the same length, at a moment of
+    it by chance, so that all fronts are asked as often and differ by nothing else."""
+    rng = np.random.default_rng([day.seed, 71, front])
+    facts, slot = day.site.facts, SECOND * (day.fronts + day.hollow) / day.rate
+    titles = sorted(day.site.titles.listed) or [f"title-{n}" for n in range(40)]
+    popular = np.array([1 / (rank + 1) ** day.zipf for rank in range(len(titles))])
+    order = np.random.default_rng([day.seed, 72]).permutation(len(titles))  # the same are popular everywhere
+    shares = np.array([tenant.share for tenant in facts.tenants] or [1.0])
+    made = []
+    for at in range(int(day.length / slot)):
+        group = int(rng.choice(len(day.mix), p=day.mix))
+        title = titles[int(order[int(rng.choice(len(titles), p=popular / popular.sum()))])]
+        most = facts.groups[group].top
+        small = rng.random() < day.small
+        top = max(facts.groups[group].floor, int(rng.integers(0, most + 1))) if small else most
+        tenant = int(rng.choice(len(shares), p=shares / shares.sum()))
+        when, stay = round((at + rng.random()) * slot), int(rng.uniform(*day.stay))
+        zone = day.layout.zone(front)
+        made.append(Viewer(front * 1_000_000 + at, when, zone, group, tenant, title, top, stay, front))
+    return made
+
+
 def draw(day: Day) -> list[Viewer]:
     """All viewers of a day, drawn ahead from its seed, in order of their coming."""
+    if day.hollow:
+        drawn = [viewer for front in range(day.fronts) for viewer in viewers_of(day, front)]
+        return sorted(drawn, key=lambda viewer: viewer.at)
     rng = np.random.default_rng([day.seed, 5])
     site, facts = day.site, day.site.facts
     titles = sorted(site.titles.listed) or [f"title-{n}" for n in range(40)]
--- a/ponddoor/rehearse/relay.py
+++ b/ponddoor/rehearse/relay.py
@@ -56,6 +56,7 @@
     _wires: set["_Wire"] = field(default_factory=set)
     _servers: list[asyncio.Server] = field(default_factory=list)
     _posts: dict[str, "_Post"] = field(default_factory=dict)
+    _from: dict[Address, "_Post"] = field(default_factory=dict)  # whose a word is, by where it comes from
 
     def put(self, source: set[str], target: set[str], fault: Fault, both: bool = True) -> list[Rule]:
         """A fault from now on; what comes back lifts it."""
@@ -169,13 +170,13 @@
             lambda: _Post(self, party, to), local_addr=("127.0.0.1", 0)
         )
         made.transport = transport
-        self._posts[party] = made
+        self._posts[party] = self._from[to] = made
         host, port = transport.get_extra_info("sockname")[:2]
         return str(host), int(port)
 
     def pass_on(self, post: "_Post", data: bytes, came_from: Any) -> None:
         """Guards against a word that nobody of the fleet sent: who it is from is known by its address."""
-        sender = next((one for one in self._posts.values() if one.to == came_from), None)
+        sender = self._from.get(came_from)
         if sender is None:
             return
         fault = self.between(sender.party, post.party)
--- a/ponddoor/rehearse/report.py
+++ b/ponddoor/rehearse/report.py
@@ -31,6 +31,7 @@
         "watched": watched_rows(result.players.get("watched", [])),
         "seats": seats_rows(result.seats) if result.seats else {},
         "sums": result.sums,
+        **({"hollow": result.hollow_dict} if result.hollow_dict else {}),
     }
 
 
@@ -99,7 +100,8 @@
         for name, cells in rows
     ]
     breaches = [str(breach) for result in results for breach in result.breaches][:20]
-    return "\n".join([*lines, *breaches])
+    hollow = [line for result in results for line in result.hollow]
+    return "\n".join([*lines, *hollow, *breaches])
 
 
 def _kept(result: Result, rule: str) -> str:
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -62,6 +62,8 @@
     folder: Path
     seats: SeatsSeen | None = None
     sums: dict[str, float] = field(default_factory=dict)  # what reached the list and the servers
+    hollow: list[str] = field(default_factory=list)  # the table of hollow fronts, for people
+    hollow_dict: dict[str, Any] = field(default_factory=dict)  # and for scripts
 
     @property
     def whole(self) -> float:
@@ -176,13 +178,18 @@
         listing = await self._spawn("list", "standin", "list", "--control", str(self.list_ports[1]), *bears)
         self.others.append(listing)
         await self._until(self._list_up, "the list")
+        await self._start_boxes()
+        if not day.at_once:
+            await self._start_fronts()
+
+    async def _start_boxes(self) -> None:
         await asyncio.gather(*(self._start_box(box, warm=True) for box in self.boxes))
         await self._until(self._all_listed, "the media servers")
-        if day.at_once:
-            return
-        for me in range(day.fronts):
+
+    async def _start_fronts(self) -> None:
+        for me in range(self.day.fronts):
             await self._start_front(me)
-        for me in range(day.fronts):
+        for me in range(self.day.fronts):
             await self._until(partial(self._front_up, me), f"front {me}")
 
     async def _watch_lag(self) -> None:
@@ -198,43 +205,48 @@
 
     async def _links(self) -> None:
         """Every link of the day passes through the relay."""
-        self.network = Network(self.rec.note, random.Random(self.day.seed))
+        self.network = self._made_network()
         for me, (_, words, _) in enumerate(self.front_ports):
             self.word_ports.append(await self.network.post(f"front {me}", ("127.0.0.1", words)))
             there = ("127.0.0.1", self.list_ports[0])
             self.list_links.append(await self.network.stream(f"front {me}", "list", there))
 
+    def _made_network(self) -> Network:
+        return Network(self.rec.note, random.Random(self.day.seed))
+
     def _zone(self, me: int) -> int:
         """A day may have more fronts than its site: they take its fronts' zones in turn."""
         return self.day.site.fronts[me % len(self.day.site.fronts)].zone
 
+    def _front_forms(self, me: int) -> list[Node]:
+        """Every front's place as front `me` is to see it."""
+        made: list[Node] = []
+        for other, (viewers, words, metrics) in enumerate(self.front_ports):
+            told = ("127.0.0.1", words) if other == me else self.word_ports[other]
+            made.append(self._front_form(other, viewers, told, metrics))
+        return made
+
+    def _front_form(self, front: int, viewers: int, words: tuple[str, int], metrics: int) -> Listing:
+        zone = self.day.site.zones[self._zone(front)]
+        return form(
+            "front", word(str(front)), form("zone", word(zone)), form("viewers", f"127.0.0.1:{viewers}"),
+            form("words", f"{words[0]}:{words[1]}"), form("metrics", f"127.0.0.1:{metrics}"),
+        )  # fmt: skip
+
     def _site(self, me: int) -> Listing:
         """The day's site at this run's addresses, as front `me` is to see it, or the stand-ins (`OWN`)."""
-
-        def fronts() -> Listing:
-            made: list[Node] = []
-            for other, (viewers, words, metrics) in enumerate(self.front_ports):
-                told = ("127.0.0.1", words) if other == me else self.word_ports[other]
-                zone = self.day.site.zones[self._zone(other)]
-                made.append(form(
-                    "front", word(str(other)), form("zone", word(zone)),
-                    form("viewers", f"127.0.0.1:{viewers}"), form("words", f"{told[0]}:{told[1]}"),
-                    form("metrics", f"127.0.0.1:{metrics}"),
-                ))  # fmt: skip
-            return form("fronts", *made)
-
         items: list[Node] = []
         top = self.day.site.node[0]
         assert isinstance(top, Listing)
         for item in top.items:
             match item.head if isinstance(item, Listing) else "":
                 case "fronts":
-                    items.append(fronts())
+                    items.append(form("fronts", *self._front_forms(me)))
                 case "words":
                     items.append(form("words", form("key", self.day.site.words.key.hex())))
                 case "list" if isinstance(item, Listing):
                     kept = [i for i in item.items if not (isinstance(i, Listing) and i.head == "address")]
-                    host, port = ("127.0.0.1", self.list_ports[0]) if me == OWN else self.list_links[me]
+                    host, port = ("127.0.0.1", self.list_ports[0]) if me < 0 else self.list_links[me]
                     items.append(Listing((*kept, form("address", f"{host}:{port}")), item.place))
                 case "hints":
                     continue
@@ -259,9 +271,13 @@
             f"media-{box.number}", "standin", "media", "--number", str(box.number), "--cell", str(box.cell),
             "--zone", site.zones[box.cell % len(site.zones)], "--kind", kind, "--weight",
             str(weight_of(site, box.cell)), "--port", str(box.port), "--control", str(box.control), "--seed",
-            str(self.day.seed), *(["--warm"] if warm else []),
+            str(self.day.seed), *(["--warm"] if warm else []), *self._bears(),
         )  # fmt: skip
 
+    def _bears(self) -> tuple[str, ...]:
+        """What else a media server is told of what it bears."""
+        return ()
+
     async def _start_front(self, me: int) -> None:
         self.starts += 1
         traced = ["--trace", str(self.folder / f"front-{me}-{self.starts}.trace")] if self.trace else []
@@ -308,6 +324,7 @@
             "--out", str(out), *ports,
         )  # fmt: skip
         self.others.append(players)
+        await self._begins(begin)
         troubles = [asyncio.create_task(self._trouble(begin, trouble)) for trouble in self.day.troubles]
         if self.day.at_once:
             await asyncio.gather(*(self._start_front(me) for me in range(self.day.fronts)))
@@ -327,6 +344,13 @@
         got: dict[str, Any] = msgspec.json.decode(out.read_bytes())
         return got
 
+    async def _begins(self, begin: float) -> None:
+        """The day begins at this moment of the monotonic clock."""
+
+    def _up(self) -> list[int]:
+        """The fronts that live."""
+        return [me for me, process in self.fronts.items() if process.returncode is None]
+
     # Troubles
 
     async def _trouble(self, begin: float, trouble: Trouble) -> None:
@@ -353,8 +377,9 @@
                 await asyncio.sleep(lasts)
                 await self._order(kind="discovery_down", on=False)
             case "balancer_roll":
-                count = max(1, round(figures["part"] * len(self.fronts)))
-                for me in list(self.fronts)[:count]:
+                some = self._up()
+                count = max(1, round(figures["part"] * len(some)))
+                for me in some[:count]:
                     await self._kill_front(me, figures["down"])
                     await asyncio.sleep(max(0.0, lasts / count - figures["down"]))
             case "peer_down":
@@ -367,8 +392,7 @@
                 end = time.monotonic() + lasts
                 while (pause := float(self.rng.exponential(figures["every"]))) < end - time.monotonic():
                     await asyncio.sleep(pause)
-                    up = [me for me, process in self.fronts.items() if process.returncode is None]
-                    if up:
+                    if up := self._up():
                         self._later(self._kill_front(up[int(self.rng.integers(len(up)))], figures["down"]))
             case "words_lost":
                 fronts = self._parties("fronts")
@@ -401,7 +425,7 @@
         return {f"server {box.number}" for box in self.boxes}
 
     def _some_fronts(self, part: float) -> list[int]:
-        up = [me for me, process in self.fronts.items() if process.returncode is None]
+        up = self._up()
         count = min(len(up), max(1, round(part * len(up))))
         return sorted(up[int(n)] for n in self.rng.choice(len(up), count, replace=False))
 
--- a/ponddoor/standins/media.py
+++ b/ponddoor/standins/media.py
@@ -85,15 +85,17 @@
     """One media server; `start`, then faults as they come, then `close`."""
 
     def __init__(
-        self, site: Site, entry: Entry, recorder: Recorder, seed: int = 1, warm: bool = True
+        self, site: Site, entry: Entry, recorder: Recorder, seed: int = 1, warm: bool = True, part: float = 1
     ) -> None:
+        """`part`: of its link, its rack's uplink and its places, what the fronts that ask here may use."""
         self.site, self.entry, self.rec, self.work_ms = site, entry, recorder, SETUP_MS
         self.rng = np.random.default_rng([seed, entry.server])
         plant = site.facts.plant
         rack = np.random.default_rng([seed, 1_000_003, entry.cell % plant.racks])
-        self.link_kb = entry.weight * plant.kb_per_weight * (1 + UNEVEN * float(self.rng.uniform(-1, 1)))
-        self.uplink_kb = plant.uplink_kb * (1 + UNEVEN * float(rack.uniform(-1, 1)))
-        self.places = plant.streams[site.kinds.index(entry.kind)]
+        uneven = 1 + UNEVEN * float(self.rng.uniform(-1, 1))
+        self.link_kb = part * entry.weight * plant.kb_per_weight * uneven
+        self.uplink_kb = part * plant.uplink_kb * (1 + UNEVEN * float(rack.uniform(-1, 1)))
+        self.places = part * plant.streams[site.kinds.index(entry.kind)]
         self.started_us = 0 if warm else time.time_ns() // 1000
         self.begun_at = -1e9 if warm else time.monotonic()
         self.streams: dict[tuple[str, int], Stream] = {}
--- a/ponddoor/standins/players.py
+++ b/ponddoor/standins/players.py
@@ -129,7 +129,7 @@
         """One try; returns how it ended and the advice when to come back, in seconds."""
         day, site = self.day, self.day.site
         group, fronts = site.facts.groups[viewer.group], self.near[viewer.zone]
-        front = int(fronts[int(rng.beta(2, 3) * len(fronts))])
+        front = int(fronts[int(rng.beta(2, 3) * len(fronts))]) if viewer.front < 0 else viewer.front
         name, wait = f"v{viewer.number}.{number}", group.setup_timeout / SECOND
         body = {
             "title": viewer.title,
