--- a/ponddoor/capacity/control_measure.py
+++ b/ponddoor/capacity/control_measure.py
@@ -86,6 +86,8 @@
     ]
 
 
-MEASUREMENT = Measurement(
-    "fronts", (20, 50, 100, 200, 400, 820), CONDITIONS, "virtual", play, 2000, 100_000, 2500.0
-)
+MEASUREMENTS = {
+    "control": Measurement(
+        "fronts", (20, 50, 100, 200, 400, 820), CONDITIONS, "virtual", play, 2000, 100_000, 2500.0
+    )
+}
--- a/ponddoor/capacity/know_measure.py
+++ b/ponddoor/capacity/know_measure.py
@@ -156,6 +156,8 @@
     return [Figure("know.wrong-until", last / SECOND, "s")]
 
 
-MEASUREMENT = Measurement(
-    "fronts", (20, 50, 100, 200, 400, 820), CONDITIONS, "virtual", play, 2000, 50_000, 500.0
-)
+MEASUREMENTS = {
+    "know": Measurement(
+        "fronts", (20, 50, 100, 200, 400, 820), CONDITIONS, "virtual", play, 2000, 50_000, 500.0
+    )
+}
--- a/ponddoor/capacity/measure_commands.py
+++ b/ponddoor/capacity/measure_commands.py
@@ -11,18 +11,20 @@
 if TYPE_CHECKING:
     from ponddoor.capacity.measure import Measurement
 
-MEASUREMENTS = ("control", "know")
+MODULES = {"control": "control", "know": "know", "resize": "loop", "titles": "loop", "holders": "loop",
+           "servers": "loop", "sessions": "loop"}  # fmt: skip
 REPETITIONS = 100
 
 
 def measurement(what: str) -> "Measurement":
     """The measurement of a name; loaded only when it is wanted, since it brings all cores along."""
-    found: Measurement = importlib.import_module(f"ponddoor.capacity.{what}_measure").MEASUREMENT
+    module = importlib.import_module(f"ponddoor.capacity.{MODULES[what]}_measure")
+    found: Measurement = module.MEASUREMENTS[what]
     return found
 
 
 @click.command()
-@click.argument("what", type=click.Choice(MEASUREMENTS))
+@click.argument("what", type=click.Choice(list(MODULES)))
 @click.option("--seed", type=int, required=True, help="Of all chance; each repetition's is drawn from it.")
 @click.option(
     "--out",
