Connections, deliveries, list and servers on real sockets; tests of the measurements

Viewers at one front (idle, each with a delivery in ten seconds, each following its events), watchers at the list, streams of notes at a media server, tries at the list.

--- a/ponddoor/capacity/measure_commands.py
+++ b/ponddoor/capacity/measure_commands.py
@@ -12,7 +12,10 @@
     from ponddoor.capacity.measure import Measurement
 
 MODULES = {"control": "control", "know": "know", "resize": "loop", "titles": "loop", "holders": "loop",
-           "servers": "loop", "sessions": "loop"}  # fmt: skip
+           "servers": "loop", "sessions": "loop", "viewers": "sockets", "watchers": "sockets",
+           "signs": "sockets", "coming": "coming"}  # fmt: skip
+
+
 REPETITIONS = 100
 
 
--- a/ponddoor/load/measure.py
+++ b/ponddoor/load/measure.py
@@ -39,7 +39,7 @@
     (metrics "127.0.0.1:{metrics}")))
   (servers (connections 512) (attach-time 3600s))
   (limits (in-hand 20000) (held 200000) (repeats 1000) (repeat-time 1s) (loop-lag 30s) (connections 50000)
-    (per-address 50000) (drain-time 0s)))
+    (per-address 50000) (followers 50000) (drain-time 0s)))
 """
 
 
--- /dev/null
+++ b/tests/capacity/test_measure.py
@@ -0,0 +1,161 @@
+"""Measurements at small sizes: the same figures for the same seed, every kind of word, what is refused."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from ponddoor.capacity import control_measure, know_measure, loop_measure, records, sockets_measure
+from ponddoor.capacity.measure import Figure, MeasureError, refuse
+from ponddoor.capacity.measure_commands import MODULES, measurement
+from ponddoor.capacity.virtual_measure import KINDS, SECOND, Course, VirtualFleet
+from ponddoor.cli import main
+from ponddoor.interface import words
+
+MACHINES_OWN = ("cpu", "memory", "factor")  # figures of the machine, not of the seed
+
+
+def of_the_seed(figures: list[Figure]) -> list[Figure]:
+    return [one for one in figures if not one.what.endswith(MACHINES_OWN)]
+
+
+def by_name(figures: list[Figure]) -> dict[str, float]:
+    return {one.what + (f" {one.under}" if one.under else ""): one.figure for one in figures}
+
+
+def command(*arguments: str) -> Result:
+    return CliRunner().invoke(main, ["capacity", "measure", *arguments])
+
+
+def test_kinds_are_those_of_the_words() -> None:
+    said: list[words.Word] = [
+        words.Telling(1, 1, (), False), words.Telling(1, 1, (), True), words.AskOurs(1),
+        words.AskHolders(1, 0, 1, 0), words.Answer(1, 1, 0, ()), words.Begun(1), words.Lending(1, 1, 1, ()),
+        words.Ping(1, 1, 0), words.Ack(1, 1, 0, (), 1), words.Via(1, 1, 0, (), 1), words.AskNews(1),
+        words.News(1, (), ()), words.Answer(1, 1, 0, (), True),
+        words.Telling(1, 1, (words.Rate(1, 4.0, words.Sample(1.0, 0)),), False),
+    ]  # fmt: skip
+    assert [words.pack(word)[0][0] for word in said] == list(range(len(KINDS)))
+
+
+@pytest.mark.parametrize("under", ["one", "zone", "apart-60"])
+def test_time_to_know_is_the_seeds(under: str) -> None:
+    once, again = (know_measure.play(16, under, 7) for _ in range(2))
+    assert of_the_seed(once) == of_the_seed(again)
+    found = by_name(once)
+    # A suspicion runs four periods at least, and none of these fleets is large
+    assert 4 <= found["know.dead.half"] <= found["know.dead.p99"] < 30
+    assert found["know.alive.half"] <= found["know.alive.p99"] < 120
+
+
+def test_nobody_is_dead_in_the_calm_and_the_dead_are() -> None:
+    fleet = know_measure.Knowing(Course(12, 3, loss=0.0))
+    fleet.start_all()
+    fleet.until(SECOND)
+    fleet.acquaint()
+    fleet.until(30 * SECOND)
+    assert fleet.most_wrong == 0
+    fleet.stop(fleet.nodes[5])
+    fleet.until(60 * SECOND)
+    assert all(fleet.dead[node.number] == {5} for node in fleet.up())
+
+
+def test_what_is_not_reached_says_so() -> None:
+    fleet = know_measure.Knowing(Course(12, 3))
+    fleet.start_all()
+    fleet.until(SECOND)
+    fleet.expect([{1} if number != 1 else set() for number in range(12)], True)
+    fleet.wait(2 * SECOND)  # it lives: nobody takes it for dead
+    told = fleet.told("dead", "one")
+    assert [(one.figure, one.under) for one in told] == [(2.0, "one-unreached")] * 2
+
+
+def test_control_counts_every_kind_that_is_said() -> None:
+    once, again = (control_measure.play(12, "arrivals", 5) for _ in range(2))
+    assert of_the_seed(once) == of_the_seed(again)
+    found = by_name(once)
+    kinds = {name.removeprefix("control.words.") for name in found if name.startswith("control.words.")}
+    assert {"ping", "ack", "changes", "all", "ours", "holders", "answer"} <= kinds <= set(KINDS)
+    for sort in ("words", "bytes"):
+        parts = sum(figure for name, figure in found.items() if name.startswith(f"control.{sort}."))
+        assert parts == pytest.approx(found[f"control.{sort}"])
+    # A ping a period and an answer to each, with nothing lost but one in a hundred
+    assert 0.9 < found["control.words.ping"] < 1.5
+
+
+def test_a_roll_begins_anew() -> None:
+    found = by_name(control_measure.play(12, "roll", 5))
+    assert found["control.words.ask-news"] > 0 and found["keeper.fan-in"] >= found["control.words"]
+
+
+def test_sessions_of_viewers_who_leave_are_let_go() -> None:
+    fleet = VirtualFleet(Course(4, 9, 0.0, 12, 3.0, 0.9))
+    fleet.start_all()
+    fleet.until(40 * SECOND)
+    held = sum(len(node.core.front.sessions) for node in fleet.nodes)
+    assert fleet.answered["left"] > 200
+    # One in ten stays for a minute; those that leave hold nothing
+    assert len(fleet.playing) <= held <= len(fleet.playing) + 20
+    assert sum(fleet.asked) == pytest.approx(
+        sum(fleet.rates[rung] for _, rung in fleet.playing.values()), abs=1e-3
+    )
+
+
+def test_all_sessions_are_resized_in_one_stretch() -> None:
+    found = by_name(loop_measure.resize(300, "all", 1))
+    assert found["resize.held"] == 300 and found["resize.stretch"] > 0 and found["resize.memory"] > 0
+
+
+def test_a_request_is_decided_while_all_else_is_held() -> None:
+    one = loop_measure.LoneFront(20, 50, 10, 4)
+    one.fill(50)
+    number, server = one.come(3)
+    assert server is not None and len(one.front.sessions) == 51
+    one.leave(number, server)
+    assert len(one.front.sessions) == 50
+
+
+def test_connections_and_deliveries_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sockets_measure, "SECONDS", 2.0)
+    monkeypatch.setattr(sockets_measure, "EVERY", 1.0)
+    found = by_name(sockets_measure.viewers(20, "delivering", 1))
+    assert found["viewers.lost"] == 0 and found["delivery.p50"] <= found["delivery.p99"]
+    assert 0 < found["delivery.rate"] <= 21
+
+
+def test_records_name_how_to_get_them_again(tmp_path: Path) -> None:
+    out = tmp_path / "know.jsonl"
+    done = command("know", "--seed", "3", "--out", str(out), "--size", "8", "--under", "one",
+                   "--repetition", "0", "--repetition", "1")  # fmt: skip
+    assert done.exit_code == 0, done.output
+    found = records.read(out)
+    assert {(one.size, one.repetition, one.seed, one.how, one.of) for one in found} == {
+        (8, 0, 3, "virtual", "fronts"), (8, 1, 3, "virtual", "fronts")
+    }  # fmt: skip
+    assert {"know.dead.p99", "know.alive.p99", "know.wrong"} <= {one.what for one in found}
+
+
+@pytest.mark.parametrize("arguments, told", [
+    (("know", "--size", "1000000000"), "fronts, 2 to "),
+    (("know", "--size", "1"), "1 fronts, 2 to "),
+    (("control", "--under", "storm"), "no condition storm, expected calm"),
+])  # fmt: skip
+def test_what_can_not_be_measured_is_refused(tmp_path: Path, arguments: tuple[str, ...], told: str) -> None:
+    out = tmp_path / "none.jsonl"
+    done = command(*arguments, "--seed", "1", "--out", str(out))
+    assert done.exit_code == 2 and told in done.output and done.output.count("\n") == 1
+    assert not out.exists()
+
+
+def test_sizes_beyond_the_machine_are_refused_before_anything_runs() -> None:
+    fleet, crowd = measurement("control"), measurement("viewers")
+    with pytest.raises(MeasureError, match="820 fronts need .* MB, 512 MB may be taken here"):
+        refuse("control", fleet, 820, 1 << 30, 1 << 20)
+    with pytest.raises(MeasureError, match="need 18200 descriptors, 10000 are allowed"):
+        refuse("viewers", crowd, 18_000, 1 << 40, 10_000)
+    refuse("control", fleet, 820, 1 << 40, 1 << 20)
+
+
+def test_every_measurement_has_a_slope() -> None:
+    for what in MODULES:
+        assert len(measurement(what).sizes) >= 4, what
