--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -312,6 +313,12 @@
     type=click.Path(exists=True, file_okay=False, path_type=Path),
     help="Also play the nodes of another work tree.",
 )
+@click.option(
+    "--records",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="Add the figures of the configuration to this file, a record a line.",
+)
+@click.option("--follow/--no-follow", default=None, help="Whether fronts follow the instances; else as told.")
 def rehearse(
     day: Path,
     seed: tuple[int, ...],
@@ -322,8 +329,11 @@
     as_json: bool,
     fronts: int | None,
     tree: Path | None,
+    records: Path | None,
+    follow: bool | None,
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
+    from ponddoor.capacity.records import commit_of, cores, write
     from ponddoor.rehearse.day import load_day
     from ponddoor.rehearse.nodes import NodeRehearsal
     from ponddoor.rehearse.report import as_dict, table
@@ -334,6 +344,8 @@
         for number in seed or (None,):
             shares = {"fronts": fronts} if fronts else None
             held = usable(partial(load_day, day, number, hints, shares))
+            if held.instances is not None and follow is not None:
+                held = replace(held, instances=replace(held.instances, follow=follow))
             runs = ("ponddoor", "random") if baseline else ("ponddoor",)
             if held.shell == "node":  # these play their own decisions, alone or beside another tree's
                 runs = ("ponddoor", "other-tree") if tree else ("ponddoor",)
@@ -358,6 +370,11 @@
                     except RehearsalError as problem:
                         click.echo(f"\n{problem}", err=True)
                         sys.exit(1)
+    if records is not None:
+        command, commit = " ".join(["ponddoor", *sys.argv[1:]]), commit_of(Path(__file__).parent)
+        for number, result in enumerate(results):
+            if result.config is not None:
+                write(records, result.config.records(command, result.seed, number, commit, cores()))
     click.echo(msgspec.json.encode([as_dict(result) for result in results]) if as_json else table(results))
     if any(result.breaches for result in results if result.decisions == "ponddoor"):
         sys.exit(1)
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -9,6 +9,8 @@
 
 import numpy as np
 
+from ponddoor.rehearse import changes
+from ponddoor.rehearse.changes import Instances, Pace, instances_of, pace_of
 from ponddoor.settings.check import Form, top_form
 from ponddoor.settings.sexpr import Problem, SettingsError, read
 from ponddoor.settings.site import Site, load
@@ -47,14 +49,16 @@
     "link_slow": {"part": (0, 1, 1), "size": (0, 60, 0.2)},
     "link_narrow": {"part": (0, 1, 1), "size": (100, 1e9, 10_000)},
     "link_reset": {"part": (0, 1, 1)},
+    **changes.TROUBLES,
 }
 _LINKS = ("list", "servers", "fronts", "list-out", "servers-out", "fronts-out", "list-in", "servers-in",
-          "fronts-in")  # fmt: skip
+          "fronts-in", "instances", "instances-out", "instances-in")  # fmt: skip
 
 HOWS: dict[str, tuple[str, ...]] = {
     "answer_lost": ("silent", "reset"),
     "hint_lies": ("idle", "duress"),
     **{kind: _LINKS for kind in TROUBLES if kind.startswith("link_")},
+    **changes.HOWS,
 }
 
 
@@ -101,6 +105,8 @@
     answers: float = 0.0  # what the list bears a second (0: all), its queue, and how long it stays fallen
     queue: int = 100
     fall: int = 5 * SECOND
+    instances: Instances | None = None  # that agree on the configuration, and how it changes
+    changes: Pace | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +179,8 @@
     answers, queue = bears.number("answers", 0.0, 0, 1e6), bears.whole("queue", 100, 1, 1_000_000)
     day = replace(day, answers=answers, queue=queue, fall=bears.time("fall", 5 * SECOND))
     bears.done()
+    day = replace(day, instances=instances_of(top), changes=pace_of(top))
+    _fits_instances(top, day)
     day = replace(day, **(shares or {}))  # type: ignore[arg-type]
     top.done(words=1)
     if day.servers < site.facts.plant.cells:
@@ -185,6 +193,15 @@
     return replace(day, seed=seed)
 
 
+def _fits_instances(top: Form, day: Day) -> None:
+    if day.instances is not None and day.shell != "front":
+        top.problem(top.place, "(instances ...) with (shell node)", "(shell front): nodes do not follow")
+    asked = [t.kind for t in day.troubles if t.kind in changes.TROUBLES or t.how.startswith("instances")]
+    if day.instances is None and (day.changes is not None or asked):
+        found = "(changes ...)" if day.changes is not None else asked[0]
+        top.problem(top.place, f"{found} without instances", "(instances N)")
+
+
 def _span(top: Form, name: str, default: tuple[int, int]) -> tuple[int, int]:
     held = top.one(name, needed=False)
     if held is None:
--- a/ponddoor/rehearse/relay.py
+++ b/ponddoor/rehearse/relay.py
@@ -3,7 +3,10 @@
 A party is a name: `front 3`, `server 1004`, `list`. A fault is in force between two sets of parties, one way
 or both, from `put` to `lift`; each change is recorded with its moment, so that a test can say what was in
 force when. On TCP a cut and a stall hold the bytes, as a link that is gone would: a stall lets them go when
-it is lifted, a cut ends the connection then. Chance (loss, delay) is drawn from the seed."""
+it is lifted, a cut ends the connection then. A stream loses no bytes, so its loss (`resent`) shows as delay:
+each segment goes astray with that chance, and it and all behind it wait until it is sent again (RFC 6298:
+200 ms as kernels have it, doubled each time; 1 s for what opens a connection). Chance is drawn from the
+seed."""
 
 import asyncio
 import contextlib
@@ -19,6 +22,9 @@
 READ = 65_536
 HELD = 1 << 20  # bytes that one direction holds while it can't pass them on
 ABORT = struct.pack("ii", 1, 0)
+SEGMENT = 1460  # bytes
+RESENT_AFTER, OPENED_AFTER = 0.2, 1.0  # s until a lost segment, and a lost opening, are sent again
+MOST_RESENT = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +36,7 @@
     loss: float = 0.0  # the share of datagrams that go astray
     delay: tuple[float, float] = (0.0, 0.0)
     rate: float = 0.0
+    resent: float = 0.0  # the share of a stream's segments that go astray and are sent again
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,12 +53,15 @@
 
 @dataclass(slots=True)
 class Network:
-    """All links. `note` records; `owner` tells whose a relayed connection is, by the port it leaves from."""
+    """All links. `note` records; `owner` tells whose a relayed connection is, by the port it leaves from;
+    `passed` is told what goes through streams, and `opened` which connections reach the far end."""
 
     note: Callable[..., None] = lambda what, **fields: None
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     rules: list[Rule] = field(default_factory=list)
     owner: dict[int, str] = field(default_factory=dict)
+    passed: Callable[[str, str, bytes], None] | None = None
+    opened: Callable[[str, str, int], None] | None = None  # with 1 as it opens and -1 as it ends
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _wires: set["_Wire"] = field(default_factory=set)
     _servers: list[asyncio.Server] = field(default_factory=list)
@@ -85,7 +95,7 @@
                 wire.abort()
 
     def _say(self, what: str, rules: list[Rule], fault: Fault) -> None:
-        shown = {name: getattr(fault, name) for name in ("cut", "stall", "loss", "delay", "rate")}
+        shown = {name: getattr(fault, name) for name in ("cut", "stall", "loss", "delay", "rate", "resent")}
         self.note(what, ways=[[sorted(r.source), sorted(r.target)] for r in rules], fault=shown)
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -98,7 +108,8 @@
         rates = [fault.rate for fault in found if fault.rate]
         cut, stall = any(fault.cut for fault in found), any(fault.stall for fault in found)
         loss, delay = max(fault.loss for fault in found), max(fault.delay for fault in found)
-        return Fault(cut, stall, loss, delay, min(rates, default=0.0))
+        resent = max(fault.resent for fault in found)
+        return Fault(cut, stall, loss, delay, min(rates, default=0.0), resent)
 
     async def passable(self, source: str, target: str) -> Fault:
         """Wait until a link passes bytes; what else is wrong with it."""
@@ -109,6 +120,19 @@
     def wait_of(self, fault: Fault, size: int) -> float:
         return self.rng.uniform(*fault.delay) + (size / fault.rate if fault.rate else 0.0)
 
+    def resent_after(self, fault: Fault, size: int, first: float = RESENT_AFTER) -> float:
+        """How long so many bytes of a stream wait for what went astray of them, in seconds. Segments of one
+        sending are sent again side by side, so the one that goes astray most often tells."""
+        if not fault.resent:
+            return 0.0
+        worst = 0
+        for _ in range(-(-size // SEGMENT)):
+            times = 0
+            while times < MOST_RESENT and self.rng.random() < fault.resent:
+                times += 1
+            worst = max(worst, times)
+        return float(first * (2**worst - 1))
+
     async def stream(self, source: str, target: str, to: Address, port: int = 0) -> Address:
         """A link for connections from one party to another; where the first finds it."""
         accept = functools.partial(self._accept, source, target, to)
@@ -123,7 +147,11 @@
         wire.writers.append(writer)
         self._wires.add(wire)
         try:
-            await self.passable(source, target)  # a connection that can't get through never comes up
+            fault = await self.passable(source, target)  # a connection that can't get through never comes up
+            if (wait := self.resent_after(fault, 1, OPENED_AFTER)) > 0:
+                await asyncio.sleep(wait)
+            if wire.ended:  # over a link that was cut: its opening never reached the far end
+                return
             # Bound first: the far end asks whose it is before the connect has returned here.
             sock = socket.socket()
             sock.setblocking(False)
@@ -134,12 +162,17 @@
             wire.writers.append(back)
             if wire.ended:
                 raise ConnectionResetError
+            if self.opened is not None:
+                self.opened(source, target, 1)
+                wire.reached = True
             ways = (self._pump(reader, back, source, target), self._pump(there, writer, target, source))
             wire.tasks = [asyncio.create_task(way) for way in ways]
             await asyncio.wait(wire.tasks, return_when=asyncio.FIRST_COMPLETED)
         except (OSError, asyncio.CancelledError):  # cancelled: the rehearsal ends
             wire.abort()
         finally:
+            if wire.reached and self.opened is not None:
+                self.opened(source, target, -1)
             for task in wire.tasks:
                 task.cancel()
             for one in wire.writers:
@@ -153,8 +186,11 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(READ):
                 fault = await self.passable(source, target)
-                if (wait := self.wait_of(fault, len(data))) > 0:
+                wait = self.wait_of(fault, len(data)) + self.resent_after(fault, len(data))
+                if wait > 0:
                     await asyncio.sleep(wait)
+                if self.passed is not None:
+                    self.passed(source, target, data)
                 writer.write(data)
                 await writer.drain()
             return
@@ -204,7 +240,7 @@
         self.network, self.source, self.target = network, source, target
         self.writers: list[asyncio.StreamWriter] = []
         self.tasks: list[asyncio.Task[None]] = []
-        self.ended = False
+        self.ended = self.reached = False
 
     def abort(self) -> None:
         self.ended = True
--- a/ponddoor/rehearse/report.py
+++ b/ponddoor/rehearse/report.py
@@ -4,6 +4,7 @@
 
 from ponddoor.audit.rules import RULES
 from ponddoor.audit.seats import SeatsSeen
+from ponddoor.rehearse.followed import RULES as FOLLOWED
 from ponddoor.rehearse.run import Result
 
 PARTS = (("median", 0.5), ("90th", 0.9), ("99th", 0.99), ("last", 1.0))
@@ -31,6 +32,7 @@
         "watched": watched_rows(result.players.get("watched", [])),
         "seats": seats_rows(result.seats) if result.seats else {},
         "sums": result.sums,
+        "config": result.config.rows() if result.config else {},
     }
 
 
@@ -87,10 +89,10 @@
         rows.append((f"SETUPs {word}", [str(run["setups"].get(word, 0)) for run in runs]))
     rows.append(("start, median ms", [f"{run['start_ms_p50']:.0f}" for run in runs]))
     rows.append(("start, 99th ms", [f"{run['start_ms_p99']:.0f}" for run in runs]))
-    for part in ("watched", "seats", "sums"):
-        for name in runs[0][part]:
+    for part in ("watched", "seats", "sums", "config"):
+        for name in dict.fromkeys(name for run in runs for name in run[part]):
             rows.append((name, [str(run[part].get(name, "")) for run in runs]))
-    for rule in RULES:
+    for rule in (*RULES, *(FOLLOWED if any(result.config for result in results) else ())):
         rows.append((rule, [_kept(result, rule) for result in results]))
     first = max(len(name) for name, _ in rows)
     widths = [max(len(cells[at]) for _, cells in rows) for at in range(len(runs))]
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -19,7 +19,10 @@
 from ponddoor.audit.records import Recorder, read
 from ponddoor.audit.rules import SLACK, Account, Breach, audit
 from ponddoor.audit.seats import SeatsSeen, seats_seen
+from ponddoor.rehearse.changes import Kind, Planned, plan
 from ponddoor.rehearse.day import SECOND, Day, Trouble, weight_of
+from ponddoor.rehearse.followed import Followed, followed
+from ponddoor.rehearse.instances import SETTLED_WITHIN, Instances, InstancesError, knows_title
 from ponddoor.rehearse.relay import Fault, Network
 from ponddoor.rehearse.sums import sums
 from ponddoor.settings.sexpr import Listing, Node, form, word, write
@@ -62,6 +65,7 @@
     folder: Path
     seats: SeatsSeen | None = None
     sums: dict[str, float] = field(default_factory=dict)  # what reached the list and the servers
+    config: Followed | None = None  # how fronts followed the configuration
 
     @property
     def whole(self) -> float:
@@ -134,6 +138,8 @@
     network: Network = field(default_factory=Network)
     word_ports: list[tuple[str, int]] = field(default_factory=list)  # under which all know each front
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    instances: Instances | None = None
+    follows: dict[int, list[tuple[str, int]]] = field(default_factory=dict)  # where a front finds instances
 
     async def play(self) -> Result:
         """Play the day to its end. Raises RehearsalError where a process fails that should not."""
@@ -157,9 +163,13 @@
         fell = sum(row["what"] == "fell" for row in rows)
         seats = seats_seen(Account(rows, self.day.site.facts)) if self.day.entitlement else None
         reached = sums(rows, self.day.fronts) | {"the rehearsal itself, most late, ms": self.late // 1000}
+        config = None
+        if self.day.instances is not None:
+            config = followed(rows, self.day.fronts, 0, self.day.instances)
+            breaches = breaches + config.breaches
         return Result(
             self.day.name, self.day.seed, self.decisions, players, breaches, left_out, setups, fell,
-            self.folder, seats, reached,
+            self.folder, seats, reached, config,
         )  # fmt: skip
 
     async def _set_up(self) -> None:
@@ -168,6 +178,8 @@
         self.list_ports = (ports.pop(), ports.pop())
         self.front_ports = [(ports.pop(), ports.pop(), ports.pop()) for _ in range(day.fronts)]
         await self._links()
+        if day.instances is not None:
+            await self._begin_instances()
         for me in range(OWN, day.fronts):
             (self.folder / f"site-{me}.pond").write_text(write([self._site(me)]))
         cells = day.site.facts.plant.cells
@@ -185,6 +197,56 @@
         for me in range(day.fronts):
             await self._until(partial(self._front_up, me), f"front {me}")
 
+    async def _begin_instances(self) -> None:
+        """The instances with the day's site as their first version, and each front's links to them."""
+        assert self.day.instances is not None
+        wanted, rng = self.day.instances, np.random.default_rng([self.day.seed, 37])
+        ports = free_ports(2 * wanted.count)
+        made = Instances(wanted, self.folder, self.network, self.rec.note, rng, ports, self._pids)
+        self.instances = made
+        try:
+            await made.begin(self._shared_site())
+        except InstancesError as problem:
+            raise RehearsalError(str(problem)) from None
+        if wanted.follow:
+            for me in range(self.day.fronts):
+                self.follows[me] = await made.links(f"front {me}")
+
+    def _shared_site(self) -> Listing:
+        """The day's site as all share it: its own fronts, and the rest as this run has it."""
+        top = self.day.site.node[0]
+        assert isinstance(top, Listing)
+        own = [item for item in top.items if isinstance(item, Listing) and item.head == "fronts"]
+        here = self._site(OWN)
+        others = [item for item in here.items if not (isinstance(item, Listing) and item.head == "fronts")]
+        return Listing((*others, *own), here.place)
+
+    def _pids(self) -> dict[str, int]:
+        up = {me: process.pid for me, process in self.fronts.items() if process.returncode is None}
+        return {f"front {me}": pid for me, pid in up.items()}
+
+    def _planned(self) -> list[Planned]:
+        if self.day.changes is None:
+            return []
+        cells = self.day.site.facts.plant.cells
+        return plan(self.day.changes, self._shared_site(), cells, self.day.length)
+
+    async def _settle_instances(self, planned: list[Planned]) -> None:
+        """Once the day is over: what each front knows of the last good change."""
+        assert self.instances is not None
+        titles = [change.title for change in planned if change.kind is Kind.GOOD]
+        site = self.day.site
+        group, tenants = site.group_names()[0], site.facts.tenants
+        tenant = tenants[0].name if tenants else ""
+
+        async def ask(me: int, title: str) -> bool | None:
+            return await knows_title(("127.0.0.1", self.front_ports[me][0]), group, tenant, title)
+
+        up = [me for me, process in self.fronts.items() if process.returncode is None]
+        await within(SETTLED_WITHIN * 3, self.instances.settle(titles[-1] if titles else "", ask, up))
+        if problem := self.instances.problem():
+            raise RehearsalError(problem)
+
     async def _watch_lag(self) -> None:
         """How late this process, which relays all, was at most: records may lie so much further apart."""
         while True:
@@ -240,6 +302,8 @@
                     continue
                 case _:
                     items.append(item)
+        if me in self.follows and self.instances is not None:
+            items.append(self.instances.follow_form(self.follows[me]))
         items.append(form("hints", word("yes" if self.day.site.hints else "no")))
         return Listing(tuple(items), top.place)
 
@@ -309,6 +373,9 @@
         )  # fmt: skip
         self.others.append(players)
         troubles = [asyncio.create_task(self._trouble(begin, trouble)) for trouble in self.day.troubles]
+        planned = self._planned()
+        if self.instances is not None:
+            self.instances.play(begin, planned)
         if self.day.at_once:
             await asyncio.gather(*(self._start_front(me) for me in range(self.day.fronts)))
         longest = max(group.setup_timeout for group in self.day.site.facts.groups) / SECOND
@@ -322,6 +389,8 @@
             if task.done() and not task.cancelled() and (problem := task.exception()):
                 raise RehearsalError(f"a trouble could not be caused: {problem!r}")
             task.cancel()
+        if self.instances is not None:
+            await self._settle_instances(planned)
         if not out.exists():
             raise RehearsalError(f"the players did not finish: see {self.folder / 'players.log'}")
         got: dict[str, Any] = msgspec.json.decode(out.read_bytes())
@@ -387,6 +456,8 @@
                 self._signal(some, signal.SIGCONT)
             case "fronts_told":
                 await self._tell_fronts(self._some_fronts(figures["part"]))
+            case kind if kind.startswith("instances_") and self.instances is not None:
+                await self.instances.trouble(kind, trouble.how, lasts, figures)
             case kind if kind.startswith("link_"):
                 await self._link_trouble(kind, trouble.how, lasts, figures)
             case _:  # hot_key is in the arrivals, connections_cut in the players
@@ -395,6 +466,8 @@
     def _parties(self, kind: str) -> set[str]:
         if kind == "list":
             return {"list"}
+        if kind == "instances":
+            return self.instances.parties() if self.instances is not None else set()
         return {f"front {me}" for me in range(self.day.fronts)} if kind == "fronts" else self._servers()
 
     def _servers(self) -> set[str]:
@@ -427,7 +500,7 @@
         fault = {
             "link_cut": Fault(cut=True),
             "link_stall": Fault(stall=True),
-            "link_lossy": Fault(loss=size),
+            "link_lossy": Fault(loss=size, resent=size if to == "instances" else 0.0),
             "link_slow": Fault(delay=(size / 2, size)),
             "link_narrow": Fault(rate=size),
         }[kind]
@@ -516,6 +589,8 @@
         self.stopping = True
         for task in self.tasks:
             task.cancel()
+        if self.instances is not None:
+            await self.instances.stop()
         everybody = [*self.fronts.values(), *self.others, *(box.process for box in self.boxes if box.process)]
         for process in everybody:
             if process.returncode is None:
