--- a/ponddoor/rehearse/instances.py
+++ b/ponddoor/rehearse/instances.py
@@ -291,13 +291,13 @@
             for me in fronts:
                 self.note("title-asked", front=me, title=title, known=await ask(me, title))
         for one in self.all:
-            after: Any = 0
+            after: Any = ""
             while one.up and after is not None:
-                page = await self._get(one, f"/config/fronts?limit=1000&after={after}")
-                if page is None or "fronts" not in page:
+                page = await self._get(one, f"/config/fronts?limit=1000{after}")
+                if page is None or "rows" not in page:
                     break
-                self.note("config-fronts", instance=one.number, fronts=page["fronts"])
-                after = page.get("next")
+                self.note("config-fronts", instance=one.number, version=page["version"], rows=page["rows"])
+                after = f"&after={page['next']}" if page.get("next") is not None else None
         self.sums()
 
     def sums(self) -> None:
--- a/ponddoor/rehearse/report.py
+++ b/ponddoor/rehearse/report.py
@@ -33,6 +33,7 @@
         "seats": seats_rows(result.seats) if result.seats else {},
         "sums": result.sums,
         "config": result.config.rows() if result.config else {},
+        **({"hollow": result.hollow_dict} if result.hollow_dict else {}),
     }
 
 
@@ -101,7 +102,8 @@
         for name, cells in rows
     ]
     breaches = [str(breach) for result in results for breach in result.breaches][:20]
-    return "\n".join([*lines, *breaches])
+    hollow = [line for result in results for line in result.hollow]
+    return "\n".join([*lines, *hollow, *breaches])
 
 
 def _kept(result: Result, rule: str) -> str:
