--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -309,6 +309,7 @@
 ) -> None:
     """Fronts without viewers, many in one process, as rehearse starts them."""
     from ponddoor.rehearse.day import load_day
+    from ponddoor.rehearse.hollow_following import followers_in
     from ponddoor.rehearse.hollow_process import HollowProcess
     from ponddoor.settings.site import load
 
@@ -318,7 +319,8 @@
     if not played.fronts <= first <= first + count <= len(held.fronts):
         click.echo(f"{site}: no hollow fronts {first} to {first + count - 1}", err=True)
         sys.exit(2)
-    process = HollowProcess(held, played, tuple(range(first, first + count)), until)
+    followers = followers_in(site.parent, f"hollow-{first}") if played.instances is not None else None
+    process = HollowProcess(held, played, tuple(range(first, first + count)), until, followers)
     try:
         asyncio.run(process.run(control, out))
     except OSError as problem:
@@ -341,6 +343,7 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 @click.option("--fronts", type=click.IntRange(1, 300), help="So many fronts, whatever the day says.")
+@click.option("--hollow", type=click.IntRange(0, 2000), help="So many hollow fronts, whatever the day says.")
 @click.option(
     "--records", type=click.Path(dir_okay=False, path_type=Path),
     help="Add a day's figures of hollow fronts and of the configuration to this file.",
@@ -360,6 +363,7 @@
     hints: bool | None,
     as_json: bool,
     fronts: int | None,
+    hollow: int | None,
     records: Path | None,
     tree: Path | None,
     follow: bool | None,
@@ -377,7 +381,8 @@
     results = []
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
-            shares = {"fronts": fronts} if fronts else None
+            counts = {"fronts": fronts or None, "hollow": hollow}
+            shares = {name: count for name, count in counts.items() if count is not None} or None
             held = usable(partial(load_day, day, number, hints, shares))
             if held.instances is not None and follow is not None:
                 held = replace(held, instances=replace(held.instances, follow=follow))
--- a/ponddoor/rehearse/hollow_front.py
+++ b/ponddoor/rehearse/hollow_front.py
@@ -25,6 +25,7 @@
 from ponddoor.front.words import WordSocket, wall
 from ponddoor.interface import events as ev
 from ponddoor.rehearse.day import Day, Viewer, viewers_of
+from ponddoor.rehearse.hollow_following import Followers
 from ponddoor.rehearse.hollow_servers import PretendedServer
 from ponddoor.settings.site import Site
 
@@ -38,6 +39,7 @@
     site: Site
     day: Day
     lag: LagMeter
+    followers: Followers | None
 
     def server(self, number: int) -> PretendedServer | None: ...
     def servers(self) -> list[PretendedServer]: ...
@@ -139,6 +141,8 @@
         words.passes = around.passes
         self.life = _Life(decisions, engine, pump, words, epoch=self.starts)
         await words.start()
+        if around.followers is not None:
+            around.followers.begin(self.me, facts)
         known = around.rows() if self.starts > 1 else ()  # a first life has no list on disk
         self.apply(lambda now: engine.news(now, ev.NewsScope.CACHED, known))
         coming = Coming(self.me, facts.fronts, facts.rules.drain_grace, facts.seed, site.listing.retry)
@@ -149,6 +153,8 @@
         life, self.life = self.life, None
         if life is None:
             return
+        if self.around.followers is not None:
+            self.around.followers.end(self.me)
         life.words.close()
         life.pump.frozen = True
         life.pump.close()
--- a/ponddoor/rehearse/hollow_process.py
+++ b/ponddoor/rehearse/hollow_process.py
@@ -22,6 +22,7 @@
 from ponddoor.front.words import wall
 from ponddoor.interface import events as ev
 from ponddoor.rehearse.day import Day
+from ponddoor.rehearse.hollow_following import Followers
 from ponddoor.rehearse.hollow_front import HollowFront
 from ponddoor.rehearse.hollow_servers import PretendedServer
 from ponddoor.settings.site import Site
@@ -77,6 +78,7 @@
     day: Day
     mine: tuple[int, ...]
     until: float  # s, of the monotonic clock
+    followers: Followers | None = None  # of the configuration
     lag: LagMeter = field(default_factory=lambda: LagMeter(clock() + SAMPLE))
     fronts: dict[int, HollowFront] = field(default_factory=dict)
     pretended: dict[int, PretendedServer] = field(default_factory=dict)
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -22,6 +22,7 @@
 from ponddoor.rehearse.changes import Kind, Planned, plan
 from ponddoor.rehearse.day import SECOND, Day, Trouble, weight_of
 from ponddoor.rehearse.followed import Followed, followed
+from ponddoor.rehearse.hollow_following import FOLLOWS
 from ponddoor.rehearse.instances import SETTLED_WITHIN, Instances, InstancesError, knows_title
 from ponddoor.rehearse.relay import Fault, Network
 from ponddoor.rehearse.sums import sums
@@ -30,7 +31,6 @@
 from ponddoor.web.timing import within
 
 READY_WITHIN = 60.0
-FOLLOWS = "follows.json"  # where each front of the run finds the instances
 OWN = -1  # the site as the stand-ins see it: past the relay
 FAULTS = ("vanish", "slow", "hang", "fast_errors", "neighbour", "report_late", "answer_lost", "hint_lies",
           "hint_late", "hint_stuck")  # fmt: skip
