Fronts note what they have in force, refuse and decide by; servers' records hold the audit of one version a request

What a server is told of a session's rates is held against the versions its front had in force from the request to the SETUP.

--- a/ponddoor/front/following.py
+++ b/ponddoor/front/following.py
@@ -53,6 +53,7 @@
     ) -> None:
         self.follower, self.instances, self._take, self._file = follower, instances, take, kept
         self.counts: dict[str, int] = {}  # what the shell itself refused, by reason
+        self.refused: Callable[[int, str], None] | None = None  # told of each version that can't be used here
         self._pending: list[Effect] | None = None
         self._calls: asyncio.Queue[tuple[Call, bool]] = asyncio.Queue(AHEAD)
         self._link: asyncio.Task[None] | None = None  # the watch, or a whole state that was asked for
@@ -174,6 +175,8 @@
                 self._start(self._tell(effect))
             case Say(level, event, detail):
                 getattr(log, level)(event, detail=detail, front=self.follower.me)
+                if event == "config-refused" and self.refused is not None:
+                    self.refused(*self.follower.refused)
 
     def _connect(self, work: "Coroutine[Any, Any, None] | None") -> None:
         """One connection to one instance at a time: the one before is closed."""
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -63,6 +63,7 @@
                  deciding: Deciding = Front, log_requests: bool = False,
                  trace: Path | None = None, noted: Callable[..., None] | None = None) -> None:  # fmt: skip
         self._own, self.site, self.me, self._log_requests = site, site, me, log_requests
+        self._noted = noted
         seed = secrets.randbits(64) if seed is None else seed
         self._terms: Terms | None = None
         self.following = self._followed(site.follow, seed, kept) if site.follow is not None else None
@@ -93,12 +94,13 @@
         if self.seating is not None and noted is not None:
             self.seating.noted = noted
         self.viewers.seating = self.seating
+        self.viewers.noted = noted if self.following is not None else None
         if site.hints:
             hinting = Hinting(site, me, self.engine, self.apply, clock)
             self.hinting = self.viewers.hinting = self.servers.hinting = hinting
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
         self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
-        self.acting, self.standings, self._noted = Acting(), Standings(), noted
+        self.acting, self.standings = Acting(), Standings()
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = asyncio.Event()
         self.port = 0
@@ -225,7 +227,13 @@
             side.silence, side.report_every,
         )  # fmt: skip
         file = kept.with_suffix(".config") if kept is not None else None
-        return Following(core, side.instances, self._take, file)
+        made = Following(core, side.instances, self._take, file)
+        made.refused = self._refused
+        return made
+
+    def _refused(self, number: int, why: str) -> None:
+        if self._noted is not None:
+            self._noted("version-refused", front=self.me, version=number, why=why)
 
     def _unusable(self, version: Site) -> tuple[str, ...]:
         """Why this front can't take a version now; called beside the loop as well."""
@@ -241,6 +249,8 @@
         else:
             self.apply(lambda now: self._put_in_force(now, version))
         log.info("config-in-force", version=version.number, digest=version.digest)
+        if self._noted is not None:
+            self._noted("in-force", front=self.me, version=version.number, digest=version.digest)
 
     def _put_in_force(self, now: int, version: Take) -> list[Effect]:
         held = self.terms
--- a/ponddoor/front/viewers.py
+++ b/ponddoor/front/viewers.py
@@ -68,6 +68,7 @@
     dropped_followers: int = 0
     seating: Seating | None = None
     hinting: Hinting | None = None
+    noted: Callable[..., None] | None = None  # writes down by which versions each request was decided
     seats: dict[str, tuple[Key, str, str]] = field(default_factory=dict)  # session: entitlement, seat, viewer
 
     async def handle(self, request: Request) -> Reply:
@@ -186,7 +187,7 @@
                 # Guards against a request of which one half is decided by one version and one by the next:
                 # nothing of it has been asked of the decisions yet, so all of it is looked at anew.
                 try:
-                    ask = self._asked(body, key)
+                    ask, terms = self._asked(body, key), self.terms
                 except HttpError:
                     if self.engine.find(sess) is None:
                         self._drop_seat(sess)
@@ -204,6 +205,8 @@
 
         def take(now: int) -> list[Effect]:
             nonlocal held
+            if self.noted is not None:
+                self.noted("decided", sess=sess, first=terms.version, answer=self.terms.version)
             held, out = self.engine.request(now, sess, ask, key, means)
             if held is None:
                 refused.extend(effect.answer for effect in out if isinstance(effect, fx.Reply))
--- a/ponddoor/rehearse/changes.py
+++ b/ponddoor/rehearse/changes.py
@@ -1,19 +1,21 @@
 """Changes of configuration on a rehearsed day: what its file says of them, and each change, drawn ahead.
 
 A good change adds a title `change-N` (one asks a front for it and knows whether it has the version), drops an
-older one, and may set a limit or a service group's utility. A bad one either does not pass the file's own
+older one, and may set a limit, a service group's utility or the top rung's rate, which a SETUP tells to its
+server. A bad one either does not pass the file's own
 checks, so that the instances refuse it, or changes the prices, which no front can change in service: the
 version is committed, and the next good change puts the prices back. Times are microseconds from the day's
 begin."""
 
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
 import numpy as np
 
-from ponddoor.settings.check import Form
-from ponddoor.settings.sexpr import Atom, Listing, Node, form
+from ponddoor.settings.check import RATES, Form
+from ponddoor.settings.sexpr import Atom, Listing, Node, form, word
 
 SECOND = 1_000_000
 KEPT_TITLES = 3
@@ -71,6 +73,7 @@
     sets: dict[str, str]
     drops: tuple[str, ...]
     title: str  # that it adds; empty where it adds none
+    top_kb: float = 0.0  # the top rung's rate that it sets; 0: it sets none
 
     @property
     def why(self) -> str:
@@ -117,6 +120,7 @@
     groups = [item for part in [_form(site, "groups")] if part for item in part.items[1:] if _head(item)]
     made: list[Planned] = []
     titles: list[str] = []
+    ladder = _form(site, "ladder")
     put_back = False
     for number, at in enumerate(range(pace.begin, max(length - CALM, pace.begin + 1), pace.every)):
         if number >= MOST:
@@ -147,7 +151,10 @@
             name = group.items[1]
             assert isinstance(name, Atom)
             sets[f"groups/{name.text}"] = str(_with(group, "utility", 1 + number % 7))
-        made.append(Planned(number, at, Kind.GOOD, sets, drops, title))
+        top_kb = 0.0
+        if which == 3 and ladder is not None:
+            sets["ladder"], top_kb = _raised(ladder, 1 + (1 + number % 9) / 100)
+        made.append(Planned(number, at, Kind.GOOD, sets, drops, title, top_kb))
     return made
 
 
@@ -159,6 +166,20 @@
     return node.head if isinstance(node, Listing) else ""
 
 
+def _raised(ladder: Listing, factor: float) -> tuple[str, float]:
+    """The ladder with its top rung's rate so many times as high, and that rate, kB a second."""
+    last = [item for item in ladder.items if _head(item) == "rung"][-1]
+    assert isinstance(last, Listing)
+    rate = next(item for item in last.items if _head(item) == "rate")
+    assert isinstance(rate, Listing) and isinstance(rate.items[1], Atom)
+    found = re.fullmatch(r"([0-9.]+)([A-Za-z/]+)", rate.items[1].text)
+    assert found is not None
+    kb = round(float(found[1]) * RATES[found[2]] * factor, 3)
+    kept = [item for item in last.items if item is not rate]
+    top = Listing((kept[0], form("rate", word(f"{kb:g}kB/s")), *kept[1:]), last.place)
+    return str(Listing(tuple(top if item is last else item for item in ladder.items), ladder.place)), kb
+
+
 def _with(held: Listing, field: str, value: float) -> Listing:
     """A form with one field set anew."""
     kept: Sequence[Node] = [item for item in held.items if _head(item) != field]
--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ponddoor.audit.rules import Breach
+from ponddoor.audit.rules import SLACK, Breach
 from ponddoor.capacity.records import Record
 from ponddoor.rehearse.changes import Instances, Kind
 from ponddoor.rehearse.sums import evenness
@@ -109,7 +109,8 @@
             after.append(max(0, got - begun) / SECOND)
         known = sorted(refused[version])
         spreads.append(Spread(version, kind, row["why"], row["at"], sorted(after), missing, known))
-    made = Followed(fronts + hollow, wanted.under, spreads, {}, _audit(rows, fronts, kinds))
+    breaches = _audit(rows, fronts, kinds) + _audit_terms(rows, moments, versions)
+    made = Followed(fronts + hollow, wanted.under, spreads, {}, breaches)
     made.decided = sum(row["what"] == "decided" for row in rows)
     made.figures = _figures(rows, made, since, end, fronts, hollow)
     return made
@@ -171,7 +172,7 @@
         what, at, who = row["what"], row["at"], f"front {row.get('front')}"
         if what == "decided" and row["first"] != row["answer"]:
             told = f"{row['sess']} came under version {row['first']} and was answered under {row['answer']}"
-            found.append(Breach(RULES[0], who, at, told))
+            found.append(Breach(RULES[0], row["who"], at, told))
         elif what == "version-refused":
             refused.add((row["front"], row["version"]))
         elif what == "in-force":
@@ -193,6 +194,47 @@
     return found
 
 
+def _audit_terms(
+    rows: list[Row], moments: dict[int, list[int]], versions: dict[int, list[int]]
+) -> list[Breach]:
+    """What servers were told of a session's rates, against the versions that its front had in force from the
+    viewer's request to the SETUP: all its SETUPs go by one of them, and by the same."""
+    sent = [row for row in rows if row["what"] == "change-sent"]
+    tops = {f"change {row['number']}": float(row.get("top_kb", 0)) for row in sent}
+    top_at = sorted(
+        (int(row["version"]), tops[row["why"]])
+        for row in rows
+        if row["what"] == "committed" and tops.get(row["why"])
+    )
+    came = {row["ask"]: int(row["at"]) for row in reversed(rows) if row["what"] == "ask"}
+    answers = [row for row in rows if row["what"] == "answer"]
+    asked = {row["sess"]: came.get(row["ask"], int(row["at"])) for row in answers}
+    first: dict[str, tuple[float, ...]] = {}
+    found: list[Breach] = []
+    for row in rows:
+        if row["what"] != "setup" or not row.get("rates_kb"):
+            continue
+        front, at, told, sess = row["front"], row["at"], tuple(row["rates_kb"]), row["sess"]
+        if first.setdefault(sess, told) != told:
+            found.append(Breach(RULES[0], sess, at, f"rates {told} after {first[sess]}"))
+        if sess not in asked:
+            continue  # nobody got an answer: when it was asked is not known
+        begun = bisect.bisect_right(moments[front], asked[sess]) - 1
+        until = bisect.bisect_right(moments[front], at + SLACK)
+        tops_then = {_top(top_at, version) for version in versions[front][max(begun, 0) : until]}
+        if begun < 0 or None in tops_then:
+            continue  # its own file's rates, which no change has set yet
+        if not any(top is not None and abs(top - told[-1]) < 1e-6 * top for top in tops_then):
+            found.append(Breach(RULES[0], sess, at, f"top rung {told[-1]} kB/s, in force {tops_then}"))
+    return found
+
+
+def _top(top_at: list[tuple[int, float]], version: int) -> float | None:
+    """The top rung's rate as of a version; None before any change of it."""
+    at = bisect.bisect_right(top_at, (version, math.inf))
+    return top_at[at - 1][1] if at else None
+
+
 def _at(ordered: list[float], part: float) -> float:
     return ordered[min(len(ordered) - 1, max(0, math.ceil(part * len(ordered)) - 1))]
 
--- a/ponddoor/rehearse/instances.py
+++ b/ponddoor/rehearse/instances.py
@@ -230,7 +230,8 @@
             await asyncio.sleep(max(0.0, begin + change.at / SECOND - time.monotonic()))
             body = {"who": "rehearse", "why": change.why, "sets": change.sets, "drops": list(change.drops),
                     "needs": {}}  # fmt: skip
-            self.note("change-sent", number=change.number, kind=change.kind.value, title=change.title)
+            self.note("change-sent", number=change.number, kind=change.kind.value, title=change.title,
+                      top_kb=change.top_kb)  # fmt: skip
             self._sent += 1
             sending, self._sending = self._sending, asyncio.Event()
             sending.set()
--- a/ponddoor/standins/media.py
+++ b/ponddoor/standins/media.py
@@ -354,6 +354,7 @@
             group=got.group,
             title=got.title,
             timeout_us=got.timeout_us,
+            **({"rates_kb": got.rates_kb} if got.rates_kb else {}),
         )
         self.fall_if_rushed()
         gone = asyncio.create_task(self.gone(request, got))
--- a/tests/following/test_days.py
+++ b/tests/following/test_days.py
@@ -109,6 +109,22 @@
     assert judged(sent(2), committed(25, 2), taken(25.5, 0, 2)).spreads == []
 
 
+def setup(at: float, top_kb: float, sess: str = "a") -> Row:
+    return row(at, "setup", front=0, sess=sess, rates_kb=[10.0, top_kb])
+
+
+def test_what_servers_are_told_is_held_against_what_was_in_force() -> None:
+    sets = [{**sent(2), "top_kb": 80.0}, {**sent(3), "top_kb": 81.0}]
+    rows = [*sets, committed(1, 2), committed(4, 3), taken(1.5, 0, 2), taken(4.5, 0, 3)]
+    asked = [row(4.4, "ask", ask="q"), row(4.8, "answer", ask="q", sess="a")]
+    assert not judged(*rows, *asked, setup(4.45, 80.0)).breaches
+    assert not judged(*rows, *asked, setup(4.7, 81.0)).breaches
+    two = judged(*rows, *asked, setup(4.45, 80.0), setup(4.6, 81.0)).breaches
+    assert [breach.rule for breach in two] == [RULES[0]]
+    late = [row(6, "ask", ask="q"), row(7, "answer", ask="q", sess="a")]
+    assert [b.rule for b in judged(*rows, *late, setup(6.5, 80.0)).breaches] == [RULES[0]]
+
+
 BROKEN: dict[str, list[Row]] = {
     RULES[0]: [row(1, "decided", front=0, sess="a", first=2, answer=3)],
     RULES[1]: [taken(1, 0, 3), taken(2, 0, 2)],
