--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -354,6 +354,7 @@
     help="Also play the nodes of another work tree.",
 )
 @click.option("--follow/--no-follow", default=None, help="Whether fronts follow the instances; else as told.")
+@click.option("--beside", is_flag=True, help="Play it first with fronts that do not follow.")
 def rehearse(
     day: Path,
     seed: tuple[int, ...],
@@ -367,6 +368,7 @@
     records: Path | None,
     tree: Path | None,
     follow: bool | None,
+    beside: bool,
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
     from ponddoor.capacity.records import commit_of, cores
@@ -389,15 +391,19 @@
             runs = ("ponddoor", "random") if baseline and not held.hollow else ("ponddoor",)
             if held.shell == "node":  # these play their own decisions, alone or beside another tree's
                 runs = ("ponddoor", "other-tree") if tree else ("ponddoor",)
-            for decisions in runs:
-                folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
+            sides = [(decisions, held, decisions) for decisions in runs]
+            if beside and held.instances is not None and held.instances.follow:
+                without = replace(held, instances=replace(held.instances, follow=False))
+                sides.insert(0, ("ponddoor", without, "no-follow"))
+            for decisions, held, side in sides:
+                folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{side}"
                 folder.mkdir(parents=True, exist_ok=True)
                 (folder / "day.json").write_bytes(
                     msgspec.json.encode(
                         {"file": str(day.resolve()), "seed": held.seed, "hints": hints, "shares": shares}
                     )
                 )
-                label = f"{held.name}, seed {held.seed}, {decisions}"
+                label = f"{held.name}, seed {held.seed}, {side}"
                 with click.progressbar(length=1000, label=label, file=sys.stderr, show_eta=False) as bar:
 
                     def move(part: float, bar: Any = bar) -> None:
@@ -421,10 +427,14 @@
                         sys.exit(130)
                     if records is not None and isinstance(playing, HollowRehearsal):
                         write_records(records, playing.records(commit_of(Path(__file__).parent)))
-                    if records is not None and (config := results[-1].config) is not None:
-                        told = " ".join(["ponddoor", *sys.argv[1:]]), held.seed, len(results) - 1
-                        commit = commit_of(Path(__file__).parent)
-                        write_records(records, config.records(*told, commit, cores()))
+                    if (config := results[-1].config) is not None:
+                        same = [result.config.under for result in results if result.config is not None]
+                        if beside and len(results) > 1 and (before := results[-2].config) is not None:
+                            config.beside(before)
+                        if records is not None:
+                            told = " ".join(["ponddoor", *sys.argv[1:]]), held.seed, same.count(same[-1]) - 1
+                            commit = commit_of(Path(__file__).parent)
+                            write_records(records, config.records(*told, commit, cores()))
     click.echo(msgspec.json.encode([as_dict(result) for result in results]) if as_json else table(results))
     if any(result.breaches for result in results if result.decisions == "ponddoor"):
         sys.exit(1)
--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -63,6 +63,14 @@
             for what, (figure, unit) in self.figures.items()
         ]  # fmt: skip
 
+    def beside(self, before: "Followed") -> None:
+        """Add what following costs: the process time of this run's fronts over that of the same day with
+        fronts that did not follow."""
+        for name, of in (("hollow", "config.hollow-cpu"), ("real", "config.front-cpu")):
+            if of in self.figures and of in before.figures and before.under == "no-follow":
+                more = self.figures[of][0] - before.figures[of][0]
+                self.figures[f"config.cpu.{name}"] = more, f"cores a {name} front, for following"
+
     def rows(self) -> dict[str, Any]:
         """For the table of a rehearsal."""
         shown: dict[str, Any] = {"configuration, conditions": self.under}
@@ -256,6 +264,9 @@
     asked = [row["known"] for row in rows if row["what"] == "title-asked"]
     if asked:
         made["config.title-known"] = float(sum(known is True for known in asked)), "fronts"
+    rollouts = [row for row in rows if row["what"] == "rollout"]
+    if rollouts and rollouts[-1]["counts"]:
+        made["config.rollout"] = float(rollouts[-1]["counts"]["in-force"]), "fronts, as ponddoor config tells"
     until = max((row["at"] for row in rows if row["what"] == "instance-sums"), default=end)
     over = max((until - since) / SECOND, 1e-9)
     sums = [row for row in rows if row["what"] == "instance-sums"]
--- a/ponddoor/rehearse/instances.py
+++ b/ponddoor/rehearse/instances.py
@@ -285,22 +285,29 @@
         mine = {one.party: one.seconds + one.last for one in self.all}
         return mine | {name: ended + last for name, (_, ended, last) in self._used.items()}
 
-    async def settle(self, title: str, ask: Callable[[int, str], Any], fronts: Iterable[int]) -> None:
+    async def settle(
+        self, title: str, ask: Callable[[int, str], Any], fronts: Iterable[int], everybody: int
+    ) -> None:
         """At a day's end: what each front knows of the last title that a change added, asked of itself, and
-        what the instances were told. Notes all sums."""
+        what all of them have told the instances. Notes all sums."""
         if title:
             for me in fronts:
                 self.note("title-asked", front=me, title=title, known=await ask(me, title))
-        for one in self.all:
-            after: Any = ""
-            while one.up and after is not None:
-                page = await self._get(one, f"/config/fronts?limit=1000{after}")
-                if page is None or "rows" not in page:
-                    break
-                self.note("config-fronts", instance=one.number, version=page["version"], rows=page["rows"])
-                after = f"&after={page['next']}" if page.get("next") is not None else None
+        if self.wanted.follow:
+            await self._roll_out(everybody)
         self.sums()
 
+    async def _roll_out(self, everybody: int) -> None:
+        """What an operator is told by `ponddoor config rollout`."""
+        asking = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ponddoor.cli", "config", "rollout", "--cluster",
+            str(self.folder / "cluster-0.pond"), "--fronts", str(everybody), "--json",
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        told, _ = await asking.communicate()
+        found = msgspec.json.decode(told, type=dict[str, Any]) if told else {}
+        self.note("rollout", status=asking.returncode, **{k: found.get(k) for k in ("version", "counts")})
+
     def sums(self) -> None:
         """Note what was counted until now."""
         self._look()
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -252,7 +252,12 @@
             return await knows_title(("127.0.0.1", self.front_ports[me][0]), group, tenant, title)
 
         up = [me for me, process in self.fronts.items() if process.returncode is None]
-        await within(SETTLED_WITHIN * 3, self.instances.settle(titles[-1] if titles else "", ask, up))
+        everybody = self.day.fronts + self.day.hollow
+        work = self.instances.settle(titles[-1] if titles else "", ask, up, everybody)
+        try:
+            await within(SETTLED_WITHIN * 3, work)
+        except TimeoutError:
+            raise RehearsalError(f"the instances did not tell what they know: see {self.folder}") from None
         if problem := self.instances.problem():
             raise RehearsalError(problem)
 
--- a/tests/following/test_days.py
+++ b/tests/following/test_days.py
@@ -35,6 +35,7 @@
     assert run["breaches"] == []
     assert config["config.in-force, fronts"] == everybody
     assert config["config.title-known, fronts"] == day.fronts
+    assert config["config.rollout, fronts, as ponddoor config tells"] == everybody
     rows, _ = read(next(tmp_path.iterdir()))
     seen = Counter(row["what"] for row in rows)
     kinds = Counter(row["kind"] for row in rows if row["what"] == "change-answered")
