--- a/ponddoor/capacity/fits.py
+++ b/ponddoor/capacity/fits.py
@@ -4,9 +4,10 @@
 The rule. A figure's residual counts relative to the mean of its size (to a twentieth of the largest mean at
 least), since spreads grow with figures. Of linear, n log n and n squared the one with the least sum of
 squares is taken, linear unless another's sum is under `CLEARLY` of its own. A constant is kept unless the
-sum falls by more than its own unexplained part would by chance (`STEADY`). What is taken fits where no mean
-lies off by more than `MOST_OFF`, or by thrice the spread of the repetitions. Where it does not fit, a power
-of the size is tried; where that does not either, nothing is claimed."""
+sum falls by more than its own unexplained part would by chance (`STEADY`). What is taken fits where each
+mean lies off by `MOST_OFF` at most, or by thrice its standard error where that is more, and by `FAR_OFF` at
+most in any case. Where it does not fit, a power of the size is tried; where that does not either, nothing
+is claimed."""
 
 import math
 from collections.abc import Sequence
@@ -20,7 +21,8 @@
 CLEARLY = 0.7  # of the linear form's sum of squares
 STEADY = 12.0  # the F statistic of one coefficient more that a constant bears
 MOST_OFF = 0.10
-SPREADS = 3.0
+FAR_OFF = 0.25  # repetitions that scatter so widely bear no form
+ERRORS = 3.0
 _FLOOR = 0.05  # of the largest mean: what lies below is judged by this much
 Floats = NDArray[np.float64]
 
@@ -100,17 +102,19 @@
     of_point = scale[np.searchsorted(different, sizes)]
     spread = _spread(sizes, figures, of_point)
     shape, base, value = _best(sizes, figures, of_point)
-    there = base + value * _grown(shape, different)
-    off = float((np.abs(means - there) / scale).max())
-    allowed = max(MOST_OFF, SPREADS * spread)
-    if off <= allowed:
-        return _made(shape, base, value, 1.0, points, off)
+    counts = np.array([(sizes == size).sum() for size in different])
+    allowed = np.maximum(MOST_OFF, np.minimum(FAR_OFF, ERRORS * spread / np.sqrt(counts)))
+    off = np.abs(means - base - value * _grown(shape, different)) / scale
+    if (off <= allowed).all():
+        return _made(shape, base, value, 1.0, points, float(off.max()))
     if means.min() <= 0:
         return None
     power, logged = np.polyfit(np.log(different), np.log(means), 1)
     factor = float(np.exp(logged))
-    off = float((np.abs(means - factor * different**power) / scale).max())
-    return _made(Shape.POWER, 0.0, factor, float(power), points, off) if off <= allowed else None
+    off = np.abs(means - factor * different**power) / scale
+    if (off > allowed).any():
+        return None
+    return _made(Shape.POWER, 0.0, factor, float(power), points, float(off.max()))
 
 
 def _best(sizes: Floats, figures: Floats, scale: Floats) -> tuple[Shape, float, float]:
--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -88,11 +88,14 @@
     if one.series is None or one.mark is Mark.NONE:
         return Mark.NONE.value
     if one.mark is Mark.LAST:
-        return f"at {_digits(one.known_at)} only: {why_unfitted(one.series)}"
+        return f"at {_digits(one.known_at)} only"
     if one.mark is Mark.EXTRAPOLATED:
         which = "largest" if one.far > 1 else "least"
         return f"extrapolated, {_digits(one.far)} times the {which}"
-    return str(one.mark.value)
+    if one.mark is Mark.INTERPOLATED:
+        return str(one.mark.value)
+    times = sum(point.size == one.known_at for point in one.series.points)
+    return "measured once" if times == 1 else f"measured {times} times"
 
 
 def _verdict(one: Projection) -> str:
@@ -140,7 +143,7 @@
                 (
                     row.need,
                     row.under,
-                    slope(fit, row.unit, row.of) if fit else "-",
+                    slope(fit, row.unit, row.of) if fit else why_unfitted(one.series) if one.series else "-",
                     _off(fit, row.unit) if fit else "-",
                     f"{_digits(one.size)} {row.of}",
                     _figure(one),
--- a/tests/capacity/test_fits.py
+++ b/tests/capacity/test_fits.py
@@ -47,6 +47,13 @@
     assert fitted(made(lambda n: 10 if n < 300 else 1000)) is None
 
 
+def test_one_figure_far_off_makes_no_form_fit() -> None:
+    points = made(lambda n: 2 + 0.07 * n, 0.02)
+    assert fitted(points) is not None
+    wild = [Point(p.size, p.repetition, p.figure + 40 * (p.size == 50 and p.repetition == 2)) for p in points]
+    assert fitted(wild) is None
+
+
 def test_what_is_nothing_everywhere_is_a_constant() -> None:
     fit = fitted(made(lambda n: 0.0))
     assert fit is not None and fit.shape is Shape.CONSTANT and fit.at(5_000) == 0
