--- a/ponddoor/capacity/project.py
+++ b/ponddoor/capacity/project.py
@@ -26,6 +26,7 @@
     "MB": ("B", 1e6),
 }
 _KNOWN = re.compile(r"know\.([a-z0-9-]+)\.(dead|alive)\.(50|99)")
+_PLACED = re.compile(r"(scale\.know\.(?:dead|alive)\.(?:half|p99))\.([a-z]+)-\d+")
 UNREACHED = "-unreached"  # behind a condition: the run ended before it came about
 SAME = 0.005  # a size counts as measured where it lies off by no more
 
@@ -150,6 +151,9 @@
     known = _KNOWN.fullmatch(what)
     if known is not None:
         what, under = f"know.{known[2]}.{'half' if known[3] == '50' else 'p99'}", known[1]
+    placed = _PLACED.fullmatch(what)
+    if placed is not None:
+        what, under = placed[1], placed[2]
     if (what, under, unit) == (record.what, record.under, record.unit):
         return record
     return msgspec.structs.replace(record, what=what, under=under, unit=unit, figure=record.figure * by)
--- a/ponddoor/capacity/rows.py
+++ b/ponddoor/capacity/rows.py
@@ -14,7 +14,9 @@
 RAFT, API = "ponddoor/raft/core.py", "ponddoor/config/api.py"
 CONDITIONS = ("calm", "loss-10", "roll", "zone-dead", "arrivals", "rude")
 LOST = ("one", "rack", "zone", "apart-60", "apart-3600", "replaced")
-CHANGES = ("calm", "loss-10", "instance-killed", "zone-cut", "fast")
+PLAYED = ("calm", "loss-10", "roll", "zone-dead")  # scale runs
+PLACES = ("machine", "rack", "zone", "region")
+CHANGES = ("calm", "loss-10", "instance-killed", "zone-cut", "fast", "all-at-once")
 KINDS = (
     "changes", "all", "ours", "holders", "answer", "begun", "lending", "ping", "ack", "via", "ask-news",
     "news", "brief", "saw",
@@ -173,6 +175,29 @@
             for under in ("calm", "arrivals", "roll")
         ),
     ),
+    Role(
+        "scale",
+        "The scale run: real and hollow fronts on sockets, few viewers",
+        "as of a front and its keeper",
+        "the same, over real UDP",
+        (
+            *(Row(need, what, under, "fronts", unit, FLEET, limit)
+              for need, what, unit, limit in (
+                  ("words sent", "scale.words", "1/s", ""),
+                  ("bytes sent", "scale.bytes", "B/s", "control-bytes"),
+                  ("bytes sent by the busiest", "scale.keeper.bytes.out", "B/s", "control-bytes"),
+                  ("words taken by the busiest", "scale.keeper.fan-in", "1/s", ""),
+                  ("bytes taken by the busiest", "scale.keeper.bytes", "B/s", "control-bytes"),
+                  ("processor of a real front, all it does", "scale.cpu.real", "core", ""),
+                  ("processor of a hollow front, all it does", "scale.cpu.hollow", "core", ""),
+              )
+              for under in PLAYED),
+            *(Row(f"{need} {part} of pairs", f"scale.know.{name}.{mark}", under, "fronts", "s", PRESENCE)
+              for name, need in (("dead", "dead known by"), ("alive", "alive again known by"))
+              for mark, part in (("half", "50%"), ("p99", "99%"))
+              for under in PLACES),
+        ),
+    ),
     Role(
         "instance",
         "Instance of the configuration, and what follows it",
