--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -25,11 +25,11 @@
     assert got.exit_code == 0, f"{got.output}{got.stderr}"
 
 
-@pytest.fixture
-def copy(tmp_path: Path) -> list[str]:
-    """A page, its plot and records of their own, made anew."""
-    records = tmp_path / "records"
-    records.mkdir()
+@pytest.fixture(scope="module")
+def made(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """A page, its plot and records of their own."""
+    folder = tmp_path_factory.mktemp("made")
+    (folder / "records").mkdir()
     lines = [
         msgspec.json.encode(
             Record(what="control.bytes", under="calm", of="fronts", size=size, repetition=k, seed=k,
@@ -39,13 +39,20 @@
         for size in (20, 50, 100, 200)
         for k in range(3)
     ]  # fmt: skip
-    (records / "a.jsonl").write_bytes(b"".join(lines))
-    shutil.copy(DOCS / "CAPACITY.md", tmp_path / "page.md")
-    held = ["--records", str(records)]
-    assert run("plot", *held, "--to", str(tmp_path / "need.png")).exit_code == 0
-    checked = [*held, "--page", str(tmp_path / "page.md"), "--picture", str(tmp_path / "need.png")]
-    assert run("project", *checked).exit_code == 0
-    return [*checked, "--check"]
+    (folder / "records" / "a.jsonl").write_bytes(b"".join(lines))
+    shutil.copy(DOCS / "CAPACITY.md", folder / "page.md")
+    held = ["--records", str(folder / "records")]
+    assert run("plot", *held, "--to", str(folder / "need.png")).exit_code == 0
+    assert run("project", *held, "--page", str(folder / "page.md")).exit_code == 0
+    return folder
+
+
+@pytest.fixture
+def copy(made: Path, tmp_path: Path) -> list[str]:
+    """A copy that a test may spoil, and how it is checked."""
+    shutil.copytree(made, tmp_path, dirs_exist_ok=True)
+    named = {"--records": "records", "--page": "page.md", "--picture": "need.png"}
+    return [*(part for option, name in named.items() for part in (option, str(tmp_path / name))), "--check"]
 
 
 def test_what_is_written_is_what_is_checked_and_says_how_far(copy: list[str], tmp_path: Path) -> None:
