--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -35,6 +35,7 @@
     "zone": "zone",
     "apart": "apart-3600",
 }
+_PATH = re.compile(r"(?<=\s)/\S*/(?=docs/)")
 MOST_BYTES = 4_000_000
 Found = Mapping[Key, list[Projection]]
 
@@ -87,11 +88,14 @@
     if one.series is None or one.mark is Mark.NONE:
         return Mark.NONE.value
     if one.mark is Mark.LAST:
-        return f"at {_digits(one.known_at)} only: {why_unfitted(one.series)}"
+        return f"at {_digits(one.known_at)} only"
     if one.mark is Mark.EXTRAPOLATED:
         which = "largest" if one.far > 1 else "least"
         return f"extrapolated, {_digits(one.far)} times the {which}"
-    return str(one.mark.value)
+    if one.mark is Mark.INTERPOLATED:
+        return str(one.mark.value)
+    times = sum(point.size == one.known_at for point in one.series.points)
+    return "measured once" if times == 1 else f"measured {times} times"
 
 
 def _verdict(one: Projection) -> str:
@@ -139,7 +143,7 @@
                 (
                     row.need,
                     row.under,
-                    slope(fit, row.unit, row.of) if fit else "-",
+                    slope(fit, row.unit, row.of) if fit else why_unfitted(one.series) if one.series else "-",
                     _off(fit, row.unit) if fit else "-",
                     f"{_digits(one.size)} {row.of}",
                     _figure(one),
@@ -391,7 +395,8 @@
 def _sources(files: Mapping[str, list[Record]]) -> str:
     rows = []
     for name, records in files.items():
-        commands = list(dict.fromkeys(record.command for record in records))
+        # Where a file lay on the machine that measured says nothing to who measures anew.
+        commands = list(dict.fromkeys(_PATH.sub("", record.command) for record in records))
         more = f" and {len(commands) - 1} more" if len(commands) > 1 else ""
         rows.append(
             (
