--- a/ponddoor/rehearse/hollow_following.py
+++ b/ponddoor/rehearse/hollow_following.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -25,6 +26,10 @@
 
     held: bytes = b""  # what was kept last
 
+    async def _keep(self, number: int, data: bytes) -> None:
+        self.held = data
+        await self._calls.put((partial(self._kept, number, True), False))
+
     def _write(self, data: bytes) -> bool:
         self.held = data
         return True
