Following: one more instance is tried at once where one does not answer

A machine of an instance that is gone cost a front cut off beside it a whole further period (820 fronts: 9 s, 84 requests in an instance's busiest second at a mean of 36).

--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -16,7 +16,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -27,6 +27,7 @@
 from ponddoor.config.rollout import Report
 from ponddoor.front.coming import Loss
 from ponddoor.front.follower import (
+    CONNECT,
     LONG,
     Effect,
     Fetch,
@@ -50,7 +51,6 @@
 INSTANCES = 5
 MOST_WATCHERS = 500
 WATCH_AHEAD = 100
-CONNECT = SECOND  # how long a connection may take to come up
 APART = 1_500_000  # how long an instance has heard of no leader when it says so
 VERSIONS = 120  # in the log of which a schedule plays a part
 MOST_REQUESTS = 12  # of one front in one second, whatever happens
@@ -194,6 +194,7 @@
     hunted: float = 0.1  # that a front crashes at a writing, or just after it takes a version
     keeps: int = 1000  # versions in an instance's history
     apart: int = 0  # seconds that all fronts are cut off from all instances, together
+    dead: int = 0  # machines of instances that are gone for good, and answer nothing
     parted: int = 0  # seconds that half of the fronts reach two instances alone, which have no leader
 
 
@@ -219,6 +220,7 @@
     number: int
     applied: int = 0
     up: bool = True
+    dead: bool = False
     life: int = 0
     heard_leader: int = 0
     slow_until: int = 0
@@ -280,6 +282,8 @@
         self.cut: set[tuple[int, int]] = set()
         self.touched: list[Front] = []  # in this step
         self.sides: list[int] = [0] * INSTANCES  # the side of a split that each instance is on
+        for instance in self.instances[: plan.dead]:
+            instance.up, instance.dead = False, True
 
     def fail(self, why: str) -> None:
         raise BoundBrokenError(f"seed {self.plan.seed}: {why} at {self.now}")
@@ -352,7 +356,7 @@
         self.cut.clear()
         self.sides = [0] * INSTANCES
         for instance in self.instances:
-            instance.up, instance.slow_until = True, 0
+            instance.up, instance.slow_until = not instance.dead, 0
             instance.requests.clear()
             instance.heard_leader = self.now
         for front in self.fronts:
@@ -516,7 +520,7 @@
 
     def _again(self, instance: Instance) -> None:
         """It is back with what its disk says is committed, which may be less than it told before."""
-        if instance.up:
+        if instance.up or instance.dead:
             return
         instance.up, instance.heard_leader = True, 0
         instance.applied = self.rng.randint(max(instance.applied - 8, 1), instance.applied)
@@ -547,6 +551,9 @@
         if self.apart(there, here):
             self.at(self.now + CONNECT, lambda: self._ends(connection, Loss.LATE))
             return
+        if instance.dead:
+            self.at(self.now + CONNECT, lambda: self._ends(connection, Loss.LATE))
+            return
         if not instance.up:
             self.after(500, 20_000, lambda: self._ends(connection, Loss.REFUSED))
             return
@@ -881,7 +888,7 @@
     away, minority = rng.choice([10, 20, 70]), rng.random() < 0.4
     if minority:
         return absence(seed, 20, away + 40, True)
-    return absence(seed, rng.choice([50, 80]), away, False)
+    return replace(absence(seed, rng.choice([50, 80]), away, False), dead=rng.choice([0, 0, 1]))
 
 
 def absence(seed: int, fronts: int, away: int, minority: bool) -> Schedule:
--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -42,7 +42,8 @@
 MOST_DIGEST = 40  # characters of a digest
 MOST_BURST = 8  # states of a burst that are at hand, should the newest be one that can't be used
 EVEN = 4 * SECOND  # the period of tries in an outage: two of them fit into the 9 s that a return may take
-HOP = SECOND // 10  # to the next instance where one refused: the way to it stands
+HOP = SECOND // 10  # to the next instance, where the next try is not the next period's
+CONNECT = 400_000  # how long a connection may take to come up: the shell's bound
 LOOK = 30 * SECOND  # on average between two looks elsewhere while all instances are apart
 LONG = 60 * SECOND  # an absence after which the whole state is asked for, not each step
 MISSES = SECOND // 2  # between two beats that tell of a version, and it does not come
@@ -662,8 +663,7 @@
             return []
         self.home = None
         self._choose()
-        if how is Loss.REFUSED and self.coming.out_since is not None and self.hops < self.instances - 1:
-            # The way stands and nothing listens there: another instance may well
+        if self.coming.out_since is not None and self.hops < self._most_hops(how):
             self.hops += 1
             self.next_try = now + stay_away + LEAST + self._chance.draw(HOP)
             return []
@@ -671,6 +671,12 @@
         self.next_try = self.coming.lost(now, how, gone, stay_away)
         return []
 
+    def _most_hops(self, how: Loss) -> int:
+        """To how many further instances one goes on at once. Where one refused, the way to it stands, and all
+        may be asked. One that does not answer may be a machine that is gone: one more is asked, so that a few
+        that are gone cost no period; more would bring back in one second a fleet that was cut off."""
+        return {Loss.REFUSED: self.instances - 1, Loss.LATE: 1}.get(how, 0)
+
     def _choose(self) -> None:
         """The next instance in this front's own order, of which nothing bad is known where there is one."""
         places = [(self._chosen + turn) % self.instances for turn in range(1, self.instances + 1)]
