--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -579,6 +579,7 @@
         """The instance is with a leader."""
         self.bad.clear()
         self.lagging.clear()
+        self.said.discard((-1, "ahead"))
         self.home = self.move_at = self.complain_at = None
         if self.apart_since is None:
             return []
@@ -644,7 +645,7 @@
         self.counts["lagging"] += 1
         self.lagging.add(self.at)
         out: list[Effect] = []
-        if len(self.lagging) == self.instances and self._once("ahead"):
+        if len(self.lagging) == self.instances and self._complain("ahead"):
             here = f"version {max(self.known.number, self.floor)} here, {number} at instance {self.at}"
             out.append(Say("error", "config-ahead-of-all", here))
         if not self.telling and (self.last_told is None or now >= self.last_told + self.report_every):
