Following: a front's life outdoes the one before it, whatever its clock says

A wall clock that was set back made a front's reports count as old ones for as long: the life is kept beside the floor.

--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -388,7 +388,7 @@
         """What is in force at a front is known by its report."""
         held, told = front.follower, front.told
         assert held is not None
-        here = (front.life, held.version, held.digest, held.refused[0], 0)
+        here = (held.life, held.version, held.digest, held.refused[0], 0)
         there = told and (told.life, told.version, told.digest, told.refused, told.apart_ms)
         if here != there:
             self.fail(f"front {front.number} is at {here}, it has told {there}")
@@ -742,7 +742,11 @@
             number, len(self.fronts), INSTANCES, self.rng.getrandbits(32), 3 * SECOND, Path(),
             lambda site: unusable(number, site, front.serving),
         )  # fmt: skip
-        self._carry_out(front, front.follower.begin(self.now, front.life, front.disk))
+        self._carry_out(front, front.follower.begin(self.now, self._wall(), front.disk))
+
+    def _wall(self) -> int:
+        """The Unix clock of a front's machine, which may have been set back."""
+        return self.now - (self.rng.randint(0, HOUR) if self.faults and self.rng.random() < 0.2 else 0) + HOUR
 
     def _some_crash(self) -> None:
         self._crash(self.fronts[self.rng.randrange(len(self.fronts))])
--- a/ponddoor/config/followers_mutants.py
+++ b/ponddoor/config/followers_mutants.py
@@ -56,6 +56,17 @@
         return State(), State()
 
 
+class Undated(Quick):
+    """Tells the life that its clock says, whatever it told before."""
+
+    def _restored(self, kept: bytes) -> tuple[State, State]:
+        wall = self.life
+        try:
+            return super()._restored(kept)
+        finally:
+            self.life = wall
+
+
 class Hasty(Quick):
     """A version is in force first and kept afterwards."""
 
@@ -168,4 +179,5 @@
     "a seldom look while apart": (Homeless, away),
     "another than one that is apart": (Loyal, away),
     "a report of each change": (Mute, drawn),
+    "the life": (Undated, restarting),
 }
--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -138,16 +138,18 @@
 
 
 class _Head(msgspec.Struct, frozen=True):
-    """`floor` stands here too, under a checksum of its own, so that it outlives a spoilt body."""
+    """`floor` and `life` stand here, under a checksum of their own, so that they outlive a spoilt body."""
 
     format: int
     floor: int
+    life: int
     size: int
     body: str
     own: str = ""
 
     def sum(self) -> str:
-        return xxhash.xxh3_64_hexdigest(f"{self.format} {self.floor} {self.size} {self.body}")
+        told = f"{self.format} {self.floor} {self.life} {self.size} {self.body}"
+        return xxhash.xxh3_64_hexdigest(told)
 
 
 class UnusableError(Exception):
@@ -261,8 +263,9 @@
     # What happens
 
     def begin(self, now: int, wall: int, kept: bytes) -> list[Effect]:
-        """The start, with what was kept. The version in force is taken up at once; a newer one that was kept
-        and passes now is kept as the one in force first, and taken when that is durable."""
+        """The start, with what was kept; `wall` is the Unix clock in us. The version in force is taken up at
+        once; a newer one that was kept and passes now is kept as the one in force first, and taken when that
+        is durable."""
         self.life, self.next_try = wall, self.coming.start(now)
         self.complain_at = now + 2 * self.silence
         try:
@@ -283,7 +286,7 @@
         if site is None:
             self.refused = (newest.number, why_not or why)
             return [Say("error", "config-kept-refused", f"version {force.number}: {why}")]
-        return [self._take(now, force, site)]
+        return [self._take(now, force, site), *self._keep(force, None)]
 
     def line(self, now: int, instance: int, data: bytes) -> list[Effect]:
         """A line of the watch, without its end."""
@@ -788,7 +791,8 @@
         force = state if site is not None else self.in_force
         newest = self.known.written() if self.known.number > force.number else None
         body = msgspec.msgpack.encode(_Body(force.written(), newest))
-        head = _Head(FORMAT, max(force.number, self.floor), len(body), xxhash.xxh3_64_hexdigest(body))
+        floor = max(force.number, self.floor)
+        head = _Head(FORMAT, floor, self.life, len(body), xxhash.xxh3_64_hexdigest(body))
         head = msgspec.structs.replace(head, own=head.sum())
         return [Keep(self.writings, msgspec.json.encode(head) + b"\n" + body)]
 
@@ -817,7 +821,8 @@
             raise UnusableError("what was kept has no head") from None
         if head.own != head.sum():
             raise UnusableError("what was kept has a damaged head")
-        self.floor = head.floor
+        # Guards against a wall clock that was set back: reports of this life would count as old ones
+        self.floor, self.life = head.floor, max(self.life, head.life + 1)
         if head.format != FORMAT:
             raise UnusableError(f"what was kept is of format {head.format}, {FORMAT} is known")
         if len(body) < head.size:
--- a/tests/following/test_core.py
+++ b/tests/following/test_core.py
@@ -149,6 +149,15 @@
     assert again.taken() == [FIRST + 1] and again.core.digest == LOG[FIRST].digest
 
 
+def test_a_life_is_later_than_the_one_before_whatever_the_clock_says() -> None:
+    first = Front().begun(FIRST)
+    lives = [first.core.life]
+    for _ in range(3):
+        first = Front(first.disk)  # the wall clock stands still
+        lives.append(first.core.life)
+    assert lives == [1, 2, 3, 4]
+
+
 def test_a_burst_is_taken_as_one_and_a_steady_stream_is_taken() -> None:
     front = Front().begun(FIRST).lines(FIRST + 1, FIRST + 5)
     assert front.taken() == [FIRST, FIRST + 5]
--- a/tests/following/test_simulation.py
+++ b/tests/following/test_simulation.py
@@ -14,7 +14,7 @@
     played,
     shrunk,
 )
-from ponddoor.config.followers_mutants import MUTANTS
+from ponddoor.config.followers_mutants import MUTANTS, away, dropping, restarting, spoilt
 
 FOUND_WITHIN = 60  # schedules
 
@@ -43,7 +43,7 @@
     assert problem, f"{ran} schedules without {guard}"
 
 
-@pytest.mark.parametrize("shape", {shape for _, shape in MUTANTS.values()} - {drawn})
+@pytest.mark.parametrize("shape", [restarting, spoilt, dropping, away])
 def test_the_whole_core_holds_where_guards_matter(shape: object) -> None:
     assert callable(shape)
     assert explore(0, 15, shape=shape) == (15, "")
