--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -234,7 +234,8 @@
 
     number: int
     follower: Follower | None = None
-    life: int = 0
+    life: int = 0  # counts its starts and crashes, in here
+    last_life: int = 0  # as it told it
     disk: bytes = b""
     serving: Site | None = None
     ever: int = 0
@@ -738,15 +739,20 @@
         front.serving, front.writing, front.timer, front.wholes = None, None, -1, 0
         front.told_at = -HOUR
         number = front.number
+        wall = self._wall(front)
         front.follower = self.make(
             number, len(self.fronts), INSTANCES, self.rng.getrandbits(32), 3 * SECOND, Path(),
             lambda site: unusable(number, site, front.serving),
         )  # fmt: skip
-        self._carry_out(front, front.follower.begin(self.now, self._wall(), front.disk))
+        effects = front.follower.begin(self.now, wall, front.disk)
+        front.last_life = front.follower.life
+        self._carry_out(front, effects)
 
-    def _wall(self) -> int:
-        """The Unix clock of a front's machine, which may have been set back."""
-        return self.now - (self.rng.randint(0, HOUR) if self.faults and self.rng.random() < 0.2 else 0) + HOUR
+    def _wall(self, front: Front) -> int:
+        """The Unix clock of a front's machine, which may have been set back; not beside a disk that fails."""
+        kept = msgspec.json.decode(front.disk.partition(b"\n")[0])["life"] if front.disk else 0
+        back = self.faults and kept == front.last_life and self.rng.random() < 0.2
+        return HOUR + self.now - (self.rng.randint(0, HOUR) if back else 0)
 
     def _some_crash(self) -> None:
         self._crash(self.fronts[self.rng.randrange(len(self.fronts))])
