--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import secrets
 import signal
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -15,7 +16,7 @@
 from ponddoor.fleet.presence import Hears
 from ponddoor.fleet.shown import shown
 from ponddoor.front import effects as fx
-from ponddoor.front.acting import Acting, looking
+from ponddoor.front.acting import Acting, Standings, looking
 from ponddoor.front.coming import Coming
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
@@ -62,6 +63,7 @@
                  deciding: Deciding = Front, log_requests: bool = False,
                  trace: Path | None = None, noted: Callable[..., None] | None = None) -> None:  # fmt: skip
         self._own, self.site, self.me, self._log_requests = site, site, me, log_requests
+        self._noted = noted
         seed = secrets.randbits(64) if seed is None else seed
         self._terms: Terms | None = None
         self.following = self._followed(site.follow, seed, kept) if site.follow is not None else None
@@ -92,12 +94,13 @@
         if self.seating is not None and noted is not None:
             self.seating.noted = noted
         self.viewers.seating = self.seating
+        self.viewers.noted = noted if self.following is not None else None
         if site.hints:
             hinting = Hinting(site, me, self.engine, self.apply, clock)
             self.hinting = self.viewers.hinting = self.servers.hinting = hinting
         self.web = Server(self.viewers.handle, bounds_of(site.limits))
         self.metrics_web = Server(self.metrics.handle, Bounds(connections=50, per_address=50))
-        self.acting = Acting()
+        self.acting, self.standings = Acting(), Standings()
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = asyncio.Event()
         self.port = 0
@@ -167,6 +170,9 @@
             await asyncio.sleep(max(self.gate.lag.due - clock(), 0) / SECOND)
             late = self.gate.lag.tick(clock())
             self.metrics.lagged(late / SECOND)
+            if self._noted is not None and isinstance(self.decisions, Front):
+                for front, dead in self.standings.look(self.decisions.fleet.presence).items():
+                    self._noted("stands", front=front, dead=dead)
             if late > self.site.limits.loop_lag:
                 log.warning("loop-late", ms=late // 1000)
 
@@ -221,7 +227,13 @@
             side.silence, side.report_every,
         )  # fmt: skip
         file = kept.with_suffix(".config") if kept is not None else None
-        return Following(core, side.instances, self._take, file)
+        made = Following(core, side.instances, self._take, file)
+        made.refused = self._refused
+        return made
+
+    def _refused(self, number: int, why: str) -> None:
+        if self._noted is not None:
+            self._noted("version-refused", front=self.me, version=number, why=why)
 
     def _unusable(self, version: Site) -> tuple[str, ...]:
         """Why this front can't take a version now; called beside the loop as well."""
@@ -237,6 +249,8 @@
         else:
             self.apply(lambda now: self._put_in_force(now, version))
         log.info("config-in-force", version=version.number, digest=version.digest)
+        if self._noted is not None:
+            self._noted("in-force", front=self.me, version=version.number, digest=version.digest)
 
     def _put_in_force(self, now: int, version: Take) -> list[Effect]:
         held = self.terms
@@ -436,7 +450,9 @@
         front, now = self.decisions, clock()
         with looking(front, now):
             servers = [n for n, s in front.servers.items() if s.row.state is not ServerState.GONE]
-            return shown(front.fleet, servers)
+            words = {"out": self.words.out.kinds, "in": self.words.come.kinds}
+            used = {"words": words, "processor_s": time.process_time(), "at_us": now}
+            return shown(front.fleet, servers) | used
 
     def _fleet_samples(self, front: Front, now: int) -> Iterator[Sample]:
         fleet, stands = front.fleet, dict[str, float]()
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -19,7 +19,11 @@
 from ponddoor.audit.records import Recorder, read
 from ponddoor.audit.rules import SLACK, Account, Breach, audit
 from ponddoor.audit.seats import SeatsSeen, seats_seen
+from ponddoor.rehearse.changes import Kind, Planned, plan
 from ponddoor.rehearse.day import SECOND, Day, Trouble, weight_of
+from ponddoor.rehearse.followed import Followed, followed
+from ponddoor.rehearse.hollow_following import FOLLOWS
+from ponddoor.rehearse.instances import SETTLED_WITHIN, Instances, InstancesError, knows_title
 from ponddoor.rehearse.relay import Fault, Network
 from ponddoor.rehearse.sums import sums
 from ponddoor.settings.sexpr import Listing, Node, form, word, write
@@ -62,6 +66,9 @@
     folder: Path
     seats: SeatsSeen | None = None
     sums: dict[str, float] = field(default_factory=dict)  # what reached the list and the servers
+    config: Followed | None = None  # how fronts followed the configuration
+    hollow: list[str] = field(default_factory=list)  # the table of hollow fronts, for people
+    hollow_dict: dict[str, Any] = field(default_factory=dict)  # and for scripts
 
     @property
     def whole(self) -> float:
@@ -134,6 +141,8 @@
     network: Network = field(default_factory=Network)
     word_ports: list[tuple[str, int]] = field(default_factory=list)  # under which all know each front
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    instances: Instances | None = None
+    follows: dict[int, list[tuple[str, int]]] = field(default_factory=dict)  # where a front finds instances
 
     async def play(self) -> Result:
         """Play the day to its end. Raises RehearsalError where a process fails that should not."""
@@ -157,9 +166,13 @@
         fell = sum(row["what"] == "fell" for row in rows)
         seats = seats_seen(Account(rows, self.day.site.facts)) if self.day.entitlement else None
         reached = sums(rows, self.day.fronts) | {"the rehearsal itself, most late, ms": self.late // 1000}
+        config = None
+        if self.day.instances is not None:
+            config = followed(rows, self.day.fronts, self.day.hollow, self.day.instances)
+            breaches = breaches + config.breaches
         return Result(
             self.day.name, self.day.seed, self.decisions, players, breaches, left_out, setups, fell,
-            self.folder, seats, reached,
+            self.folder, seats, reached, config,
         )  # fmt: skip
 
     async def _set_up(self) -> None:
@@ -168,6 +181,8 @@
         self.list_ports = (ports.pop(), ports.pop())
         self.front_ports = [(ports.pop(), ports.pop(), ports.pop()) for _ in range(day.fronts)]
         await self._links()
+        if day.instances is not None:
+            await self._begin_instances()
         for me in range(OWN, day.fronts):
             (self.folder / f"site-{me}.pond").write_text(write([self._site(me)]))
         cells = day.site.facts.plant.cells
@@ -176,15 +191,76 @@
         listing = await self._spawn("list", "standin", "list", "--control", str(self.list_ports[1]), *bears)
         self.others.append(listing)
         await self._until(self._list_up, "the list")
+        await self._start_boxes()
+        if not day.at_once:
+            await self._start_fronts()
+
+    async def _start_boxes(self) -> None:
         await asyncio.gather(*(self._start_box(box, warm=True) for box in self.boxes))
         await self._until(self._all_listed, "the media servers")
-        if day.at_once:
-            return
-        for me in range(day.fronts):
+
+    async def _start_fronts(self) -> None:
+        for me in range(self.day.fronts):
             await self._start_front(me)
-        for me in range(day.fronts):
+        for me in range(self.day.fronts):
             await self._until(partial(self._front_up, me), f"front {me}")
 
+    async def _begin_instances(self) -> None:
+        """The instances with the day's site as their first version, and each front's links to them."""
+        assert self.day.instances is not None
+        wanted, rng = self.day.instances, np.random.default_rng([self.day.seed, 37])
+        ports = free_ports(2 * wanted.count)
+        made = Instances(wanted, self.folder, self.network, self.rec.note, rng, ports, self._pids)
+        self.instances = made
+        try:
+            await made.begin(self._shared_site())
+        except InstancesError as problem:
+            raise RehearsalError(str(problem)) from None
+        if wanted.follow:
+            for me in range(self.day.fronts + self.day.hollow):
+                self.follows[me] = await made.links(f"front {me}")
+            (self.folder / FOLLOWS).write_bytes(msgspec.json.encode(self.follows))
+
+    def _shared_site(self) -> Listing:
+        """The day's site as all share it: its own fronts, and the rest as this run has it."""
+        top = self.day.site.node[0]
+        assert isinstance(top, Listing)
+        own = [item for item in top.items if isinstance(item, Listing) and item.head == "fronts"]
+        here = self._site(OWN)
+        others = [item for item in here.items if not (isinstance(item, Listing) and item.head == "fronts")]
+        return Listing((*others, *own), here.place)
+
+    def _pids(self) -> dict[str, int]:
+        up = {me: process.pid for me, process in self.fronts.items() if process.returncode is None}
+        return {f"front {me}": pid for me, pid in up.items()}
+
+    def _planned(self) -> list[Planned]:
+        if self.day.changes is None:
+            return []
+        cells = self.day.site.facts.plant.cells
+        return plan(self.day.changes, self._shared_site(), cells, self.day.length)
+
+    async def _settle_instances(self, planned: list[Planned]) -> None:
+        """Once the day is over: what each front knows of the last good change."""
+        assert self.instances is not None
+        titles = [change.title for change in planned if change.kind is Kind.GOOD]
+        site = self.day.site
+        group, tenants = site.group_names()[0], site.facts.tenants
+        tenant = tenants[0].name if tenants else ""
+
+        async def ask(me: int, title: str) -> bool | None:
+            return await knows_title(("127.0.0.1", self.front_ports[me][0]), group, tenant, title)
+
+        up = [me for me, process in self.fronts.items() if process.returncode is None]
+        everybody = self.day.fronts + self.day.hollow
+        work = self.instances.settle(titles[-1] if titles else "", ask, up, everybody)
+        try:
+            await within(SETTLED_WITHIN * 3, work)
+        except TimeoutError:
+            raise RehearsalError(f"the instances did not tell what they know: see {self.folder}") from None
+        if problem := self.instances.problem():
+            raise RehearsalError(problem)
+
     async def _watch_lag(self) -> None:
         """How late this process, which relays all, was at most: records may lie so much further apart."""
         while True:
@@ -198,48 +274,55 @@
 
     async def _links(self) -> None:
         """Every link of the day passes through the relay."""
-        self.network = Network(self.rec.note, random.Random(self.day.seed))
+        self.network = self._made_network()
         for me, (_, words, _) in enumerate(self.front_ports):
             self.word_ports.append(await self.network.post(f"front {me}", ("127.0.0.1", words)))
             there = ("127.0.0.1", self.list_ports[0])
             self.list_links.append(await self.network.stream(f"front {me}", "list", there))
 
+    def _made_network(self) -> Network:
+        return Network(self.rec.note, random.Random(self.day.seed))
+
     def _zone(self, me: int) -> int:
         """A day may have more fronts than its site: they take its fronts' zones in turn."""
         return self.day.site.fronts[me % len(self.day.site.fronts)].zone
 
+    def _front_forms(self, me: int) -> list[Node]:
+        """Every front's place as front `me` is to see it."""
+        made: list[Node] = []
+        for other, (viewers, words, metrics) in enumerate(self.front_ports):
+            told = ("127.0.0.1", words) if other == me else self.word_ports[other]
+            made.append(self._front_form(other, viewers, told, metrics))
+        return made
+
+    def _front_form(self, front: int, viewers: int, words: tuple[str, int], metrics: int) -> Listing:
+        zone = self.day.site.zones[self._zone(front)]
+        return form(
+            "front", word(str(front)), form("zone", word(zone)), form("viewers", f"127.0.0.1:{viewers}"),
+            form("words", f"{words[0]}:{words[1]}"), form("metrics", f"127.0.0.1:{metrics}"),
+        )  # fmt: skip
+
     def _site(self, me: int) -> Listing:
         """The day's site at this run's addresses, as front `me` is to see it, or the stand-ins (`OWN`)."""
-
-        def fronts() -> Listing:
-            made: list[Node] = []
-            for other, (viewers, words, metrics) in enumerate(self.front_ports):
-                told = ("127.0.0.1", words) if other == me else self.word_ports[other]
-                zone = self.day.site.zones[self._zone(other)]
-                made.append(form(
-                    "front", word(str(other)), form("zone", word(zone)),
-                    form("viewers", f"127.0.0.1:{viewers}"), form("words", f"{told[0]}:{told[1]}"),
-                    form("metrics", f"127.0.0.1:{metrics}"),
-                ))  # fmt: skip
-            return form("fronts", *made)
-
         items: list[Node] = []
         top = self.day.site.node[0]
         assert isinstance(top, Listing)
         for item in top.items:
             match item.head if isinstance(item, Listing) else "":
                 case "fronts":
-                    items.append(fronts())
+                    items.append(form("fronts", *self._front_forms(me)))
                 case "words":
                     items.append(form("words", form("key", self.day.site.words.key.hex())))
                 case "list" if isinstance(item, Listing):
                     kept = [i for i in item.items if not (isinstance(i, Listing) and i.head == "address")]
-                    host, port = ("127.0.0.1", self.list_ports[0]) if me == OWN else self.list_links[me]
+                    host, port = ("127.0.0.1", self.list_ports[0]) if me < 0 else self.list_links[me]
                     items.append(Listing((*kept, form("address", f"{host}:{port}")), item.place))
                 case "hints":
                     continue
                 case _:
                     items.append(item)
+        if me in self.follows and self.instances is not None:
+            items.append(self.instances.follow_form(self.follows[me]))
         items.append(form("hints", word("yes" if self.day.site.hints else "no")))
         return Listing(tuple(items), top.place)
 
@@ -259,9 +342,13 @@
             f"media-{box.number}", "standin", "media", "--number", str(box.number), "--cell", str(box.cell),
             "--zone", site.zones[box.cell % len(site.zones)], "--kind", kind, "--weight",
             str(weight_of(site, box.cell)), "--port", str(box.port), "--control", str(box.control), "--seed",
-            str(self.day.seed), *(["--warm"] if warm else []),
+            str(self.day.seed), *(["--warm"] if warm else []), *self._bears(),
         )  # fmt: skip
 
+    def _bears(self) -> tuple[str, ...]:
+        """What else a media server is told of what it bears."""
+        return ()
+
     async def _start_front(self, me: int) -> None:
         self.starts += 1
         traced = ["--trace", str(self.folder / f"front-{me}-{self.starts}.trace")] if self.trace else []
@@ -308,7 +395,11 @@
             "--out", str(out), *ports,
         )  # fmt: skip
         self.others.append(players)
+        await self._begins(begin)
         troubles = [asyncio.create_task(self._trouble(begin, trouble)) for trouble in self.day.troubles]
+        planned = self._planned()
+        if self.instances is not None:
+            self.instances.play(begin, planned)
         if self.day.at_once:
             await asyncio.gather(*(self._start_front(me) for me in range(self.day.fronts)))
         longest = max(group.setup_timeout for group in self.day.site.facts.groups) / SECOND
@@ -322,11 +413,20 @@
             if task.done() and not task.cancelled() and (problem := task.exception()):
                 raise RehearsalError(f"a trouble could not be caused: {problem!r}")
             task.cancel()
+        if self.instances is not None:
+            await self._settle_instances(planned)
         if not out.exists():
             raise RehearsalError(f"the players did not finish: see {self.folder / 'players.log'}")
         got: dict[str, Any] = msgspec.json.decode(out.read_bytes())
         return got
 
+    async def _begins(self, begin: float) -> None:
+        """The day begins at this moment of the monotonic clock."""
+
+    def _up(self) -> list[int]:
+        """The fronts that live."""
+        return [me for me, process in self.fronts.items() if process.returncode is None]
+
     # Troubles
 
     async def _trouble(self, begin: float, trouble: Trouble) -> None:
@@ -353,8 +453,9 @@
                 await asyncio.sleep(lasts)
                 await self._order(kind="discovery_down", on=False)
             case "balancer_roll":
-                count = max(1, round(figures["part"] * len(self.fronts)))
-                for me in list(self.fronts)[:count]:
+                some = self._up()
+                count = max(1, round(figures["part"] * len(some)))
+                for me in some[:count]:
                     await self._kill_front(me, figures["down"])
                     await asyncio.sleep(max(0.0, lasts / count - figures["down"]))
             case "peer_down":
@@ -367,8 +468,7 @@
                 end = time.monotonic() + lasts
                 while (pause := float(self.rng.exponential(figures["every"]))) < end - time.monotonic():
                     await asyncio.sleep(pause)
-                    up = [me for me, process in self.fronts.items() if process.returncode is None]
-                    if up:
+                    if up := self._up():
                         self._later(self._kill_front(up[int(self.rng.integers(len(up)))], figures["down"]))
             case "words_lost":
                 fronts = self._parties("fronts")
@@ -387,6 +487,8 @@
                 self._signal(some, signal.SIGCONT)
             case "fronts_told":
                 await self._tell_fronts(self._some_fronts(figures["part"]))
+            case kind if kind.startswith("instances_") and self.instances is not None:
+                await self.instances.trouble(kind, trouble.how, lasts, figures)
             case kind if kind.startswith("link_"):
                 await self._link_trouble(kind, trouble.how, lasts, figures)
             case _:  # hot_key is in the arrivals, connections_cut in the players
@@ -395,13 +497,15 @@
     def _parties(self, kind: str) -> set[str]:
         if kind == "list":
             return {"list"}
+        if kind == "instances":
+            return self.instances.parties() if self.instances is not None else set()
         return {f"front {me}" for me in range(self.day.fronts)} if kind == "fronts" else self._servers()
 
     def _servers(self) -> set[str]:
         return {f"server {box.number}" for box in self.boxes}
 
     def _some_fronts(self, part: float) -> list[int]:
-        up = [me for me, process in self.fronts.items() if process.returncode is None]
+        up = self._up()
         count = min(len(up), max(1, round(part * len(up))))
         return sorted(up[int(n)] for n in self.rng.choice(len(up), count, replace=False))
 
@@ -427,7 +531,7 @@
         fault = {
             "link_cut": Fault(cut=True),
             "link_stall": Fault(stall=True),
-            "link_lossy": Fault(loss=size),
+            "link_lossy": Fault(loss=size, resent=size if to == "instances" else 0.0),
             "link_slow": Fault(delay=(size / 2, size)),
             "link_narrow": Fault(rate=size),
         }[kind]
@@ -516,6 +620,8 @@
         self.stopping = True
         for task in self.tasks:
             task.cancel()
+        if self.instances is not None:
+            await self.instances.stop()
         everybody = [*self.fronts.values(), *self.others, *(box.process for box in self.boxes if box.process)]
         for process in everybody:
             if process.returncode is None:
