--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -19,6 +19,7 @@
 
 from ponddoor.config.commands import config as config_commands
 from ponddoor.config.commands import raft as raft_commands
+from ponddoor.interface.words import KINDS
 from ponddoor.settings.sexpr import SettingsError
 
 
@@ -303,8 +304,16 @@
 @click.option("--control", type=int, required=True, help="Port that takes orders and tells.")
 @click.option("--until", type=float, required=True, help="When it ends, by the monotonic clock.")
 @click.option("--out", type=click.Path(path_type=Path), help="Where it writes at its end what it would tell.")
+@click.option("--without", type=click.Choice(KINDS), help="A kind of word that they leave out.", hidden=True)
 def hollow(
-    site: Path, day: Path, first: int, count: int, control: int, until: float, out: Path | None
+    site: Path,
+    day: Path,
+    first: int,
+    count: int,
+    control: int,
+    until: float,
+    out: Path | None,
+    without: str | None,
 ) -> None:
     """Fronts without viewers, many in one process, as rehearse starts them."""
     from ponddoor.rehearse.day import load_day
@@ -318,6 +327,7 @@
         click.echo(f"{site}: no hollow fronts {first} to {first + count - 1}", err=True)
         sys.exit(2)
     process = HollowProcess(held, played, tuple(range(first, first + count)), until)
+    process.without = without or ""
     try:
         asyncio.run(process.run(control, out))
     except OSError as problem:
--- a/ponddoor/rehearse/hollow_front.py
+++ b/ponddoor/rehearse/hollow_front.py
@@ -24,6 +24,7 @@
 from ponddoor.front.sealed import Seal
 from ponddoor.front.words import WordSocket, wall
 from ponddoor.interface import events as ev
+from ponddoor.interface.words import kind_of
 from ponddoor.rehearse.day import Day, Viewer, viewers_of
 from ponddoor.rehearse.hollow_servers import PretendedServer
 from ponddoor.settings.site import Site
@@ -38,6 +39,7 @@
     site: Site
     day: Day
     lag: LagMeter
+    without: str
 
     def server(self, number: int) -> PretendedServer | None: ...
     def servers(self) -> list[PretendedServer]: ...
@@ -71,6 +73,11 @@
     Words to a real front pass the rehearsal's relay, which puts them on there."""
 
     passes: Callable[[int, int], float | None] = staticmethod(lambda source, target: 0.0)
+    without: str = ""  # a kind of word that is left out, to see that this is found
+
+    def send(self, peer: int | None, payload: bytes) -> None:
+        if not self.without or kind_of(payload) != self.without:
+            super().send(peer, payload)
 
     def _put(self, number: int, datagram: bytes) -> None:
         wait = self.passes(self.me, number)
@@ -136,7 +143,7 @@
         pump = HollowPump(engine, self._carry_out)
         seal = Seal(site.words.key, self.me, len(site.fronts), site.words.age)
         words = HollowWords(site, self.me, seal, self._heard)
-        words.passes = around.passes
+        words.passes, words.without = around.passes, around.without
         self.life = _Life(decisions, engine, pump, words, epoch=self.starts)
         await words.start()
         known = around.rows() if self.starts > 1 else ()  # a first life has no list on disk
--- a/ponddoor/rehearse/hollow_process.py
+++ b/ponddoor/rehearse/hollow_process.py
@@ -82,6 +82,7 @@
     fronts: dict[int, HollowFront] = field(default_factory=dict)
     pretended: dict[int, PretendedServer] = field(default_factory=dict)
     rules: tuple[Rule, ...] = ()
+    without: str = ""  # a kind of word that the fronts here leave out
     changes: list[tuple[int, int, int, bool]] = field(default_factory=list)  # (at, front, other, dead)
     dropped: int = 0
     late: int = 0  # us, the most since the viewers began
