--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -350,6 +350,7 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 @click.option("--fronts", type=click.IntRange(1, 300), help="So many fronts, whatever the day says.")
+@click.option("--hollow", type=click.IntRange(1, 2000), help="So many hollow fronts, whatever the day says.")
 @click.option(
     "--records", type=click.Path(dir_okay=False, path_type=Path),
     help="Add the words, costs and times to know of a day with hollow fronts to this file of records.",
@@ -368,6 +369,7 @@
     hints: bool | None,
     as_json: bool,
     fronts: int | None,
+    hollow: int | None,
     records: Path | None,
     tree: Path | None,
 ) -> None:
@@ -384,7 +386,8 @@
     results = []
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
-            shares = {"fronts": fronts} if fronts else None
+            asked = {"fronts": fronts, "hollow": hollow}
+            shares = {name: count for name, count in asked.items() if count} or None
             held = usable(partial(load_day, day, number, hints, shares))
             runs = ("ponddoor", "random") if baseline and not held.hollow else ("ponddoor",)
             if held.shell == "node":  # these play their own decisions, alone or beside another tree's
@@ -420,7 +423,10 @@
                         click.echo("\ninterrupted: what was started is ended", err=True)
                         sys.exit(130)
                     if records is not None and isinstance(playing, HollowRehearsal):
-                        write_records(records, playing.records(commit_of(Path(__file__).parent)))
+                        again = f"ponddoor rehearse {day} --seed {held.seed}" + "".join(
+                            f" --{name} {count}" for name, count in (shares or {}).items()
+                        )
+                        write_records(records, playing.records(commit_of(Path(__file__).parent), again))
     click.echo(msgspec.json.encode([as_dict(result) for result in results]) if as_json else table(results))
     if any(result.breaches for result in results if result.decisions == "ponddoor"):
         sys.exit(1)
--- a/ponddoor/front/words.py
+++ b/ponddoor/front/words.py
@@ -31,6 +31,14 @@
         held[0] += 1
         held[1] += len(datagram) + HEADERS
 
+    def plus(self, other: "Traffic") -> "Traffic":
+        """Both together, as a copy."""
+        made = Traffic({kind: list(row) for kind, row in self.kinds.items()})
+        for kind, (words, size) in other.kinds.items():
+            held = made.kinds.setdefault(kind, [0, 0])
+            held[0], held[1] = held[0] + words, held[1] + size
+        return made
+
 
 @dataclass(slots=True)
 class WordSocket(asyncio.DatagramProtocol):
--- a/ponddoor/rehearse/hollow_front.py
+++ b/ponddoor/rehearse/hollow_front.py
@@ -22,7 +22,7 @@
 from ponddoor.front.limits import Gate, LagMeter
 from ponddoor.front.pump import SECOND, Pump, clock
 from ponddoor.front.sealed import Seal
-from ponddoor.front.words import WordSocket, wall
+from ponddoor.front.words import Traffic, WordSocket, wall
 from ponddoor.interface import events as ev
 from ponddoor.interface.words import kind_of
 from ponddoor.rehearse.day import Day, Viewer, viewers_of
@@ -119,6 +119,7 @@
         self.life: _Life | None = None
         self.starts, self.began = 0, 0
         self.counts: dict[str, int] = {}
+        self.out, self.come = Traffic(), Traffic()  # of lives that are over
         self._rng = np.random.default_rng([around.day.seed, 73, me])
         self._viewers = deque[Viewer]()
         self._seen: dict[str, _Seen] = {}
@@ -159,6 +160,7 @@
         life.words.close()
         life.pump.frozen = True
         life.pump.close()
+        self.out, self.come = self._ever(life)
         self._waiting.clear()
         for server in self.around.servers():
             server.lose(self.me)
@@ -376,16 +378,22 @@
 
     # What is told of it
 
+    def _ever(self, life: _Life) -> tuple[Traffic, Traffic]:
+        """What it said and heard in the lives before this one, and in this one."""
+        return self.out.plus(life.words.out), self.come.plus(life.words.come)
+
     def told(self) -> dict[str, Any]:
-        """Its words by kind in this life, and what it holds."""
+        """Its words by kind in all its lives, and what it holds."""
         life = self.life
+        out, come = (self.out, self.come) if life is None else self._ever(life)
+        told = {"lives": life is not None, "starts": self.starts, "at_us": clock(), "out": out.kinds,
+                "in": come.kinds, "tries": self.counts, "keeps": []}  # fmt: skip
         if life is None:
-            return {"lives": False, "starts": self.starts, "tries": self.counts}
+            return told
         fleet = life.decisions.fleet
-        return {
-            "lives": True, "starts": self.starts, "at_us": clock(), "out": life.words.out.kinds,
-            "in": life.words.come.kinds, "lost": life.words.lost, "refused": life.words.seal.refused,
+        return told | {
+            "lost": life.words.lost, "refused": life.words.seal.refused,
             "keeps": [group for group in fleet.groups if self.me in fleet.keepers(group)],
-            "held": life.engine.held, "tries": self.counts, "faults": life.engine.counts.faults,
+            "held": life.engine.held, "faults": life.engine.counts.faults,
             "decision_s": life.engine.counts.decision_ns / 1e9, "setups": life.engine.counts.setups,
         }  # fmt: skip
--- a/ponddoor/rehearse/hollow_run.py
+++ b/ponddoor/rehearse/hollow_run.py
@@ -64,6 +64,7 @@
     sides: tuple[list[tables.Span], list[tables.Span]] = field(default_factory=lambda: ([], []))
     each: int = EACH  # hollow fronts a process
     without: tuple[str, ...] = ()  # kinds of words that the processes leave out in turn, to see it found
+    all_spans: list[tables.Span] = field(default_factory=list)  # those that were struck among them
     most_mb: float = 0.0
     ended_by: str = ""
     begin: float | None = None
@@ -259,9 +260,8 @@
             told = await self._told(one)
             cost = told["processor_s"] / one.count
             for name, front in told["fronts"].items():
-                if front["lives"]:
-                    seen.append(Seen(int(name), front["starts"], front["at_us"], front["out"], front["in"],
-                                     bool(front["keeps"]), cost))  # fmt: skip
+                keeps = bool(front["keeps"])
+                seen.append(Seen(int(name), 0, front["at_us"], front["out"], front["in"], keeps, cost))
         return seen
 
     async def _told(self, one: _Process) -> dict[str, Any]:
@@ -358,10 +358,13 @@
         self.fronts_down -= set(fronts)
 
     async def _trouble(self, begin: float, trouble: Trouble) -> None:
-        if not trouble.kind.startswith("place_"):
+        if not trouble.kind.startswith("place_") and trouble.kind != "balancer_roll":
             await Rehearsal._trouble(self, begin, trouble)
             return
         await asyncio.sleep(max(0.0, begin + trouble.at / SECOND - time.monotonic()))
+        if trouble.kind == "balancer_roll":
+            await self._roll(trouble.length / SECOND, trouble.figures["part"], trouble.figures["down"])
+            return
         place, _, way = trouble.how.partition("-")
         groups = self.day.layout.groups(place, self._all)
         which = int(trouble.figures["which"])
@@ -403,6 +406,16 @@
                 self._happened(name, fronts, False)
                 self.network.lift(rules)
 
+    async def _roll(self, lasts: float, part: float, down: float) -> None:
+        """Fronts are restarted at an even pace, as many at a time as the time wants."""
+        some = self._up()
+        count = max(1, round(part * len(some)))
+        self.rec.note("trouble", kind="balancer_roll", fronts=some[:count])
+        begun = time.monotonic()
+        for at, me in enumerate(some[:count]):
+            await asyncio.sleep(max(0.0, begun + at * lasts / count - time.monotonic()))
+            self._later(self._kill_front(me, down))
+
     def _move(self, me: int) -> None:
         """A real front begins anew with its words at another address, of which the others are not told."""
         viewers, _, metrics = self.front_ports[me]
@@ -441,7 +454,8 @@
                 front = int(row["who"].removeprefix("front "))
                 self.changes.append((row["at"], front, row["front"], row["dead"]))
         self.changes.sort()
-        made = [span for span in tables.spans(self.first, self.last) if span.front not in self.struck]
+        self.all_spans = tables.spans(self.first, self.last)
+        made = [span for span in self.all_spans if span.front not in self.struck]
         real = [span for span in made if span.front < self.day.fronts]
         hollow = [span for span in made if span.front >= self.day.fronts]
         self.sides = (real, hollow)
@@ -456,11 +470,10 @@
         self.cost["memory of all processes, most, MB"] = self.most_mb
         self.cost["the rehearsal itself, most late, ms"] = self.late / 1000
 
-    def records(self, commit: str) -> list[Record]:
-        """The figures of the run that was played."""
-        command = f"ponddoor rehearse {self.day.name}.day --seed {self.day.seed}"
+    def records(self, commit: str, command: str) -> list[Record]:
+        """The figures of the run that was played, by a command."""
         run = tables.Run(self.day.name, self.day.seed, commit, command)
-        return tables.records(run, *self.sides, self.found, self.cost)
+        return tables.records(run, self.all_spans, self.sides, self.found, self.cost)
 
 
 class _Watched(Network):
--- a/ponddoor/rehearse/hollow_table.py
+++ b/ponddoor/rehearse/hollow_table.py
@@ -289,10 +289,14 @@
 
 
 def records(
-    run: Run, real: list[Span], hollow: list[Span], found: Agreement, cost: dict[str, float]
+    run: Run,
+    everybody: list[Span],
+    sides: tuple[list[Span], list[Span]],
+    found: Agreement,
+    cost: dict[str, float],
 ) -> list[Record]:
-    """The figures of a run over its size, as the page reads them."""
-    everybody = [*real, *hollow]
+    """The figures of a run over its size, as the page reads them. Words are those of all fronts, what they
+    said in lives that ended among them as far as it is told; `sides` are the fronts that were not struck."""
     fronts = int(cost["fronts"])
 
     def made(what: str, figure: float, unit: str) -> Record:
@@ -310,7 +314,7 @@
     words_all, bytes_all = rates(everybody)
     out.append(made("control.words", words_all, "words/s/front"))
     out.append(made("control.bytes", bytes_all, "bytes/s/front"))
-    for side, some in (("real", real), ("hollow", hollow)):
+    for side, some in zip(("real", "hollow"), sides, strict=True):
         if some:
             out.append(made(f"control.bytes.{side}", rates(some)[1], "bytes/s/front"))
     keepers = [span for span in everybody if span.keeps]
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -148,7 +148,7 @@
     ],
 )
 def test_each_thing_that_there_is_too_little_of_is_named(has: reckoning.Machine, told: str) -> None:
-    day = load_day(DAYS / "calm-820.day")
+    day = load_day(DAYS / "calm.day", shares={"hollow": 800})
     with pytest.raises(reckoning.TooLargeError, match=told):
         reckoning.check(day, has)
     assert reckoning.check(day, reckoning.Machine(64_000, 60_000, 20_000)).processes < 100
