--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -317,6 +318,7 @@
 ) -> None:
     """Fronts without viewers, many in one process, as rehearse starts them."""
     from ponddoor.rehearse.day import load_day
+    from ponddoor.rehearse.hollow_following import followers_in
     from ponddoor.rehearse.hollow_process import HollowProcess
     from ponddoor.settings.site import load
 
@@ -326,7 +328,8 @@
     if not played.fronts <= first <= first + count <= len(held.fronts):
         click.echo(f"{site}: no hollow fronts {first} to {first + count - 1}", err=True)
         sys.exit(2)
-    process = HollowProcess(held, played, tuple(range(first, first + count)), until)
+    followers = followers_in(site.parent, f"hollow-{first}") if played.instances is not None else None
+    process = HollowProcess(held, played, tuple(range(first, first + count)), until, followers)
     process.without = without or ""
     try:
         asyncio.run(process.run(control, out))
@@ -350,16 +353,18 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 @click.option("--fronts", type=click.IntRange(1, 300), help="So many fronts, whatever the day says.")
-@click.option("--hollow", type=click.IntRange(1, 2000), help="So many hollow fronts, whatever the day says.")
+@click.option("--hollow", type=click.IntRange(0, 2000), help="So many hollow fronts, whatever the day says.")
 @click.option(
     "--records", type=click.Path(dir_okay=False, path_type=Path),
-    help="Add the words, costs and times to know of a day with hollow fronts to this file of records.",
+    help="Add a day's figures of hollow fronts and of the configuration to this file.",
 )
 @click.option(
     "--tree",
     type=click.Path(exists=True, file_okay=False, path_type=Path),
     help="Also play the nodes of another work tree.",
 )
+@click.option("--follow/--no-follow", default=None, help="Whether fronts follow the instances; else as told.")
+@click.option("--beside", is_flag=True, help="Play it first with fronts that do not follow.")
 def rehearse(
     day: Path,
     seed: tuple[int, ...],
@@ -372,9 +377,11 @@
     hollow: int | None,
     records: Path | None,
     tree: Path | None,
+    follow: bool | None,
+    beside: bool,
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
-    from ponddoor.capacity.records import commit_of
+    from ponddoor.capacity.records import commit_of, cores
     from ponddoor.capacity.records import write as write_records
     from ponddoor.rehearse.day import load_day
     from ponddoor.rehearse.hollow_run import HollowRehearsal
@@ -386,21 +393,27 @@
     results = []
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
-            asked = {"fronts": fronts, "hollow": hollow}
-            shares = {name: count for name, count in asked.items() if count} or None
+            counts = {"fronts": fronts or None, "hollow": hollow}
+            shares = {name: count for name, count in counts.items() if count is not None} or None
             held = usable(partial(load_day, day, number, hints, shares))
+            if held.instances is not None and follow is not None:
+                held = replace(held, instances=replace(held.instances, follow=follow))
             runs = ("ponddoor", "random") if baseline and not held.hollow else ("ponddoor",)
             if held.shell == "node":  # these play their own decisions, alone or beside another tree's
                 runs = ("ponddoor", "other-tree") if tree else ("ponddoor",)
-            for decisions in runs:
-                folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
+            sides = [(decisions, held, decisions) for decisions in runs]
+            if beside and held.instances is not None and held.instances.follow:
+                without = replace(held, instances=replace(held.instances, follow=False))
+                sides.insert(0, ("ponddoor", without, "no-follow"))
+            for decisions, held, side in sides:
+                folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{side}"
                 folder.mkdir(parents=True, exist_ok=True)
                 (folder / "day.json").write_bytes(
                     msgspec.json.encode(
                         {"file": str(day.resolve()), "seed": held.seed, "hints": hints, "shares": shares}
                     )
                 )
-                label = f"{held.name}, seed {held.seed}, {decisions}"
+                label = f"{held.name}, seed {held.seed}, {side}"
                 with click.progressbar(length=1000, label=label, file=sys.stderr, show_eta=False) as bar:
 
                     def move(part: float, bar: Any = bar) -> None:
@@ -423,10 +436,17 @@
                         click.echo("\ninterrupted: what was started is ended", err=True)
                         sys.exit(130)
                     if records is not None and isinstance(playing, HollowRehearsal):
-                        again = f"ponddoor rehearse {day} --seed {held.seed}" + "".join(
-                            f" --{name} {count}" for name, count in (shares or {}).items()
-                        )
-                        write_records(records, playing.records(commit_of(Path(__file__).parent), again))
+                        again = " ".join(["ponddoor", *sys.argv[1:]])
+                        run = commit_of(Path(__file__).parent), again, len(results) - 1
+                        write_records(records, playing.records(*run))
+                    if (config := results[-1].config) is not None:
+                        same = [result.config.under for result in results if result.config is not None]
+                        if beside and len(results) > 1 and (before := results[-2].config) is not None:
+                            config.beside(before)
+                        if records is not None:
+                            told = " ".join(["ponddoor", *sys.argv[1:]]), held.seed, same.count(same[-1]) - 1
+                            commit = commit_of(Path(__file__).parent)
+                            write_records(records, config.records(*told, commit, cores()))
     click.echo(msgspec.json.encode([as_dict(result) for result in results]) if as_json else table(results))
     if any(result.breaches for result in results if result.decisions == "ponddoor"):
         sys.exit(1)
--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -10,6 +10,7 @@
 is taken and the whole state is asked for. What can't be used leaves the last good version in force, and the
 next is looked at whole. Of what comes, lines, texts and tables have bounds; what is malformed is counted."""
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -38,10 +39,13 @@
 MOST_KEPT = 3 * MOST_BYTES  # of what is read back from disk: two states and what they are written in
 MOST_NUMBER = 2**53
 MOST_WHY = 200  # characters of a reason
+MOST_DIGEST = 40  # characters of a digest
+MOST_BURST = 8  # states of a burst that are at hand, should the newest be one that can't be used
 EVEN = 4 * SECOND  # the period of tries in an outage: two of them fit into the 9 s that a return may take
 HOP = SECOND // 10  # to the next instance where one refused: the way to it stands
 LOOK = 30 * SECOND  # on average between two looks elsewhere while all instances are apart
 LONG = 60 * SECOND  # an absence after which the whole state is asked for, not each step
+MISSES = SECOND // 2  # between two beats that tell of a version, and it does not come
 KEEP_AGAIN = 5 * SECOND  # after a failed write
 FORMAT = 1
 
@@ -206,7 +210,7 @@
     in_force: State = field(default_factory=State)
     known: State = field(default_factory=State)  # the newest whole one that was checked against its digest
     ahead: State = field(default_factory=State)  # `known` with the steps that came since
-    expected: str = ""  # the digest told for `ahead`
+    burst: deque[State] = field(default_factory=lambda: deque(maxlen=MOST_BURST))  # from `known` to `ahead`
 
     at: int = 0
     phase: Phase = Phase.AWAY
@@ -227,7 +231,7 @@
     again: bool = False  # likewise, the watch was opened anew
     met: bool = False  # something was heard in this visit
     hops: int = 0
-    missing: int = 0  # beats in a row that tell of versions which do not come
+    misses_since: int | None = None  # when a beat first told of versions that did not come since
     lags_since: int | None = None
     keeping: tuple[int, State, Site | None] | None = None  # the writing under way, and what it lets in force
     fallback: tuple[State, Site] | None = None  # at a start: what is taken where the writing fails
@@ -307,12 +311,13 @@
             return self._nonsense(now, "oversize", f"version {number} of {len(text)} characters")
         if self._lags(number):
             return self._behind(now, number)
-        if number > self.known.number:
+        if self._advances(number):
             try:
                 state = self._parted(number, text, digest)
             except UnusableError as problem:
                 return self._nonsense(now, "nonsense", str(problem))
-            self.known = self.ahead = state
+            self.known = state
+            self._drop_ahead()
             self.head = max(self.head, number)
             self.decide_at = now
         elif digest and self.known.digest and digest != self.known.digest:
@@ -411,9 +416,12 @@
     def _lags(self, number: int) -> bool:
         return number < max(self.known.number, self.floor)
 
-    def _watched(self, instance: int, phase: Phase) -> bool:
-        """Guards against two instances whose lines cross where the front turns from one to the other."""
-        return instance == self.at and self.phase is phase
+    def _advances(self, number: int) -> bool:
+        return number > self.known.number
+
+    def _next(self, line: _Line) -> bool:
+        """Guards against a version that is left out."""
+        return line.version == self.ahead.number + 1
 
     def _follows(self, line: _Line) -> bool:
         """Guards against steps that lead elsewhere from what is held."""
@@ -431,19 +439,38 @@
         """Why a site that passed the file's checks can't be taken here."""
         return self.usable(site)
 
-    def _kept_first(self, state: State, site: Site) -> bool:
+    def _misses(self, now: int) -> bool:
+        """Guards against lines that were lost while the connection stands: beats alone would do for ever."""
+        return self.misses_since is not None and now - self.misses_since >= MISSES
+
+    def _long_absent(self, now: int) -> bool:
+        """Guards against a long absence that is made up for step by step, and a whole state that is asked for
+        twice in one."""
+        long = self.last_heard is None or now - self.last_heard > LONG or not self.known.number
+        return long and not self.came_whole
+
+    def _earlier(self) -> list[State]:
+        """The states of a burst before its last. Guards against a bad version that hides a good one which
+        came just before it."""
+        return [one for one in self.burst if one is not self.known]
+
+    def _kept_first(self) -> bool:
         """Guards against a front that dies with a version in force which it then knows nothing of."""
         return True
 
     # Lines
 
+    def _watched(self, instance: int, phase: Phase) -> bool:
+        """Guards against two instances whose lines cross where the front turns from one to the other."""
+        return instance == self.at and self.phase is phase
+
     def _version(self, now: int, line: _Line) -> list[Effect]:
         self.counts["lines"] += 1
         self.head = max(self.head, line.version)
         if line.version <= self.ahead.number:
             self.counts["doubled"] += 1
             return self._heard(now)
-        if line.version > self.ahead.number + 1:
+        if not self._next(line):
             self.counts["gap"] += 1
             return self._watch_again(now)
         if not self._follows(line):
@@ -453,8 +480,8 @@
             self.ahead = self._stepped(line)
         except UnusableError as problem:
             return self._nonsense(now, "nonsense", str(problem))
-        self.expected = line.digest
-        self.again, self.missing = False, 0
+        self.burst.append(self.ahead)
+        self.again, self.misses_since = False, None
         if self.decide_at is None:
             # Guards against a burst that is checked a hundred times, and a steady stream that never is
             self.decide_at = now + self.settle
@@ -466,10 +493,10 @@
         for step in line.steps:
             if step.after is not None:
                 try:
-                    forms[step.key] = form_of(step.key, step.after)
+                    forms[step.key] = self._form(step.key, step.after)
                 except (MalformedError, RecursionError) as problem:
                     raise UnusableError(str(problem)[:MOST_WHY]) from None
-        state = self.ahead.copy() if self.ahead is self.known else self.ahead
+        state = self.ahead.copy()
         place = max((item.place for item in state.items.values()), default=0)
         # Places are relative here: what is new comes last, in the order of the places told
         for step in sorted(line.steps, key=lambda step: step.place):
@@ -483,19 +510,15 @@
             state.items[step.key] = Item(text, line.version, place if held is None else held.place)
             state.forms[step.key] = forms[step.key]
             state.size += len(text)
-        state.number = line.version
+        state.number, state.digest = line.version, line.digest[:MOST_DIGEST]
         if len(state.items) > MOST_KEYS or state.size > MOST_BYTES:
-            self.ahead = self.known
             raise UnusableError(f"{len(state.items)} keys of {state.size} characters")
         return state
 
     def _parted(self, number: int, text: str, digest: str) -> State:
         """The state that a site file tells. Raises UnusableError."""
         try:
-            texts = taken_apart(parse(text, "<whole>"))
-            if len(texts) > MOST_KEYS:
-                raise UnusableError(f"{len(texts)} keys, {MOST_KEYS} at most")
-            forms = {key: form_of(key, one) for key, one in texts.items()}
+            forms = self._forms(text)
         except (MalformedError, SettingsError, RecursionError) as problem:
             raise UnusableError(str(problem)[:MOST_WHY]) from None
         items = {key: Item(str(form), number, at) for at, (key, form) in enumerate(forms.items(), 1)}
@@ -505,15 +528,25 @@
             raise UnusableError(f"version {number} has digest {state.digest}, {digest[:40]} was told")
         return state
 
+    def _forms(self, text: str) -> dict[str, Listing]:
+        """The forms of a site file by key. Raises MalformedError, SettingsError, UnusableError."""
+        texts = taken_apart(parse(text, "<whole>"))
+        if len(texts) > MOST_KEYS:
+            raise UnusableError(f"{len(texts)} keys, {MOST_KEYS} at most")
+        return {key: self._form(key, one) for key, one in texts.items()}
+
+    def _form(self, key: str, text: str) -> Listing:
+        """Raises MalformedError."""
+        return form_of(key, text)
+
     def _beat(self, now: int, line: _Line) -> list[Effect]:
         self.counts["beats"] += 1
         self.head = max(self.head, line.beat)
         if self._lags(line.beat):
             return [Leave(), *self._behind(now, line.beat)]
         if line.beat > self.ahead.number:
-            # Guards against lines that were lost while the connection stands: beats alone would do for ever
-            self.missing += 1
-            if self.missing > 1:
+            self.misses_since = now if self.misses_since is None else self.misses_since
+            if self._misses(now):
                 self.counts["missing-lines"] += 1
                 return self._watch_again(now)
         elif line.beat < self.head and not line.apart:
@@ -526,7 +559,7 @@
                 # Guards against a number that one told and nobody has: all others would be left for ever
                 self.head = max(self.known.number, line.beat)
         else:
-            self.missing, self.lags_since = 0, None
+            self.misses_since = self.lags_since = None
             self.short.clear()
         self.came_whole = False
         out = self._heard(now)
@@ -579,9 +612,8 @@
     def _open(self, now: int) -> list[Effect]:
         """Come to the instance at hand: for what is missing, or for all of it after a long absence."""
         self.met = self.fetched = self.again = False
-        self.missing, self.lags_since, self.next_try = 0, None, None
-        long = self.last_heard is None or now - self.last_heard > LONG or not self.known.number
-        if long and not self.came_whole:
+        self.misses_since = self.lags_since = self.next_try = None
+        if self._long_absent(now):
             return self._whole_again(now)
         return self._watch(now)
 
@@ -594,12 +626,12 @@
         """Ask for what is missing; twice in a row the instance does not have it."""
         if self.again:
             return [Leave(), *self._turn(now, Loss.BROKEN)]
-        self.again, self.missing = True, 0
+        self.again, self.misses_since = True, None
         return self._watch(now)
 
     def _whole_again(self, now: int) -> list[Effect]:
         """Ask for the whole state; an instance whose steps do not lead on from it is left."""
-        self.ahead, self.expected = self.known, ""
+        self._drop_ahead()
         if self.fetched:
             return [Leave(), *self._turn(now, Loss.BROKEN)]
         self.phase, self.heard_at, self.fetched = Phase.FETCHING, now, True
@@ -653,7 +685,7 @@
         out: list[Effect] = [Leave()]
         if self._once(reason):
             out.append(Say("warning", f"config-{reason}", f"instance {self.at}: {what}"))
-        self.ahead, self.expected = self.known, ""
+        self._drop_ahead()
         return out + self._turn(now, Loss.BROKEN)
 
     def _once(self, what: str) -> bool:
@@ -680,24 +712,41 @@
         if self.keeping is not None:
             return []  # `kept` looks again
         if self.ahead is not self.known:
-            digest = digest_of(assembled(self.ahead.items, self.ahead.forms))
-            if not self._same(digest, self.expected):
+            if not self._true(self.ahead):
                 self.counts["differs"] += 1
-                self.ahead, self.expected = self.known, ""
+                self._drop_ahead()
                 return self._whole_again(now) if self.phase is Phase.WATCHING else []
-            self.ahead.digest, self.known, self.fetched = digest, self.ahead, False
-        state = self.known
+            self.known, self.fetched = self.ahead, False
+        state, earlier = self.known, self._earlier()
+        self.burst.clear()
         if not self._newer(state.number) or state.number == self.refused[0]:
             return []
         site, why = self._usable(state)
-        if site is not None:
-            if self._kept_first(state, site):
-                return self._keep(state, site)
-            return [self._take(now, state, site), *self._keep(state, None)]
-        self.counts["refused"] += 1
-        self.refused = (state.number, why)
-        self._soon(now)
-        return [Say("warning", "config-refused", f"version {state.number}: {why}"), *self._keep(state, None)]
+        out: list[Effect] = []
+        if site is None:
+            self.counts["refused"] += 1
+            self.refused = (state.number, why)
+            self._soon(now)
+            out.append(Say("warning", "config-refused", f"version {state.number}: {why}"))
+            for one in reversed(earlier):
+                if self._newer(one.number) and self._true(one) and (site := self._usable(one)[0]):
+                    state = one
+                    break
+        if site is not None and not self._kept_first():
+            out.append(self._take(now, state, site))
+            site = None
+        return [*out, *self._keep(state, site)]
+
+    def _true(self, state: State) -> bool:
+        """Whether a state that steps led to has the digest that was told; from then on it has its own."""
+        digest = digest_of(assembled(state.items, state.forms))
+        same = self._same(digest, state.digest)
+        state.digest = digest
+        return same
+
+    def _drop_ahead(self) -> None:
+        self.ahead = self.known
+        self.burst.clear()
 
     def _usable(self, state: State) -> tuple[Site | None, str]:
         """The site of a state, or why it can't be in force here."""
@@ -797,10 +846,12 @@
         if self.phase is Phase.AWAY or not self.met:
             self.tell_at = None  # it is told when an instance is heard
             return []
-        late = self.last_told is not None and now >= self.last_told + 2 * self.report_every
-        if self.telling and not late:
-            self.tell_at = now + self.report_every
-            return []
+        if self.last_told is not None:
+            # One that is not answered is given up after another time between two
+            next_one = self.last_told + (2 if self.telling else 1) * self.report_every
+            if now < next_one:
+                self.tell_at = next_one
+                return []
         self.tell_at = None
         return [self._report(now)]
 
--- a/ponddoor/rehearse/hollow_run.py
+++ b/ponddoor/rehearse/hollow_run.py
@@ -317,6 +317,11 @@
         random.Random(self.day.seed).shuffle(some)
         return some
 
+    def _pids(self) -> dict[str, int]:
+        held = [(one.first, one.process) for one in self.processes if one.process is not None]
+        hollow = {f"hollow {first}": process.pid for first, process in held if process.returncode is None}
+        return Rehearsal._pids(self) | hollow
+
     def _real(self, fronts: Iterable[int]) -> list[int]:
         return [me for me in fronts if me < self.day.fronts]
 
@@ -398,7 +403,7 @@
                 self._signal(fronts, signal.SIGCONT)
             case "cut":
                 mine = {f"front {me}" for me in fronts}
-                theirs = self._parties("fronts") - mine
+                theirs = (self._parties("fronts") - mine) | self._parties("instances")
                 source, target = (theirs, mine) if way == "in" else (mine, theirs)
                 self._happened(name, fronts, True)
                 rules = self.network.put(source, target, Fault(cut=True), both=not way)
@@ -470,9 +475,9 @@
         self.cost["memory of all processes, most, MB"] = self.most_mb
         self.cost["the rehearsal itself, most late, ms"] = self.late / 1000
 
-    def records(self, commit: str, command: str) -> list[Record]:
+    def records(self, commit: str, command: str, repetition: int) -> list[Record]:
         """The figures of the run that was played, by a command."""
-        run = tables.Run(self.day.name, self.day.seed, commit, command)
+        run = tables.Run(self.day.name, self.day.seed, commit, command, repetition)
         return tables.records(run, self.all_spans, self.sides, self.found, self.cost)
 
 
--- a/ponddoor/rehearse/hollow_table.py
+++ b/ponddoor/rehearse/hollow_table.py
@@ -280,12 +280,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """Which run: the day's name and seed, the text's commit, and the command."""
+    """Which run: the day's name and seed, the text's commit, the command, and which of several."""
 
     name: str
     seed: int
     commit: str
     command: str
+    repetition: int
 
 
 def records(
@@ -301,8 +302,8 @@
 
     def made(what: str, figure: float, unit: str) -> Record:
         return Record(
-            what=what, under=run.name, of="fronts", size=fronts, repetition=0, seed=run.seed, figure=figure,
-            unit=unit, how="sockets", commit=run.commit, cores=cores(), command=run.command,
+            what=what, under=run.name, of="fronts", size=fronts, repetition=run.repetition, seed=run.seed,
+            figure=figure, unit=unit, how="sockets", commit=run.commit, cores=cores(), command=run.command,
         )  # fmt: skip
 
     out = []
