--- a/ponddoor/rehearse/hollow_table.py
+++ b/ponddoor/rehearse/hollow_table.py
@@ -18,16 +18,14 @@
 KEEPERS_SAY = ("answer", "brief")  # only who keeps a part says these
 ASKED = {"answer": "holders", "brief": "ours"}  # and in answer to these
 SECOND = 1_000_000
-CORE, MB, MS = "share of a core", "MB", "ms"
 COSTS = {  # figures of the cost, by the line of the table that has them
-    "real: processor, share of a core a front": ("control.processor.real", CORE),
-    "hollow: processor, share of a core a front": ("control.processor.hollow", CORE),
-    "hollow: memory of a process over its fronts, MB": ("control.memory.hollow", MB),
-    "memory of all processes, most, MB": ("run.memory", MB),
-    "hollow: loop, most late, ms": ("run.late.hollow", MS),
-    "hollow: loop, share of time late": ("run.late.share", ""),
-    "the rehearsal itself, most late, ms": ("run.late.rehearsal", MS),
+    "real: processor, share of a core a front": ("scale.cpu.real", "core"),
+    "hollow: processor, share of a core a front": ("scale.cpu.hollow", "core"),
+    "memory of all processes, most, MB": ("scale.run.memory", "MB"),
+    "hollow: loop, most late, ms": ("scale.run.late", "ms"),
+    "hollow: loop, share of time late": ("scale.run.late.share", "1"),
 }
+WORDS, BYTES = "1/s", "B/s"
 Kinds = dict[str, list[int]]
 Change = tuple[int, int, int, bool]  # (us, front, other, whether it takes the other for dead from now on)
 
@@ -270,12 +268,11 @@
     return said
 
 
-def rates(some: list[Span]) -> tuple[float, float]:
-    """Words and bytes a front a second, of all kinds."""
-    seconds = sum(span.seconds for span in some)
-    words = sum(row[0] for span in some for row in span.out.values())
-    size = sum(row[1] for span in some for row in span.out.values())
-    return words / max(seconds, 1e-9), size / max(seconds, 1e-9)
+def rates(some: list[Span], into: bool = False) -> tuple[float, float]:
+    """Words and bytes a front a second, of all kinds; or heard."""
+    seconds = max(sum(span.seconds for span in some), 1e-9)
+    rows = [row for span in some for row in (span.into if into else span.out).values()]
+    return sum(row[0] for row in rows) / seconds, sum(row[1] for row in rows) / seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,29 +306,29 @@
     out = []
     seconds = max(sum(span.seconds for span in everybody), 1e-9)
     for kind in sorted({kind for span in everybody for kind in span.out}):
-        words, count = total(everybody, kind)
-        out.append(made(f"control.words.{kind}", words / seconds, "words/s/front"))
-        out.append(made(f"control.bytes.{kind}", count / seconds, "bytes/s/front"))
+        words, size = total(everybody, kind)
+        out.append(made(f"scale.words.{kind}", words / seconds, WORDS))
+        out.append(made(f"scale.bytes.{kind}", size / seconds, BYTES))
     words_all, bytes_all = rates(everybody)
-    out.append(made("control.words", words_all, "words/s/front"))
-    out.append(made("control.bytes", bytes_all, "bytes/s/front"))
+    out += [made("scale.words", words_all, WORDS), made("scale.bytes", bytes_all, BYTES)]
     for side, some in zip(("real", "hollow"), sides, strict=True):
         if some:
-            out.append(made(f"control.bytes.{side}", rates(some)[1], "bytes/s/front"))
+            out.append(made(f"scale.bytes.all.{side}", rates(some)[1], BYTES))
+    if everybody:
+        words_in, bytes_in = max(rates([span], into=True) for span in everybody)
+        out.append(made("scale.keeper.fan-in", words_in, WORDS))
+        out.append(made("scale.keeper.bytes", bytes_in, BYTES))
+        out.append(made("scale.keeper.bytes.out", max(rates([span])[1] for span in everybody), BYTES))
     keepers = [span for span in everybody if span.keeps]
     if keepers:
-        heard = sum(row[0] for span in keepers for row in span.into.values())
-        time = sum(span.seconds for span in keepers)
-        out.append(made("control.keeper.words_in", heard / time, "words/s/front"))
-        out.append(made("control.keeper.bytes", rates(keepers)[1], "bytes/s/front"))
-        most = max(sum(row[0] for row in span.into.values()) / span.seconds for span in keepers)
-        out.append(made("control.keeper.words_in.most", most, "words/s"))
+        out.append(made("scale.keepers.bytes.out", rates(keepers)[1], BYTES))
     out += [made(what, cost[key], unit) for key, (what, unit) in COSTS.items() if key in cost]
     for _, _, of_all in found.known:
-        for part, figure in (("50", of_all.half), ("99", of_all.most)):
+        kind, place, *_ = of_all.name.split()
+        state = "dead" if of_all.dead else "alive"
+        for part, figure in (("half", of_all.half), ("p99", of_all.most)):
             if math.isfinite(figure):
-                state = "dead" if of_all.dead else "alive"
-                out.append(made(f"know.{of_all.name.split()[0]}.{state}.{part}", figure, "s"))
+                out.append(made(f"scale.know.{state}.{part}.{kind}-{place}", figure, "s"))
     return out if everybody else []
 
 
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -67,9 +67,8 @@
     assert all(0 < span < 30 for side in ("real", "hollow", "all") for span in known[side])
     assert run["breaches"] == [] and run["setups"]["started"] >= 0.9 * 8 * 62
     kept = records.read(out)
-    assert {"control.words.ping", "control.bytes", "control.keeper.bytes", "know.killed.dead.99"} <= {
-        record.what for record in kept
-    }
+    wanted = {"scale.words.ping", "scale.bytes", "scale.keeper.bytes", "scale.know.dead.p99.killed-machine"}
+    assert wanted <= {record.what for record in kept}
     assert all(record.size == 100 and record.under == "hundred" and record.seed == 1 for record in kept)
 
 
