Instances take changes up to an entry's size, and none that no front could read

The API's bodies were bounded by 16,000 bytes: config apply of a site with 300 titles was answered 413. Now by an entry (1 MB); the whole configuration by what a front reads back (4 MB less a little), refused before it is proposed.

--- a/ponddoor/config/commands.py
+++ b/ponddoor/config/commands.py
@@ -361,7 +361,8 @@
     connections = _connections()
     api = Api(member, {number: one.api for number, one in held.members.items()})
     api.most_watchers = min(MOST_WATCHERS, connections // 2)
-    web = Server(api.handle, Bounds(connections=connections, per_address=connections))
+    bounds = Bounds(connections, connections, body_bytes=member.limits.entry_bytes)
+    web = Server(api.handle, bounds)
 
     async def work() -> None:
         told = asyncio.Event()
--- a/ponddoor/config/machine.py
+++ b/ponddoor/config/machine.py
@@ -17,7 +17,17 @@
 import msgspec
 import xxhash
 
-from ponddoor.settings.sexpr import NOWHERE, Atom, Listing, Node, SettingsError, parse, word, write
+from ponddoor.settings.sexpr import (
+    MOST_BYTES,
+    NOWHERE,
+    Atom,
+    Listing,
+    Node,
+    SettingsError,
+    parse,
+    word,
+    write,
+)
 from ponddoor.settings.site import Site, check
 
 # Forms whose parts are items of their own, and the heads of those parts
@@ -25,6 +35,7 @@
           "tenants": "tenant"}  # fmt: skip
 MOST_KEYS = 20_000
 MOST_TEXT = 200_000  # characters of one item
+MOST_WHOLE = MOST_BYTES - 100_000  # characters of all items: as a site file it is a little longer
 MOST_HISTORY = 1000
 MOST_IDENTS = 1000
 
@@ -179,6 +190,9 @@
                 items[key], forms[key] = item, form_of(key, item.text)
             except MalformedError as problem:
                 problems.append(str(problem))
+        size = sum(len(item.text) for item in items.values())
+        if size > MOST_WHOLE:  # guards against a version that no front could read
+            problems.append(f"{size} characters in all, {MOST_WHOLE} at most")
         if len(items) > MOST_KEYS:
             problems.append(f"{len(items)} keys, {MOST_KEYS} at most")
         if problems:
--- a/ponddoor/front/process.py
+++ b/ponddoor/front/process.py
@@ -202,7 +202,7 @@
         kept = replace(self.site, limits=fresh.limits, seats=fresh.seats, node=fresh.node)
         if self.seating is not None:
             self.seating.set_limits(fresh.seats.limits)
-        parts = ("facts", "zones", "kinds", "titles", "servers", "listing", "fronts", "words")
+        parts = ("facts", "zones", "kinds", "titles", "servers", "listing", "fronts", "words", "follow")
         other = [name for name in parts if getattr(fresh, name) != getattr(self.site, name)]
         if other:
             log.warning("reload-needs-restart", parts=other)
--- a/tests/following/test_rollout.py
+++ b/tests/following/test_rollout.py
@@ -243,6 +243,15 @@
     assert again.digest == machine.digest and again.history[0].digest == ""
 
 
+def test_a_version_that_no_front_could_read_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    machine = Machine()
+    monkeypatch.setattr("ponddoor.config.machine.MOST_WHOLE", len(TEXT) + 200)
+    assert machine.apply(1, packed(Change("a", "b", 1, taken_apart(parse(TEXT, "t"))))).version == 1
+    fits = Change("a", "b", 1, {"groups/film": FILM})
+    over = Change("a", "b", 1, {f"titles/t{n}": f"(title t{n} (home 0) (span 1))" for n in range(20)})
+    assert machine.apply(2, packed(over)).why == "malformed" and machine.apply(3, packed(fits)).version == 2
+
+
 # Apart
 
 
