A leader that has just begun refuses no change by what it has not applied yet

It is checked beforehand only where all of the log is applied; the check as it is applied stays. Test in tests/raft, failed before. Fronts apart, and a leader that dies in a change, are tried in tests/following.

--- a/ponddoor/raft/member.py
+++ b/ponddoor/raft/member.py
@@ -134,9 +134,12 @@
     async def change(self, change: Change, client: str = "", serial: int = 0) -> Outcome:
         """Commit a change; returns what became of it. Raises NotTakenError, which for `unknown` and `stopped`
         means that it may yet be committed: ask again with the same client and serial."""
-        tried = self.machine.tried(change) if self.raft.role is Role.LEADER else Outcome(1)
+        # Guards against a leader that has just begun, or has changes on their way: what they make of the
+        # configuration is not known here yet, so nothing can be said of a change that may come after them.
+        whole = self.raft.role is Role.LEADER and self._applied == self.raft.last_index
+        tried = self.machine.tried(change) if whole else Outcome(1)
         if not tried.version and tried.why in ("malformed", "unusable"):
-            return tried  # it can't pass in any later state either way: the log is spared
+            return tried  # the log is spared
         data = packed(change)
         outcome: Outcome = await self._call(lambda ticket: self.raft.propose(ticket, data, client, serial))
         return outcome
--- a/tests/following/conftest.py
+++ b/tests/following/conftest.py
@@ -8,11 +8,14 @@
 
 import pytest
 
+from ponddoor.config.api import Api
 from ponddoor.config.machine import taken_apart
 from ponddoor.front.process import FrontProcess
 from ponddoor.raft import member as shell
+from ponddoor.raft.member import ClusterMember
 from ponddoor.settings.sexpr import parse
 from ponddoor.settings.site import Address, FollowSide
+from ponddoor.web.server import Bounds, Server
 from tests.config.test_api import Served, served
 from tests.front.conftest import World, living
 
@@ -64,6 +67,21 @@
         for web in self.instances.webs:
             await web.close()
 
+    async def lose(self, number: int) -> None:
+        """An instance ends."""
+        await self.instances.webs[number].close()
+        await self.instances.members[number].stop()
+
+    async def bring_back(self, number: int) -> None:
+        """It begins anew, by its journal."""
+        old = self.instances.members[number]
+        member = ClusterMember(old.identity, old.first, old.addresses, old.folder)
+        api = Api(member, self.instances.apis)
+        self.instances.members[number], self.instances.made[number] = member, api
+        self.instances.webs[number] = Server(api.handle, Bounds())
+        await member.start()
+        await self.instances.webs[number].start(*self.instances.apis[number])
+
 
 @contextlib.asynccontextmanager
 async def fleet(
--- a/tests/following/test_front.py
+++ b/tests/following/test_front.py
@@ -17,6 +17,7 @@
 from ponddoor.front.process import FrontProcess
 from ponddoor.front.trace import replay
 from ponddoor.interface import events as ev
+from ponddoor.raft.core import Role
 from ponddoor.seats.core import Granted
 from ponddoor.settings.sexpr import SettingsError
 from ponddoor.settings.site import loads
@@ -345,6 +346,47 @@
     lived(live, tmp_path)
 
 
+# Instances that are lost
+
+
+def test_apart_it_keeps_its_version_says_so_and_is_at_the_newest_once_they_are_together(
+    tmp_path: Path,
+) -> None:
+    async def live(made: Fleet) -> None:
+        world, front = made.world, made.world.fronts[0]
+        version, left = front.terms.version, made.instances.leader()
+        for number in {0, 1, 2} - {left}:
+            await made.lose(number)
+        assert front.following is not None
+        core = front.following.follower
+        await world.until(lambda: core.apart_since is not None and core.home == left, 15)
+        reports = made.instances.made[left].reports.held
+        await world.until(lambda: 0 in reports and reports[0][0].apart_ms > 0, 15)
+        assert front.terms.version == version and (await world.ask()).json()["state"] == "playing"
+        for number in {0, 1, 2} - {left}:
+            await made.bring_back(number)
+        await world.until(lambda: any(m.raft.role is Role.LEADER for m in made.instances.members))
+        await made.change({"limits": "(limits (held 7) (drain-time 0s))"})
+        await world.until(lambda: core.apart_since is None, 15)
+
+    lived(live, tmp_path, instances=3)
+
+
+def test_a_leader_that_dies_in_a_change_holds_up_no_front(tmp_path: Path) -> None:
+    async def live(made: Fleet) -> None:
+        world, dead = made.world, made.instances.leader()
+        await made.commit({"limits": "(limits (held 7) (drain-time 0s))"})
+        await made.lose(dead)
+        alive = [member for n, member in enumerate(made.instances.members) if n != dead]
+        await world.until(lambda: any(member.raft.role is Role.LEADER for member in alive))
+        made.instances.members[dead].raft.role = Role.FOLLOWER  # it is gone, and does not know
+        version = await made.change({"limits": "(limits (held 8) (drain-time 0s))"})
+        assert version == 3 and {front.gate.limits.held for front in world.fronts} == {8}
+        await made.bring_back(dead)
+
+    lived(live, tmp_path, instances=3, fronts=2)
+
+
 # What comes of instances that tell nonsense
 
 
--- a/tests/following/test_rollout.py
+++ b/tests/following/test_rollout.py
@@ -12,7 +12,7 @@
 
 from ponddoor.config import rollout
 from ponddoor.config.api import Api
-from ponddoor.config.commands import config
+from ponddoor.config.commands import _connections, config
 from ponddoor.config.machine import Change, Machine, packed, taken_apart
 from ponddoor.config.rollout import Report, Reports, Row, Told, lines, merged
 from ponddoor.raft.core import Append, Limits, Members, Raft, Role, Voted
@@ -348,6 +348,14 @@
     assert nowhere.exit_code == 2 and nowhere.output.count("\n") == 1
 
 
+@pytest.mark.parametrize(("soft", "most"), [(1024, 960), (2064, 2000), (20_000, 2000), (-1, 2000)])
+def test_the_descriptors_at_hand_bound_the_connections(
+    monkeypatch: pytest.MonkeyPatch, soft: int, most: int
+) -> None:
+    monkeypatch.setattr("resource.getrlimit", lambda what: (soft, 1 << 20))
+    assert _connections() == most
+
+
 def test_nobody_in_reach(tmp_path: Path) -> None:
     async def live() -> None:
         async with served(tmp_path) as world:
--- a/tests/raft/test_member.py
+++ b/tests/raft/test_member.py
@@ -95,6 +95,22 @@
     return {"limits": f"(limits (drain-time {number}s))"}
 
 
+def test_a_leader_that_has_just_begun_refuses_nothing_by_what_it_has_not_applied(tmp_path: Path) -> None:
+    async def live() -> None:
+        async with cluster(tmp_path, 1) as made:
+            assert (await made.change(FIRST, 1)).version == 1
+            await made.kill(0)
+            await made.start(0)
+            member = made.members[0]
+            async with asyncio.timeout(10):
+                while member.raft.role is not Role.LEADER:
+                    await asyncio.sleep(0)
+            assert member.machine.number == 0  # its log is there, and nothing of it is applied yet
+            assert (await member.change(Change("me", "why", 1, limits(7)))).version == 2
+
+    asyncio.run(live())
+
+
 def test_three_agree_lose_their_leader_and_agree_again(tmp_path: Path) -> None:
     async def live() -> None:
         async with cluster(tmp_path) as made:
