--- a/ponddoor/rehearse/reckoning.py
+++ b/ponddoor/rehearse/reckoning.py
@@ -54,12 +54,14 @@
 
 
 def need(day: Day) -> Need:
-    """What a day takes: fronts, servers, list, players, hollow processes, and the rehearsal itself."""
+    """What a day takes: fronts, servers, instances, list, players, hollow processes, the rehearsal itself."""
     everybody = day.fronts + day.hollow
-    processes = day.fronts + day.servers + hollow_processes(day) + 3
+    instances = day.instances.count if day.instances is not None else 0
+    processes = day.fronts + day.servers + hollow_processes(day) + instances + 3
     memory = processes * PROCESS_MB + day.hollow * (HOLLOW_MB + HOLLOW_KB_A_FRONT * everybody / 1024)
     memory += day.fronts * REAL_KB_A_FRONT * everybody / 1024
     relayed = everybody + day.fronts * 4  # a place for each front's words, both ends of each way to the list
+    relayed += 4 * everybody if instances else 0  # and to an instance, to watch and to tell
     played = 4 * (round(day.rate * day.stay[1] / 1e6) * day.fronts // everybody)  # connections of the players
     return Need(processes, memory, max(relayed, 2 * EACH, played) + SPARE)
 
