--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -42,7 +42,8 @@
 MOST_DIGEST = 40  # characters of a digest
 MOST_BURST = 8  # states of a burst that are at hand, should the newest be one that can't be used
 EVEN = 4 * SECOND  # the period of tries in an outage: two of them fit into the 9 s that a return may take
-HOP = SECOND // 10  # to the next instance where one refused: the way to it stands
+HOP = SECOND // 10  # to the next instance, where the next try is not the next period's
+CONNECT = 400_000  # how long a connection may take to come up: the shell's bound
 LOOK = 30 * SECOND  # on average between two looks elsewhere while all instances are apart
 LONG = 60 * SECOND  # an absence after which the whole state is asked for, not each step
 MISSES = SECOND // 2  # between two beats that tell of a version, and it does not come
@@ -137,16 +138,18 @@
 
 
 class _Head(msgspec.Struct, frozen=True):
-    """`floor` stands here too, under a checksum of its own, so that it outlives a spoilt body."""
+    """`floor` and `life` stand here, under a checksum of their own, so that they outlive a spoilt body."""
 
     format: int
     floor: int
+    life: int
     size: int
     body: str
     own: str = ""
 
     def sum(self) -> str:
-        return xxhash.xxh3_64_hexdigest(f"{self.format} {self.floor} {self.size} {self.body}")
+        told = f"{self.format} {self.floor} {self.life} {self.size} {self.body}"
+        return xxhash.xxh3_64_hexdigest(told)
 
 
 class UnusableError(Exception):
@@ -260,8 +263,9 @@
     # What happens
 
     def begin(self, now: int, wall: int, kept: bytes) -> list[Effect]:
-        """The start, with what was kept. The version in force is taken up at once; a newer one that was kept
-        and passes now is kept as the one in force first, and taken when that is durable."""
+        """The start, with what was kept; `wall` is the Unix clock in us. The version in force is taken up at
+        once; a newer one that was kept and passes now is kept as the one in force first, and taken when that
+        is durable."""
         self.life, self.next_try = wall, self.coming.start(now)
         self.complain_at = now + 2 * self.silence
         try:
@@ -282,7 +286,7 @@
         if site is None:
             self.refused = (newest.number, why_not or why)
             return [Say("error", "config-kept-refused", f"version {force.number}: {why}")]
-        return [self._take(now, force, site)]
+        return [self._take(now, force, site), *self._keep(force, None)]
 
     def line(self, now: int, instance: int, data: bytes) -> list[Effect]:
         """A line of the watch, without its end."""
@@ -578,6 +582,7 @@
         """The instance is with a leader."""
         self.bad.clear()
         self.lagging.clear()
+        self.said.discard((-1, "ahead"))
         self.home = self.move_at = self.complain_at = None
         if self.apart_since is None:
             return []
@@ -643,7 +648,7 @@
         self.counts["lagging"] += 1
         self.lagging.add(self.at)
         out: list[Effect] = []
-        if len(self.lagging) == self.instances and self._once("ahead"):
+        if len(self.lagging) == self.instances and self._complain("ahead"):
             here = f"version {max(self.known.number, self.floor)} here, {number} at instance {self.at}"
             out.append(Say("error", "config-ahead-of-all", here))
         if not self.telling and (self.last_told is None or now >= self.last_told + self.report_every):
@@ -662,8 +667,7 @@
             return []
         self.home = None
         self._choose()
-        if how is Loss.REFUSED and self.coming.out_since is not None and self.hops < self.instances - 1:
-            # The way stands and nothing listens there: another instance may well
+        if self.coming.out_since is not None and self.hops < self._most_hops(how):
             self.hops += 1
             self.next_try = now + stay_away + LEAST + self._chance.draw(HOP)
             return []
@@ -671,6 +675,12 @@
         self.next_try = self.coming.lost(now, how, gone, stay_away)
         return []
 
+    def _most_hops(self, how: Loss) -> int:
+        """To how many further instances one goes on at once. Where one refused, the way to it stands, and all
+        may be asked. One that does not answer may be a machine that is gone: one more is asked, so that a few
+        that are gone cost no period; more would bring back in one second a fleet that was cut off."""
+        return {Loss.REFUSED: self.instances - 1, Loss.LATE: 1}.get(how, 0)
+
     def _choose(self) -> None:
         """The next instance in this front's own order, of which nothing bad is known where there is one."""
         places = [(self._chosen + turn) % self.instances for turn in range(1, self.instances + 1)]
@@ -781,7 +791,8 @@
         force = state if site is not None else self.in_force
         newest = self.known.written() if self.known.number > force.number else None
         body = msgspec.msgpack.encode(_Body(force.written(), newest))
-        head = _Head(FORMAT, max(force.number, self.floor), len(body), xxhash.xxh3_64_hexdigest(body))
+        floor = max(force.number, self.floor)
+        head = _Head(FORMAT, floor, self.life, len(body), xxhash.xxh3_64_hexdigest(body))
         head = msgspec.structs.replace(head, own=head.sum())
         return [Keep(self.writings, msgspec.json.encode(head) + b"\n" + body)]
 
@@ -810,7 +821,8 @@
             raise UnusableError("what was kept has no head") from None
         if head.own != head.sum():
             raise UnusableError("what was kept has a damaged head")
-        self.floor = head.floor
+        # Guards against a wall clock that was set back: reports of this life would count as old ones
+        self.floor, self.life = head.floor, max(self.life, head.life + 1)
         if head.format != FORMAT:
             raise UnusableError(f"what was kept is of format {head.format}, {FORMAT} is known")
         if len(body) < head.size:
