--- a/ponddoor/rehearse/reckoning.py
+++ b/ponddoor/rehearse/reckoning.py
@@ -54,7 +54,7 @@
 
 
 def need(day: Day) -> Need:
-    """What a day takes: fronts, servers, list, players, hollow processes, and the rehearsal itself."""
+    """What a day takes: fronts, servers, instances, list, players, hollow processes, the rehearsal itself."""
     everybody = day.fronts + day.hollow
     instances = day.instances.count if day.instances is not None else 0
     processes = day.fronts + day.servers + hollow_processes(day) + 3 + instances
