--- a/tests/following/test_days.py
+++ b/tests/following/test_days.py
@@ -2,6 +2,7 @@
 
 A day is judged by counts and by its audit, none by a time that only a fast machine keeps."""
 
+import asyncio
 import random
 import subprocess
 import sys
@@ -201,3 +202,41 @@
     assert 750 < waits[RESENT_AFTER] < 1050 and 50 < waits[round(3 * RESENT_AFTER, 3)] < 150
     longer = [network.resent_after(Fault(resent=0.1), 10 * SEGMENT) for _ in range(2000)]
     assert 0.5 < sum(wait > 0 for wait in longer) / 2000 < 0.8  # 1 - 0.9 ** 10 = 0.65
+
+
+def test_what_was_tried_behind_a_cut_never_reaches_the_far_end() -> None:
+    async def work() -> tuple[list[bytes], list[tuple[str, str, int]]]:
+        network, came = Network(), list[bytes]()
+        opened: list[tuple[str, str, int]] = []
+        network.opened = lambda source, target, more: opened.append((source, target, more))
+
+        async def far(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            came.append(await reader.read(100))
+            writer.close()
+
+        server = await asyncio.start_server(far, "127.0.0.1", 0)
+        try:
+            there = await network.stream("front 0", "instance 0", server.sockets[0].getsockname()[:2])
+            rules = network.put({"front 0"}, {"instance 0"}, Fault(cut=True))
+            for _ in range(3):
+                _, writer = await asyncio.open_connection(*there)
+                writer.write(b"GET /config/watch")
+                await writer.drain()
+                writer.close()
+            async with asyncio.timeout(10):
+                while len(network._wires) < 3:  # the relay has them, and holds them
+                    await asyncio.sleep(0.001)
+            network.lift(rules)  # all three gave up before
+            reader, writer = await asyncio.open_connection(*there)
+            writer.write(b"GET /config/file")
+            await writer.drain()
+            assert await reader.read() == b""
+            writer.close()
+        finally:
+            network.close()
+            server.close()
+        return came, opened
+
+    came, opened = asyncio.run(work())
+    assert came == [b"GET /config/file"]
+    assert opened[0] == ("front 0", "instance 0", 1) and len(opened) <= 2
