--- a/ponddoor/rehearse/hollow_run.py
+++ b/ponddoor/rehearse/hollow_run.py
@@ -23,7 +23,7 @@
 from ponddoor.rehearse.day import SECOND, Trouble
 from ponddoor.rehearse.hollow_process import FaultRow, Order
 from ponddoor.rehearse.hollow_table import Happened, Seen
-from ponddoor.rehearse.reckoning import EACH, LEFT_MB, check, hollow_processes, machine, used_mb
+from ponddoor.rehearse.reckoning import EACH, LEFT_MB, check, machine, used_mb
 from ponddoor.rehearse.relay import Fault, Network, Rule
 from ponddoor.rehearse.run import Box, Rehearsal, RehearsalError, Result, free_ports
 from ponddoor.settings.sexpr import Node, write
@@ -45,6 +45,7 @@
     first: int
     count: int
     control: int
+    without: str = ""
     process: asyncio.subprocess.Process | None = None
 
 
@@ -61,6 +62,9 @@
     cost: dict[str, float] = field(default_factory=dict)
     found: tables.Agreement = field(default_factory=tables.Agreement)
     sides: tuple[list[tables.Span], list[tables.Span]] = field(default_factory=lambda: ([], []))
+    each: int = EACH  # hollow fronts a process
+    without: tuple[str, ...] = ()  # kinds of words that the processes leave out in turn, to see it found
+    all_spans: list[tables.Span] = field(default_factory=list)  # those that were struck among them
     most_mb: float = 0.0
     ended_by: str = ""
     begin: float | None = None
@@ -123,14 +127,16 @@
 
     async def _links(self) -> None:
         await Rehearsal._links(self)
-        ports = free_ports(self.day.hollow + hollow_processes(self.day))
+        processes = -(-self.day.hollow // self.each)
+        ports = free_ports(self.day.hollow + processes)
         self.hollow_ports = [ports.pop() for _ in range(self.day.hollow)]
         for at, port in enumerate(self.hollow_ports):
             name = f"front {self.day.fronts + at}"
             self.word_ports.append(await self.network.post(name, ("127.0.0.1", port)))
-        for at in range(hollow_processes(self.day)):
-            count = min(EACH, self.day.hollow - at * EACH)
-            self.processes.append(_Process(self.day.fronts + at * EACH, count, ports.pop()))
+        for at in range(processes):
+            count, first = min(self.each, self.day.hollow - at * self.each), self.day.fronts + at * self.each
+            without = self.without[at % len(self.without)] if self.without else ""
+            self.processes.append(_Process(first, count, ports.pop(), without))
         (self.folder / f"site-{HOLLOW}.pond").write_text(write([self._site(HOLLOW)]))
 
     def _front_forms(self, me: int) -> list[Node]:
@@ -180,6 +186,7 @@
                 str(self.folder / f"site-{HOLLOW}.pond"), "--day", str(self.folder / "day.json"),
                 "--first", str(one.first), "--count", str(one.count), "--control", str(one.control),
                 "--until", repr(until), "--out", str(self.folder / f"{name}.json"),
+                *(["--without", one.without] if one.without else []),
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             )  # fmt: skip
         self.others.append(process)
@@ -253,9 +260,8 @@
             told = await self._told(one)
             cost = told["processor_s"] / one.count
             for name, front in told["fronts"].items():
-                if front["lives"]:
-                    seen.append(Seen(int(name), front["starts"], front["at_us"], front["out"], front["in"],
-                                     bool(front["keeps"]), cost))  # fmt: skip
+                keeps = bool(front["keeps"])
+                seen.append(Seen(int(name), 0, front["at_us"], front["out"], front["in"], keeps, cost))
         return seen
 
     async def _told(self, one: _Process) -> dict[str, Any]:
@@ -357,10 +363,13 @@
         self.fronts_down -= set(fronts)
 
     async def _trouble(self, begin: float, trouble: Trouble) -> None:
-        if not trouble.kind.startswith("place_"):
+        if not trouble.kind.startswith("place_") and trouble.kind != "balancer_roll":
             await Rehearsal._trouble(self, begin, trouble)
             return
         await asyncio.sleep(max(0.0, begin + trouble.at / SECOND - time.monotonic()))
+        if trouble.kind == "balancer_roll":
+            await self._roll(trouble.length / SECOND, trouble.figures["part"], trouble.figures["down"])
+            return
         place, _, way = trouble.how.partition("-")
         groups = self.day.layout.groups(place, self._all)
         which = int(trouble.figures["which"])
@@ -402,6 +411,16 @@
                 self._happened(name, fronts, False)
                 self.network.lift(rules)
 
+    async def _roll(self, lasts: float, part: float, down: float) -> None:
+        """Fronts are restarted at an even pace, as many at a time as the time wants."""
+        some = self._up()
+        count = max(1, round(part * len(some)))
+        self.rec.note("trouble", kind="balancer_roll", fronts=some[:count])
+        begun = time.monotonic()
+        for at, me in enumerate(some[:count]):
+            await asyncio.sleep(max(0.0, begun + at * lasts / count - time.monotonic()))
+            self._later(self._kill_front(me, down))
+
     def _move(self, me: int) -> None:
         """A real front begins anew with its words at another address, of which the others are not told."""
         viewers, _, metrics = self.front_ports[me]
@@ -440,7 +459,8 @@
                 front = int(row["who"].removeprefix("front "))
                 self.changes.append((row["at"], front, row["front"], row["dead"]))
         self.changes.sort()
-        made = [span for span in tables.spans(self.first, self.last) if span.front not in self.struck]
+        self.all_spans = tables.spans(self.first, self.last)
+        made = [span for span in self.all_spans if span.front not in self.struck]
         real = [span for span in made if span.front < self.day.fronts]
         hollow = [span for span in made if span.front >= self.day.fronts]
         self.sides = (real, hollow)
@@ -455,11 +475,10 @@
         self.cost["memory of all processes, most, MB"] = self.most_mb
         self.cost["the rehearsal itself, most late, ms"] = self.late / 1000
 
-    def records(self, commit: str) -> list[Record]:
-        """The figures of the run that was played."""
-        command = f"ponddoor rehearse {self.day.name}.day --seed {self.day.seed}"
-        run = tables.Run(self.day.name, self.day.seed, commit, command)
-        return tables.records(run, *self.sides, self.found, self.cost)
+    def records(self, commit: str, command: str, repetition: int) -> list[Record]:
+        """The figures of the run that was played, by a command."""
+        run = tables.Run(self.day.name, self.day.seed, commit, command, repetition)
+        return tables.records(run, self.all_spans, self.sides, self.found, self.cost)
 
 
 class _Watched(Network):
