--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -320,10 +320,14 @@
     )
 
 
+def _limits_of(module: str) -> Iterable[str]:
+    return (row.limit for role in ROLES for row in role.rows if row.module == module and row.unit == "s")
+
+
 def _ranking(crossings: Sequence[Crossing], target: Target, root: Path) -> str:
     if not crossings:
         return "Nothing that was measured is over a limit.\n"
-    rows = []
+    rows, held = [], limits(target)
     for number, one in enumerate(crossings, 1):
         first = one.first
         needs = ", ".join(dict.fromkeys(p.row.need for p in one.projections))
@@ -331,6 +335,8 @@
         bounds = list(dict.fromkeys(p.limit for p in one.projections if p.limit))
         if one.missing:
             since = first.row.since
+            if not bounds:  # what has replaced it stands under the limit that it fails
+                bounds = [held[name] for name in dict.fromkeys(_limits_of(since)) if name]
             built = since and (root / since).exists()
             why = f"no mechanism before; since then `{since}`" if built else "no mechanism"
             why += "".join(
--- a/ponddoor/capacity/plot.py
+++ b/ponddoor/capacity/plot.py
@@ -89,9 +89,13 @@
             shown, figures = np.array(sizes), [one.series.mean(size) * by for size in sizes]
         label = f"{name} ({one.row.under})" + ("" if one.fit else ", no fit")
         line = axis.plot(
-            shown * scale, np.maximum(figures, 1e-9), styles[number // 10 % 4], lw=1.2, label=label
+            shown * scale,
+            np.where(np.array(figures) > 0, figures, np.nan),
+            styles[number // 10 % 4],
+            lw=1.2,
+            label=label,
         )
-        means = [max(1e-9, one.series.mean(size) * by) for size in sizes]
+        means = [one.series.mean(size) * by or np.nan for size in sizes]
         axis.plot(np.array(sizes) * scale, means, ".", markersize=4, color=line[0].get_color())
     axis.axhline(1.0, color="red", lw=1.2)
     axis.text(0.005, 1.0, "limit", color="red", fontsize=8, va="bottom", transform=axis.get_yaxis_transform())
