--- a/ponddoor/capacity/know_measure.py
+++ b/ponddoor/capacity/know_measure.py
@@ -10,8 +10,9 @@
 LOSS = 0.01
 SETTLED = 20 * SECOND  # before anything happens
 LONGEST = 900 * SECOND  # that is waited for anything
+CALM = 60 * SECOND  # in which nothing happens but loss
 HALF, MOST = 0.5, 0.99
-CONDITIONS = ("one", "rack", "zone", "apart-60", "apart-3600", "replaced", "start")
+CONDITIONS = ("calm", "one", "rack", "zone", "apart-60", "apart-3600", "replaced", "start")
 RACKS = 40  # in all
 
 
@@ -102,7 +103,10 @@
         world.count_anew()
         world.most_wrong = 0
         begun, began_at = time.process_time(), world.now
-        if under.startswith("apart-"):
+        if under == "calm":
+            world.until(world.now + CALM)
+            found = []
+        elif under.startswith("apart-"):
             found = _apart(world, under, int(under.removeprefix("apart-")) * SECOND)
         else:
             count = {"one": 1, "replaced": 1, "rack": max(2, size // RACKS), "zone": size // 8}[under]
--- a/ponddoor/capacity/measure_commands.py
+++ b/ponddoor/capacity/measure_commands.py
@@ -13,7 +13,7 @@
 
 MODULES = {"control": "control", "know": "know", "resize": "loop", "titles": "loop", "holders": "loop",
            "servers": "loop", "sessions": "loop", "viewers": "sockets", "watchers": "sockets",
-           "signs": "sockets", "coming": "coming"}  # fmt: skip
+           "signs": "sockets", "boxes": "sockets", "coming": "coming"}  # fmt: skip
 
 
 REPETITIONS = 100
--- a/ponddoor/capacity/sockets_measure.py
+++ b/ponddoor/capacity/sockets_measure.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import os
 import tempfile
 import time
 from collections.abc import Coroutine
@@ -14,8 +15,13 @@
 import msgspec
 import numpy as np
 
+from ponddoor.audit.records import Recorder
 from ponddoor.capacity.measure import Figure, Measurement
-from ponddoor.load.measure import Bed, cpu_seconds, memory_bytes
+from ponddoor.front.roster import Entry
+from ponddoor.load.measure import SITE, Bed, cpu_seconds, memory_bytes
+from ponddoor.rehearse.run import free_ports
+from ponddoor.settings.site import load
+from ponddoor.standins.media import MediaServer
 from ponddoor.web.client import Pool
 
 SECONDS = 20.0  # of a count
@@ -213,8 +219,6 @@
 
 
 def _list_port(site: Path) -> int:
-    from ponddoor.settings.site import load
-
     return load(site).listing.address[1]
 
 
@@ -254,6 +258,48 @@
             await asyncio.gather(*(bed.end(process) for process in bed.processes))
 
 
+async def _boxes(size: int) -> list[Figure]:
+    """One front that hears so many media servers, and nobody watches: what that alone takes."""
+    with tempfile.TemporaryDirectory(prefix="ponddoor-measure-") as folder:
+        bed, boxes = _Unbound(Path(folder), 0), list[MediaServer]()
+        listing, bed.viewers, said, bed.metrics = free_ports(4)
+        bed.site.write_text(SITE.format(servers=size, link=1e4, uplink=1e7, list=listing, viewers=bed.viewers,
+                                        words=said, metrics=bed.metrics))  # fmt: skip
+        site = load(bed.site)
+        try:
+            await bed.spawn(None, "standin", "list", "--site", str(bed.site))
+            await bed.until(listing, "/servers", b"version")
+            for number in range(size):
+                entry = Entry(number + 1, "127.0.0.1:0", "here", "box", number, "ready", 1.0)
+                box = MediaServer(site, entry, Recorder(None, "box"), 1, True)
+                await box.start()
+                boxes.append(box)
+            bed.servers = size  # the front is up when it knows the last of them
+            front = await bed.front()
+            limit = time.monotonic() + 30
+            while sum(bool(box.notes) for box in boxes) < size:
+                if time.monotonic() > limit:
+                    raise OSError(f"the front under test did not come to all of {size} servers within 30 s")
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(1.0)
+            before, at = cpu_seconds(front.pid), time.monotonic()
+            await asyncio.sleep(SECONDS / 2)
+            took, cpu = time.monotonic() - at, cpu_seconds(front.pid) - before
+            sockets = sum(os.readlink(one).startswith("socket:") for one in _files(front.pid))
+            return [
+                Figure("front.connections", sockets, "1"),
+                Figure("front.cpu", cpu / took, "core"),
+                Figure("front.memory", memory_bytes(front.pid), "B"),
+            ]
+        finally:
+            await asyncio.gather(*(box.close() for box in boxes))
+            await asyncio.gather(*(bed.end(process) for process in bed.processes))
+
+
+def _files(pid: int) -> list[Path]:
+    return [one for one in Path(f"/proc/{pid}/fd").iterdir() if one.is_symlink()]
+
+
 def _run(work: Coroutine[Any, Any, list[Figure]]) -> list[Figure]:
     with contextlib.suppress(msgspec.MsgspecError):
         return asyncio.run(work)
@@ -272,7 +318,14 @@
     return _run(_server(size))
 
 
+def boxes(size: int, under: str, seed: int) -> list[Figure]:
+    return _run(_boxes(size))
+
+
 MEASUREMENTS = {
+    "boxes": Measurement(
+        "servers", (5, 10, 20, 40, 80), ("held",), "sockets", boxes, 500, 2_000_000, descriptors=10
+    ),
     "viewers": Measurement(
         "connections", (1000, 3000, 6000, 12_000, 18_000), ("idle", "delivering", "following"), "sockets",
         viewers, 20_000, 100_000, descriptors=1,
--- a/tests/capacity/test_measure.py
+++ b/tests/capacity/test_measure.py
@@ -55,6 +55,7 @@
     fleet.acquaint()
     fleet.until(30 * SECOND)
     assert fleet.most_wrong == 0
+    assert by_name(know_measure.play(12, "calm", 3))["know.wrong"] == 0  # with one word in a hundred lost
     fleet.stop(fleet.nodes[5])
     fleet.until(60 * SECOND)
     assert all(fleet.dead[node.number] == {5} for node in fleet.up())
