--- a/ponddoor/capacity/measure_commands.py
+++ b/ponddoor/capacity/measure_commands.py
@@ -11,9 +11,11 @@
 if TYPE_CHECKING:
     from ponddoor.capacity.measure import Measurement
 
-MODULES = {"control": "control", "rate": "control", "know": "know", "resize": "loop", "titles": "loop", "holders": "loop",
-           "servers": "loop", "sessions": "loop", "viewers": "sockets", "watchers": "sockets",
-           "signs": "sockets", "boxes": "sockets", "coming": "coming"}  # fmt: skip
+MODULES = {
+    "control": "control", "rate": "control", "know": "know", "resize": "loop", "titles": "loop",
+    "holders": "loop", "servers": "loop", "sessions": "loop", "viewers": "sockets", "watchers": "sockets",
+    "signs": "sockets", "boxes": "sockets", "coming": "coming",
+}  # fmt: skip
 
 
 REPETITIONS = 100
