Needs over a size in full: what is multiplied grows with it; arrivals a second by two lengths of a session

A cost a delivery had been multiplied by a whole node's deliveries at every size, so that 1,000 connections seemed to fill a core three times. Where no fit is claimed the figure is now that of the largest measured size, not of the target. How often viewers come is not told: 30 min and 2 h a session are two readings, and the words of fifty fronts over their arrivals have rows.

--- a/ponddoor/capacity/fits.py
+++ b/ponddoor/capacity/fits.py
@@ -67,18 +67,6 @@
             return float(self.value * size**self.power)
         return max(0.0, self.base + self.value * float(_grown(self.shape, np.array([size]))[0]))
 
-    def crossing(self, limit: float, first: float, last: float) -> float | None:
-        """The least size from `first` to `last` at which the figure is over a limit; None where none is."""
-        if self.at(first) > limit:
-            return first
-        if self.at(last) <= limit:
-            return None
-        low, high = first, last
-        for _ in range(200):
-            middle = math.sqrt(low * high)
-            low, high = (low, middle) if self.at(middle) > limit else (middle, high)
-        return high
-
 
 def enough(points: Sequence[Point]) -> bool:
     """Whether there are four sizes or more with three repetitions or more."""
--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -88,7 +88,7 @@
     if one.series is None or one.mark is Mark.NONE:
         return Mark.NONE.value
     if one.mark is Mark.LAST:
-        return f"at {_digits(one.known_at)} only"
+        return f"not known: {_digits(one.known_at)} were measured at most"
     if one.mark is Mark.EXTRAPOLATED:
         which = "largest" if one.far > 1 else "least"
         return f"extrapolated, {_digits(one.far)} times the {which}"
@@ -98,6 +98,10 @@
     return "measured once" if times == 1 else f"measured {times} times"
 
 
+def _at(one: Projection) -> str:
+    return f"{_digits(one.known_at if one.mark is Mark.LAST else one.size)} {one.row.of}"
+
+
 def _verdict(one: Projection) -> str:
     if one.limit is None or one.mark is Mark.NONE:
         return one.verdict.value if one.limit is None else "-"
@@ -145,7 +149,7 @@
                     row.under,
                     slope(fit, row.unit, row.of) if fit else why_unfitted(one.series) if one.series else "-",
                     _off(fit, row.unit) if fit else "-",
-                    f"{_digits(one.size)} {row.of}",
+                    _at(one),
                     _figure(one),
                     _known(one),
                     "-"
@@ -310,6 +314,9 @@
             rows.append((key[0], "not measured", "-", "-"))
             continue
         then = at_size(one.row, fronts, one.series, held[limit])
+        if then.mark is Mark.LAST:
+            rows.append((key[0], "-", "open", _known(then)))
+            continue
         of_node = then.figure * needed
         by = of_node / held[limit].most
         verdict = f"**over**, {_digits(by)} times" if by > 1 else f"within, {_part(by)} of it"
@@ -343,7 +350,7 @@
                 f"; {_figure(p)} {_known(p)}" for p in one.projections if not p.row.module and p.series
             )
         else:
-            why = f"{_figure(first)} at {_digits(first.size)} {first.row.of} ({_known(first)})"
+            why = f"{_figure(first)} at {_at(first)} ({_known(first)})"
         rows.append(
             (
                 f"{number}",
@@ -374,7 +381,11 @@
     """Records that no row shows, and trials, which no row may show."""
     rows_of = {(row.what, row.under, row.of) for role in ROLES for row in role.rows}
     rows = []
+    kinds = 0
     for key, several in sorted(series.items()):
+        if _of_kind(key) and key[1] not in CONDITIONS:
+            kinds += len(several)
+            continue
         for one in several[1:] if key in rows_of or _of_kind(key) else several:
             fit = fitted(one.points) if not one.unreached else None
             last = told(one.mean(one.sizes[-1]), one.unit)
@@ -388,6 +399,8 @@
         if trials
         else ""
     )
+    if kinds:
+        noted += f"\n{kinds} more series are of words and bytes by kind under other conditions.\n"
     if not rows:
         return "None.\n" + noted
     return _table(("what", "under", "run as", "largest size", "figure there", "slope"), rows) + noted
@@ -395,7 +408,7 @@
 
 def _of_kind(key: Key) -> bool:
     what, _, kind = key[0].rpartition(".")
-    return what in ("control.words", "control.bytes") and kind in KINDS and key[1] in CONDITIONS
+    return what in ("control.words", "control.bytes", "scale.words", "scale.bytes") and kind in KINDS
 
 
 def _sources(files: Mapping[str, list[Record]]) -> str:
--- a/ponddoor/capacity/plot.py
+++ b/ponddoor/capacity/plot.py
@@ -78,30 +78,25 @@
         one = max(several, key=lambda each: each.figure)
         if one.limit is None or one.series is None:
             continue
-        scale, by = target.fronts / one.size, one.factor / one.limit.most
+        scale, most = target.fronts / one.size, one.limit.most
         sizes: list[float] = one.series.sizes
         if one.fit is not None:
-            shown = np.geomspace(
-                max(1.0, min(one.size / target.fronts, sizes[0])), max(one.size, sizes[-1]), 200
-            )
-            figures = [one.fit.at(size) * by for size in shown]
+            first = max(1.0, min(one.size / target.fronts, sizes[0]))
+            shown = np.geomspace(first, max(one.size, sizes[-1]), 200)
+            figures = [one.fitted(size) / most for size in shown]
         else:
-            shown, figures = np.array(sizes), [one.series.mean(size) * by for size in sizes]
+            shown, figures = np.array(sizes), [need / most for need in one.measured.values()]
         label = f"{name} ({one.row.under})" + ("" if one.fit else ", no fit")
-        line = axis.plot(
-            shown * scale,
-            np.where(np.array(figures) > 0, figures, np.nan),
-            styles[number // 10 % 4],
-            lw=1.2,
-            label=label,
-        )
-        means = [one.series.mean(size) * by or np.nan for size in sizes]
+        positive = np.where(np.array(figures) > 0, figures, np.nan)
+        line = axis.plot(shown * scale, positive, styles[number // 10 % 4], lw=1.2, label=label)
+        means = [need / most or np.nan for need in one.measured.values()]
         axis.plot(np.array(sizes) * scale, means, ".", markersize=4, color=line[0].get_color())
     axis.axhline(1.0, color="red", lw=1.2)
     axis.text(0.005, 1.0, "limit", color="red", fontsize=8, va="bottom", transform=axis.get_yaxis_transform())
     axis.axvline(target.fronts, color="grey", lw=0.9, ls=":")
     _logarithmic(axis, True)
     axis.set_xlim(1, 3 * target.fronts)
+    axis.set_ylim(bottom=1e-4)  # what is less is far from any limit
     axis.set_title("all needs as multiples of their limits", fontsize=9)
     axis.set_xlabel(
         "fronts, all other amounts in step; the target is dotted; points are measured", fontsize=8
@@ -134,7 +129,7 @@
             continue
         points = axis.plot(
             [point.size for point in one.series.points],
-            [point.figure * one.factor for point in one.series.points],
+            [one.need(point.size, point.figure) for point in one.series.points],
             ".",
             markersize=4,
             label=one.row.under,
@@ -142,7 +137,7 @@
         last = max(one.size, one.series.sizes[-1])
         if one.fit is not None:
             sizes = np.geomspace(one.series.sizes[0], last, 60)
-            figures = [one.fit.at(size) * one.factor for size in sizes]
+            figures = [one.fitted(size) for size in sizes]
             axis.plot(sizes, figures, "-", lw=0.9, color=points[0].get_color())
             crossing = one.over_from
             if crossing is not None and crossing > one.series.sizes[0]:
@@ -152,7 +147,7 @@
               va="bottom", transform=axis.get_yaxis_transform())  # fmt: skip
     for size in dict.fromkeys(one.size for one in several):
         axis.axvline(size, color="grey", lw=0.8, ls=":")
-    least = min((p.figure * one.factor for one in chosen if one.series for p in one.series.points), default=0)
+    least = min((p.figure for one in chosen if one.series for p in one.series.points), default=0)
     _logarithmic(axis, least > 0)
     axis.set_title(name.rpartition(", over ")[0], fontsize=8)
     axis.set_xlabel(first.row.of, fontsize=8)
--- a/ponddoor/capacity/project.py
+++ b/ponddoor/capacity/project.py
@@ -2,10 +2,10 @@
 
 import re
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
 from enum import Enum
-from math import ceil, isfinite
+from math import ceil, isfinite, sqrt
 from pathlib import Path
 
 import msgspec
@@ -76,6 +76,19 @@
         return min(sum(point.size == size for point in self.points) for size in self.sizes)
 
 
+def crossing(need: Callable[[float], float], limit: float, first: float, last: float) -> float | None:
+    """The least size from `first` to `last` at which a need is over a limit; None where none is."""
+    if need(first) > limit:
+        return first
+    if need(last) <= limit:
+        return None
+    low, high = first, last
+    for _ in range(200):
+        middle = sqrt(low * high)
+        low, high = (low, middle) if need(middle) > limit else (middle, high)
+    return high
+
+
 @dataclass(frozen=True, slots=True)
 class Projection:
     """One row at one size of the target."""
@@ -89,7 +102,7 @@
     known_at: float  # the size it was measured at, or the nearest measured one
     more: bool  # the run ended first: the figure is a lower bound
     limit: Limit | None
-    factor: float  # what the record's figure was multiplied by
+    factor: float  # what the record's figure is multiplied by at the target's size
 
     @property
     def unit(self) -> str:
@@ -110,6 +123,20 @@
             return Verdict.OVER
         return Verdict.OPEN if self.mark is Mark.LAST or self.more else Verdict.WITHIN
 
+    def need(self, size: float, figure: float) -> float:
+        """What a record's figure at a size means; what is multiplied is spread evenly over the size."""
+        return figure * self.factor * (size / self.size if self.row.times else 1.0)
+
+    def fitted(self, size: float) -> float:
+        """The need at a size by the fit."""
+        return self.need(size, self.fit.at(size)) if self.fit is not None else 0.0
+
+    @property
+    def measured(self) -> dict[float, float]:
+        """The mean need at each measured size."""
+        held = self.series
+        return {} if held is None else {size: self.need(size, held.mean(size)) for size in held.sizes}
+
     @property
     def over_from(self) -> float | None:
         """The least size at which the need is over its limit, by the fit or else of those measured."""
@@ -117,9 +144,8 @@
             return None
         if self.fit is not None:
             last = max(self.size, self.series.sizes[-1])
-            return self.fit.crossing(self.limit.most / self.factor, 1.0, last)
-        over = [s for s in self.series.sizes if self.series.mean(s) * self.factor > self.limit.most]
-        return over[0] if over else None
+            return crossing(self.fitted, self.limit.most, 1.0, last)
+        return next((size for size, need in self.measured.items() if need > self.limit.most), None)
 
 
 Key = tuple[str, str, str]
@@ -222,18 +248,18 @@
         mark = Mark.INTERPOLATED if least <= size <= most else Mark.EXTRAPOLATED
         figure, at = fit.at(size), (most if size >= least else least)
     more = at in series.unreached
-    return Projection(row, size, series, fit, mark, figure * factor, at, more, limit, factor)
+    made = Projection(row, size, series, fit, mark, figure, at, more, limit, factor)
+    return replace(made, figure=made.need(at if mark is Mark.LAST else size, figure))
 
 
 def why_unfitted(series: Series) -> str:
     """Why a series has no fit."""
     if series.unreached:
         return "not reached within the run"
+    if len(series.sizes) < LEAST_SIZES:
+        return f"{len(series.sizes)} of the {LEAST_SIZES} sizes that a fit needs"
     if not enough(series.points):
-        return (
-            f"sizes: {len(series.sizes)} of {LEAST_SIZES}, repetitions: {series.repetitions} of "
-            f"{LEAST_REPETITIONS} that a fit needs"
-        )
+        return f"{series.repetitions} of the {LEAST_REPETITIONS} repetitions that a fit needs"
     return "no form fits"
 
 
@@ -295,10 +321,8 @@
     A process bears what keeps its processor under the `fill`, its 99th percentile and its longest stretch
     under the limit; what was not measured bounds nothing, and the page says so."""
     bounds: list[tuple[str, float, Projection]] = []
-    cpu = _one(found, ("delivery.cpu", "delivering", "connections"))
-    if cpu is not None and cpu.series is not None:
-        bounds.append(("processor of deliveries", _filled(target, cpu, cpu.series), cpu))
     for key, name in (
+        (("delivery.cpu", "delivering", "connections"), "processor of deliveries"),
         (("delivery.p99", "delivering", "connections"), "99 in 100 deliveries in time"),
         (("resize.stretch", "all", "sessions"), "longest stretch of the loop"),
     ):
@@ -307,7 +331,7 @@
             continue
         if one.fit is None:
             # No more is claimed than what was measured to be in time; the least size where none was.
-            within = [size for size in one.series.sizes if one.series.mean(size) <= one.limit.most]
+            within = [size for size, need in one.measured.items() if need <= one.limit.most]
             bounds.append((name, max(within, default=one.series.sizes[0]), one))
         elif one.over_from is not None:
             bounds.append((name, one.over_from, one))
@@ -319,21 +343,6 @@
     return Processes(tuple(bounds), needed, total)
 
 
-def _filled(target: Target, cpu: Projection, series: Series) -> float:
-    """The connections at which one process spends the `fill` of a core on its deliveries."""
-
-    def spent(connections: float) -> float:
-        return at_size(cpu.row, connections, series, None).figure * connections / target.each
-
-    low, high = 1.0, target.sessions
-    if spent(high) <= target.fill:
-        return high
-    for _ in range(60):
-        middle = (low + high) / 2
-        low, high = (low, middle) if spent(middle) > target.fill else (middle, high)
-    return low
-
-
 def _one(found: Mapping[Key, list[Projection]], key: Key) -> Projection | None:
     held = found.get(key)
     return held[0] if held and held[0].mark is not Mark.NONE else None
--- a/ponddoor/capacity/rows.py
+++ b/ponddoor/capacity/rows.py
@@ -17,6 +17,7 @@
 PLAYED = ("calm", "loss-10", "roll", "zone-dead")  # scale runs
 PLACES = ("machine", "rack", "zone", "region")
 CHANGES = ("calm", "loss-10", "instance-killed", "zone-cut", "fast", "all-at-once")
+ARRIVALS = "arrivals a second and front"
 KINDS = (
     "changes", "all", "ours", "holders", "answer", "begun", "lending", "ping", "ack", "via", "ask-news",
     "news", "brief", "saw",
@@ -92,6 +93,7 @@
         "holders": tuple(target.holders(servers) for servers in target.servers),
         "listeners": (target.listeners / target.fronts,),
         "delivered": (target.delivered,),
+        ARRIVALS: tuple(target.sessions * SECOND / stay for stay in target.stays),
     }
 
 
@@ -116,7 +118,11 @@
         for need, what, unit, limit in follows
         for under in CHANGES
     )
-    return (*words, Row("`Begun` heard", "begun.words", "roll", "fronts", "1/s", FLEET), *config)
+    arriving = tuple(
+        Row(f"{need}, by arrivals", what, "arrivals-50", ARRIVALS, unit, FLEET, limit)
+        for need, what, unit, limit in shown[:3]
+    )
+    return (*words, *arriving, Row("`Begun` heard", "begun.words", "roll", "fronts", "1/s", FLEET), *config)
 
 
 def _decisions() -> tuple[Row, ...]:
@@ -166,13 +172,15 @@
         "the registers of every front that tells it, for each part that it keeps",
         "tellings and questions in, answers out",
         tuple(
-            Row(need, what, under, "fronts", unit, COUNTS, limit)
+            Row(need, what, under, of, unit, COUNTS, limit)
             for need, what, unit, limit in (
                 ("words taken", "keeper.fan-in", "1/s", ""),
                 ("bytes taken", "keeper.bytes", "B/s", "control-bytes"),
                 ("processor", "keeper.cpu", "core", "control-core"),
             )
-            for under in ("calm", "arrivals", "roll")
+            for under, of in (
+                ("calm", "fronts"), ("arrivals", "fronts"), ("roll", "fronts"), ("arrivals-50", ARRIVALS),
+            )
         ),
     ),
     Role(
--- a/ponddoor/capacity/targets.py
+++ b/ponddoor/capacity/targets.py
@@ -57,6 +57,7 @@
     machines: int
     failures: tuple[Failure, ...]
     servers: tuple[int, ...]  # two values at least: nobody told how many
+    stays: tuple[int, ...]  # how long a session lasts: two values at least
     day: int
     machine_cores: int
     machine_memory: int
@@ -101,6 +102,9 @@
     servers = tuple(round(_amount(form, readings, 1, 1e6)) for form in read_in.many("servers"))
     if len(servers) < 2:
         read_in.problem(read_in.place, f"{len(servers)} of (servers N ...)", "two values at least")
+    stays = tuple(_span(form, readings) for form in read_in.many("session"))
+    if len(stays) < 2:
+        read_in.problem(read_in.place, f"{len(stays)} of (session TIME ...)", "two values at least")
     day = read_in.one("day")
     machine = _needed(read_in, "machine")
     target = Target(
@@ -122,6 +126,7 @@
         machines=top.whole("machines", low=1, high=10_000),
         failures=tuple(held),
         servers=servers,
+        stays=stays,
         day=_span(day, readings) if day else 1,
         machine_cores=machine.whole("cores", low=1, high=10_000),
         machine_memory=_bytes(machine, "memory"),
--- a/tests/capacity/test_projection.py
+++ b/tests/capacity/test_projection.py
@@ -6,7 +6,16 @@
 
 import pytest
 
-from ponddoor.capacity.project import Mark, Projection, Verdict, processes, project, ranking, series_of
+from ponddoor.capacity.project import (
+    Mark,
+    Projection,
+    Verdict,
+    crossing,
+    processes,
+    project,
+    ranking,
+    series_of,
+)
 from ponddoor.capacity.records import Record, RecordError
 from ponddoor.capacity.rows import ROLES
 from ponddoor.capacity.targets import Target, load_target
@@ -71,6 +80,15 @@
     assert last.verdict is Verdict.OVER and last.over_from == 400  # no fit: the least size seen over
 
 
+def test_where_a_need_crosses_a_limit() -> None:
+    def need(n: float) -> float:
+        return 5 + 0.3 * n
+
+    assert crossing(need, 65, 1, 820) == pytest.approx(200, rel=1e-6)
+    assert crossing(need, 1, 1, 820) == 1
+    assert crossing(need, 1_000, 1, 820) is None
+
+
 def test_a_time_that_was_not_reached_is_a_lower_bound_and_no_point_of_a_curve(target: Target) -> None:
     held = records("config.in-force.all", "calm", "fronts", "s", SIZES, lambda n: 3.0)
     held += records("config.in-force.all", "calm-unreached", "fronts", "s", (820,), lambda n: 8.0, 1)
@@ -83,6 +101,10 @@
     one = only(target, held)
     assert one.unit == "core" and one.figure == pytest.approx(target.delivered * 1e-4)
     assert one.verdict is Verdict.OVER and one.far == pytest.approx(target.sessions / 2e4)
+    assert one.over_from == pytest.approx(0.5 * target.each / 1e-4)  # half a core: as many as fill it
+    few = only(target, held[:9])
+    assert (few.mark, few.verdict) == (Mark.LAST, Verdict.OPEN)
+    assert few.figure == pytest.approx(1e-4 * 1e4 / target.each)  # of what was measured, and no more
 
 
 def test_figures_of_the_newer_text_replace_those_of_the_older_and_trials_count_nowhere(
