--- a/ponddoor/capacity/know_measure.py
+++ b/ponddoor/capacity/know_measure.py
@@ -10,8 +10,9 @@
 LOSS = 0.01
 SETTLED = 20 * SECOND  # before anything happens
 LONGEST = 900 * SECOND  # that is waited for anything
+CALM = 60 * SECOND  # in which nothing happens but loss
 HALF, MOST = 0.5, 0.99
-CONDITIONS = ("one", "rack", "zone", "apart-60", "apart-3600", "replaced", "start")
+CONDITIONS = ("calm", "one", "rack", "zone", "apart-60", "apart-3600", "replaced", "start")
 RACKS = 40  # in all
 
 
@@ -84,10 +85,10 @@
 
 def play(size: int, under: str, seed: int) -> list[Figure]:
     """One fleet. Raises ValueError for an unknown condition."""
-    begun = time.process_time()
     world = Knowing(Course(size, seed, LOSS))
     everybody, nobody = set(range(size)), [set[int]() for _ in range(size)]
     world.start_all()
+    begun, began_at = time.process_time(), world.now
     found: list[Figure]
     if under == "start":
         world.until(SECOND)
@@ -99,15 +100,20 @@
         world.until(SECOND)
         world.acquaint()
         world.until(SETTLED)
+        world.count_anew()
         world.most_wrong = 0
-        if under.startswith("apart-"):
+        begun, began_at = time.process_time(), world.now
+        if under == "calm":
+            world.until(world.now + CALM)
+            found = []
+        elif under.startswith("apart-"):
             found = _apart(world, under, int(under.removeprefix("apart-")) * SECOND)
         else:
             count = {"one": 1, "replaced": 1, "rack": max(2, size // RACKS), "zone": size // 8}[under]
             found = _died(world, under, max(count, 1), 300 * SECOND if under == "replaced" else 0)
     took = time.process_time() - begun
     return [*found, Figure("know.wrong", world.most_wrong, "pairs"),
-            Figure("virtual.factor", world.now / SECOND / took, "times")]  # fmt: skip
+            Figure("virtual.factor", (world.now - began_at) / SECOND / took, "times")]  # fmt: skip
 
 
 def _died(world: Knowing, under: str, count: int, away: int) -> list[Figure]:
@@ -156,6 +162,8 @@
     return [Figure("know.wrong-until", last / SECOND, "s")]
 
 
-MEASUREMENT = Measurement(
-    "fronts", (20, 50, 100, 200, 400, 820), CONDITIONS, "virtual", play, 2000, 50_000, 500.0
-)
+MEASUREMENTS = {
+    "know": Measurement(
+        "fronts", (20, 50, 100, 200, 400, 820), CONDITIONS, "virtual", play, 2000, 50_000, 500.0
+    )
+}
--- a/ponddoor/capacity/rows.py
+++ b/ponddoor/capacity/rows.py
@@ -14,7 +14,10 @@
 RAFT, API = "ponddoor/raft/core.py", "ponddoor/config/api.py"
 CONDITIONS = ("calm", "loss-10", "roll", "zone-dead", "arrivals", "rude")
 LOST = ("one", "rack", "zone", "apart-60", "apart-3600", "replaced")
-CHANGES = ("calm", "loss-10", "instance-killed", "zone-cut", "fast")
+PLAYED = ("calm", "loss-10", "roll", "zone-dead")  # scale runs
+PLACES = ("machine", "rack", "zone", "region")
+CHANGES = ("calm", "loss-10", "instance-killed", "zone-cut", "fast", "all-at-once")
+ARRIVALS = "arrivals a second and front"
 KINDS = (
     "changes", "all", "ours", "holders", "answer", "begun", "lending", "ping", "ack", "via", "ask-news",
     "news", "brief", "saw",
@@ -90,6 +93,7 @@
         "holders": tuple(target.holders(servers) for servers in target.servers),
         "listeners": (target.listeners / target.fronts,),
         "delivered": (target.delivered,),
+        ARRIVALS: tuple(target.sessions * SECOND / stay for stay in target.stays),
     }
 
 
@@ -114,7 +118,11 @@
         for need, what, unit, limit in follows
         for under in CHANGES
     )
-    return (*words, Row("`Begun` heard", "begun.words", "roll", "fronts", "1/s", FLEET), *config)
+    arriving = tuple(
+        Row(f"{need}, by arrivals", what, "arrivals-50", ARRIVALS, unit, FLEET, limit)
+        for need, what, unit, limit in shown[:3]
+    )
+    return (*words, *arriving, Row("`Begun` heard", "begun.words", "roll", "fronts", "1/s", FLEET), *config)
 
 
 def _decisions() -> tuple[Row, ...]:
@@ -164,13 +172,38 @@
         "the registers of every front that tells it, for each part that it keeps",
         "tellings and questions in, answers out",
         tuple(
-            Row(need, what, under, "fronts", unit, COUNTS, limit)
+            Row(need, what, under, of, unit, COUNTS, limit)
             for need, what, unit, limit in (
                 ("words taken", "keeper.fan-in", "1/s", ""),
                 ("bytes taken", "keeper.bytes", "B/s", "control-bytes"),
                 ("processor", "keeper.cpu", "core", "control-core"),
             )
-            for under in ("calm", "arrivals", "roll")
+            for under, of in (
+                ("calm", "fronts"), ("arrivals", "fronts"), ("roll", "fronts"), ("arrivals-50", ARRIVALS),
+            )
+        ),
+    ),
+    Role(
+        "scale",
+        "The scale run: real and hollow fronts on sockets, few viewers",
+        "as of a front and its keeper",
+        "the same, over real UDP",
+        (
+            *(Row(need, what, under, "fronts", unit, FLEET, limit)
+              for need, what, unit, limit in (
+                  ("words sent", "scale.words", "1/s", ""),
+                  ("bytes sent", "scale.bytes", "B/s", "control-bytes"),
+                  ("bytes sent by the busiest", "scale.keeper.bytes.out", "B/s", "control-bytes"),
+                  ("words taken by the busiest", "scale.keeper.fan-in", "1/s", ""),
+                  ("bytes taken by the busiest", "scale.keeper.bytes", "B/s", "control-bytes"),
+                  ("processor of a real front, all it does", "scale.cpu.real", "core", ""),
+                  ("processor of a hollow front, all it does", "scale.cpu.hollow", "core", ""),
+              )
+              for under in PLAYED),
+            *(Row(f"{need} {part} of pairs", f"scale.know.{name}.{mark}", under, "fronts", "s", PRESENCE)
+              for name, need in (("dead", "dead known by"), ("alive", "alive again known by"))
+              for mark, part in (("half", "50%"), ("p99", "99%"))
+              for under in PLACES),
         ),
     ),
     Role(
--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -21,6 +22,7 @@
 from ponddoor.capacity.measure_commands import measure as measure_capacity
 from ponddoor.config.commands import config as config_commands
 from ponddoor.config.commands import raft as raft_commands
+from ponddoor.interface.words import KINDS
 from ponddoor.settings.sexpr import SettingsError
 
 
@@ -305,11 +307,20 @@
 @click.option("--control", type=int, required=True, help="Port that takes orders and tells.")
 @click.option("--until", type=float, required=True, help="When it ends, by the monotonic clock.")
 @click.option("--out", type=click.Path(path_type=Path), help="Where it writes at its end what it would tell.")
+@click.option("--without", type=click.Choice(KINDS), help="A kind of word that they leave out.", hidden=True)
 def hollow(
-    site: Path, day: Path, first: int, count: int, control: int, until: float, out: Path | None
+    site: Path,
+    day: Path,
+    first: int,
+    count: int,
+    control: int,
+    until: float,
+    out: Path | None,
+    without: str | None,
 ) -> None:
     """Fronts without viewers, many in one process, as rehearse starts them."""
     from ponddoor.rehearse.day import load_day
+    from ponddoor.rehearse.hollow_following import followers_in
     from ponddoor.rehearse.hollow_process import HollowProcess
     from ponddoor.settings.site import load
 
@@ -319,7 +330,9 @@
     if not played.fronts <= first <= first + count <= len(held.fronts):
         click.echo(f"{site}: no hollow fronts {first} to {first + count - 1}", err=True)
         sys.exit(2)
-    process = HollowProcess(held, played, tuple(range(first, first + count)), until)
+    followers = followers_in(site.parent, f"hollow-{first}") if played.instances is not None else None
+    process = HollowProcess(held, played, tuple(range(first, first + count)), until, followers)
+    process.without = without or ""
     try:
         asyncio.run(process.run(control, out))
     except OSError as problem:
@@ -342,15 +355,18 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 @click.option("--fronts", type=click.IntRange(1, 300), help="So many fronts, whatever the day says.")
+@click.option("--hollow", type=click.IntRange(0, 2000), help="So many hollow fronts, whatever the day says.")
 @click.option(
     "--records", type=click.Path(dir_okay=False, path_type=Path),
-    help="Add the words, costs and times to know of a day with hollow fronts to this file of records.",
+    help="Add a day's figures of hollow fronts and of the configuration to this file.",
 )
 @click.option(
     "--tree",
     type=click.Path(exists=True, file_okay=False, path_type=Path),
     help="Also play the nodes of another work tree.",
 )
+@click.option("--follow/--no-follow", default=None, help="Whether fronts follow the instances; else as told.")
+@click.option("--beside", is_flag=True, help="Play it first with fronts that do not follow.")
 def rehearse(
     day: Path,
     seed: tuple[int, ...],
@@ -360,11 +376,14 @@
     hints: bool | None,
     as_json: bool,
     fronts: int | None,
+    hollow: int | None,
     records: Path | None,
     tree: Path | None,
+    follow: bool | None,
+    beside: bool,
 ) -> None:
     """Play a day on loopback to its table; exit 1 if a rule is broken."""
-    from ponddoor.capacity.records import commit_of
+    from ponddoor.capacity.records import commit_of, cores
     from ponddoor.capacity.records import write as write_records
     from ponddoor.rehearse.day import load_day
     from ponddoor.rehearse.hollow_run import HollowRehearsal
@@ -376,20 +395,27 @@
     results = []
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
-            shares = {"fronts": fronts} if fronts else None
+            counts = {"fronts": fronts or None, "hollow": hollow}
+            shares = {name: count for name, count in counts.items() if count is not None} or None
             held = usable(partial(load_day, day, number, hints, shares))
+            if held.instances is not None and follow is not None:
+                held = replace(held, instances=replace(held.instances, follow=follow))
             runs = ("ponddoor", "random") if baseline and not held.hollow else ("ponddoor",)
             if held.shell == "node":  # these play their own decisions, alone or beside another tree's
                 runs = ("ponddoor", "other-tree") if tree else ("ponddoor",)
-            for decisions in runs:
-                folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{decisions}"
+            sides = [(decisions, held, decisions) for decisions in runs]
+            if beside and held.instances is not None and held.instances.follow:
+                without = replace(held, instances=replace(held.instances, follow=False))
+                sides.insert(0, ("ponddoor", without, "no-follow"))
+            for decisions, held, side in sides:
+                folder = (keep or Path(spare)) / f"{held.name}-{held.seed}-{side}"
                 folder.mkdir(parents=True, exist_ok=True)
                 (folder / "day.json").write_bytes(
                     msgspec.json.encode(
                         {"file": str(day.resolve()), "seed": held.seed, "hints": hints, "shares": shares}
                     )
                 )
-                label = f"{held.name}, seed {held.seed}, {decisions}"
+                label = f"{held.name}, seed {held.seed}, {side}"
                 with click.progressbar(length=1000, label=label, file=sys.stderr, show_eta=False) as bar:
 
                     def move(part: float, bar: Any = bar) -> None:
@@ -412,7 +438,17 @@
                         click.echo("\ninterrupted: what was started is ended", err=True)
                         sys.exit(130)
                     if records is not None and isinstance(playing, HollowRehearsal):
-                        write_records(records, playing.records(commit_of(Path(__file__).parent)))
+                        again = " ".join(["ponddoor", *sys.argv[1:]])
+                        run = commit_of(Path(__file__).parent), again, len(results) - 1
+                        write_records(records, playing.records(*run))
+                    if (config := results[-1].config) is not None:
+                        same = [result.config.under for result in results if result.config is not None]
+                        if beside and len(results) > 1 and (before := results[-2].config) is not None:
+                            config.beside(before)
+                        if records is not None:
+                            told = " ".join(["ponddoor", *sys.argv[1:]]), held.seed, same.count(same[-1]) - 1
+                            commit = commit_of(Path(__file__).parent)
+                            write_records(records, config.records(*told, commit, cores()))
     click.echo(msgspec.json.encode([as_dict(result) for result in results]) if as_json else table(results))
     if any(result.breaches for result in results if result.decisions == "ponddoor"):
         sys.exit(1)
--- a/ponddoor/rehearse/hollow_process.py
+++ b/ponddoor/rehearse/hollow_process.py
@@ -22,6 +22,7 @@
 from ponddoor.front.words import wall
 from ponddoor.interface import events as ev
 from ponddoor.rehearse.day import Day
+from ponddoor.rehearse.hollow_following import Followers
 from ponddoor.rehearse.hollow_front import HollowFront
 from ponddoor.rehearse.hollow_servers import PretendedServer
 from ponddoor.settings.site import Site
@@ -78,10 +79,12 @@
     day: Day
     mine: tuple[int, ...]
     until: float  # s, of the monotonic clock
+    followers: Followers | None = None  # of the configuration
     lag: LagMeter = field(default_factory=lambda: LagMeter(clock() + SAMPLE))
     fronts: dict[int, HollowFront] = field(default_factory=dict)
     pretended: dict[int, PretendedServer] = field(default_factory=dict)
     rules: tuple[Rule, ...] = ()
+    without: str = ""  # a kind of word that the fronts here leave out
     changes: list[tuple[int, int, int, bool]] = field(default_factory=list)  # (at, front, other, dead)
     dropped: int = 0
     late: int = 0  # us, the most since the viewers began
