--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -23,7 +23,7 @@
 
 import msgspec
 
-from ponddoor.config.machine import Change, Machine, assembled, digest_of, packed, shown, taken_apart
+from ponddoor.config.machine import Change, Machine, assembled, packed, shown, taken_apart
 from ponddoor.config.rollout import Report
 from ponddoor.front.coming import Loss
 from ponddoor.front.follower import (
@@ -112,17 +112,12 @@
 
 def _told(machine: Machine) -> Committed:
     """As the administration API tells it."""
-    version, listing = machine.history[-1], assembled(machine.items)
-    steps = [
-        {"key": step.key, "before": step.before, "after": step.after,
-         "place": machine.items[step.key].place if step.key in machine.items else 0}
-        for step in version.steps
-    ]  # fmt: skip
+    version = machine.history[-1]
     row = {"version": version.number, "who": version.who, "why": version.why, "when_us": version.when_us,
-           "keys": [step.key for step in version.steps], "steps": steps,
-           "digest": digest_of(listing)}  # fmt: skip
-    text = shown(machine.items)
-    return Committed(version.number, msgspec.json.encode(row), text, digest_of(listing), _canonical(listing))
+           "keys": [step.key for step in version.steps], "steps": version.steps,
+           "digest": version.digest}  # fmt: skip
+    whole = _canonical(assembled(machine.items))
+    return Committed(version.number, msgspec.json.encode(row), shown(machine.items), version.digest, whole)
 
 
 def _canonical(listing: Listing) -> str:
