--- a/ponddoor/raft/simulation.py
+++ b/ponddoor/raft/simulation.py
@@ -142,7 +142,17 @@
 
     def run(self) -> Found:
         """Play the schedule. Raises ViolatedError."""
-        plan, end = self.plan, self.plan.seconds * 1_000_000
+        end = self.plan.seconds * 1_000_000
+        self.begin(end)
+        self._until(end)
+        self.calm()
+        self._until(end + 10_000_000)
+        self._goes_on()
+        return self.found
+
+    def begin(self, end: int) -> None:
+        """Start the members and clients; trouble comes until shortly before the end."""
+        plan = self.plan
         for node in self.nodes[: plan.members]:
             self._start(node)
         for client in range(plan.clients):
@@ -155,7 +165,9 @@
         ):
             for _ in range(count):
                 self.after(500_000, end * 3 // 4, what)
-        self._until(end)
+
+    def calm(self) -> None:
+        """The trouble is over, and who is down is back."""
         self.faults = False
         self.cut.clear()
         for node in self.nodes:
@@ -164,9 +176,6 @@
             node.paused_until = 0
             if node.raft is None and node.life:
                 self._start(node)
-        self._until(end + 10_000_000)
-        self._goes_on()
-        return self.found
 
     def _until(self, end: int) -> None:
         try:
