--- a/tests/following/test_days.py
+++ b/tests/following/test_days.py
@@ -211,7 +211,8 @@
         network.opened = lambda source, target, more: opened.append((source, target, more))
 
         async def far(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            came.append(await reader.read(100))
+            came.append(b"")  # a connection
+            came[-1] = await reader.read(100)
             writer.close()
 
         server = await asyncio.start_server(far, "127.0.0.1", 0)
