--- a/ponddoor/config/api.py
+++ b/ponddoor/config/api.py
@@ -513,6 +513,7 @@
     async def _fronts(self, request: Request) -> Reply:
         after, limit = _whole(request, "after", -1), _whole(request, "limit", PAGE, MOST_PAGE)
         held, now, machine = self.reports.held, self.clock(), self.machine
+        self.reports.forget(now, self._named)
         numbers = sorted(number for number in {*held, *self._named} if number > after)
         rows = [self._front(number, now) for number in numbers[:limit]]
         since = (now - self._since[1]) // 1000 if self._since[0] == machine.number and machine.number else -1
--- a/ponddoor/config/rollout.py
+++ b/ponddoor/config/rollout.py
@@ -4,14 +4,14 @@
 front the newer counts, whichever instance heard it and in whatever order they came. An instance keeps the
 newest of each front, in memory alone: after its restart fronts come to it anew and tell it."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 from typing import Annotated, Any
 
 import msgspec
 
 MOST_FRONTS = 4096  # reports of so many fronts are kept by one instance
-FORGOTTEN = 3_600_000_000  # us: a report so old makes room for one of another front
+FORGOTTEN = 6 * 3_600_000_000  # us: who was not heard for so long and follows nowhere is no front any more
 GONE = 10_000_000  # us: who is watched for nowhere, and was not heard for so long, is gone
 SHOWN = 20  # fronts that are shown by number, of each kind
 
@@ -71,6 +71,13 @@
         del self.held[oldest]
         return ""
 
+    def forget(self, now: int, watching: Container[int]) -> None:
+        """Guards against fronts that are no more and would be missed for ever. It harms one that is cut off
+        for longer: it is shown as never heard, where their number is told."""
+        gone = [f for f, (_, came) in self.held.items() if f not in watching and now - came >= FORGOTTEN]
+        for front in gone:
+            del self.held[front]
+
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
--- a/tests/following/test_rollout.py
+++ b/tests/following/test_rollout.py
@@ -55,6 +55,16 @@
     assert held.take(rollout.FORGOTTEN, report(7)) == "" and set(held.held) == {1, 7}
 
 
+def test_who_is_no_more_is_forgotten_and_who_is_quiet_is_not() -> None:
+    held = Reports()
+    for front in range(3):
+        held.take(front, report(front))
+    held.forget(rollout.FORGOTTEN, {0})
+    assert set(held.held) == {0, 1, 2}
+    held.forget(rollout.FORGOTTEN + 1, {0})
+    assert set(held.held) == {0, 2}
+
+
 # What all say together
 
 
