--- a/ponddoor/front/following.py
+++ b/ponddoor/front/following.py
@@ -17,7 +17,19 @@
 import structlog
 
 from ponddoor.front.coming import Loss
-from ponddoor.front.follower import MOST_LINE, Effect, Fetch, Follower, Keep, Leave, Say, Take, Tell, Watch
+from ponddoor.front.follower import (
+    CONNECT,
+    MOST_LINE,
+    Effect,
+    Fetch,
+    Follower,
+    Keep,
+    Leave,
+    Say,
+    Take,
+    Tell,
+    Watch,
+)
 from ponddoor.front.pump import SECOND, clock
 from ponddoor.front.words import wall
 from ponddoor.settings.sexpr import MOST_BYTES
@@ -31,7 +43,6 @@
     TurnedAwayError,
 )
 
-CONNECT = 1.0  # s
 ANSWER = 2.0  # s, for a report
 MOST_WHOLE = 2 * MOST_BYTES  # bytes of a whole state: of its characters some take two
 AHEAD = 200  # calls that wait for the core; a watch that brings more waits itself
@@ -194,7 +205,7 @@
 
     async def _watch(self, turn: int, instance: int, after: int) -> None:
         host, port = self.instances[instance]
-        pool = Pool(host, port, 1, CONNECT)
+        pool = Pool(host, port, 1, CONNECT / SECOND)
         path = f"/config/watch?after={after}&front={self.follower.me}"
         try:
             # The core ends a silence by its own clock; this one only guards against a lost timer
@@ -218,7 +229,7 @@
 
     async def _fetch(self, turn: int, instance: int) -> None:
         host, port = self.instances[instance]
-        pool = Pool(host, port, 1, CONNECT, most_body=MOST_WHOLE)
+        pool = Pool(host, port, 1, CONNECT / SECOND, most_body=MOST_WHOLE)
         try:
             answer = await pool.request("GET", "/config/file", timeout=self.follower.silence / SECOND)
             if answer.status != 200:
@@ -272,7 +283,7 @@
 
     async def _tell(self, effect: Tell) -> None:
         host, port = self.instances[effect.instance]
-        pool = Pool(host, port, 1, CONNECT)
+        pool = Pool(host, port, 1, CONNECT / SECOND)
         why = ""
         try:
             answer = await pool.request("POST", "/config/fronts", effect.report, ANSWER)
