--- a/ponddoor/front/follower.py
+++ b/ponddoor/front/follower.py
@@ -272,17 +272,19 @@
             force, newest = self._restored(kept)
         except UnusableError as problem:
             return [Say("error", "config-kept-unusable", f"{problem}; floor {self.floor}")]
-        if not force.number:
+        if not newest.number:
             return []
         self.known = self.ahead = newest
         self.head = newest.number
-        site, why = self._usable(force)
+        site, why = self._usable(force) if force.number else (None, "")
         newer, why_not = self._usable(newest) if newest is not force else (None, "")
         if newer is not None:
             self.fallback = (force, site) if site is not None else None
             return self._keep(newest, newer)
         if newest is not force:
             self.refused = (newest.number, why_not)
+        if not force.number:
+            return []
         if site is None:
             self.refused = (newest.number, why_not or why)
             return [Say("error", "config-kept-refused", f"version {force.number}: {why}")]
--- a/tests/following/test_core.py
+++ b/tests/following/test_core.py
@@ -268,6 +268,18 @@
     assert Front(again.disk).taken() == [FIRST + 1]
 
 
+def test_a_first_version_that_was_refused_is_taken_at_the_next_start() -> None:
+    core = Follower(0, 10, 5, 7, 3 * SECOND, Path(), lambda site: ("not in service",))
+    core.begin(0, 1, b"")
+    core.due(core.next_due or 0)
+    core.whole(SECOND, core.at, FIRST, LOG[FIRST - 1].text, LOG[FIRST - 1].digest)
+    [keep] = [effect for effect in core.due(SECOND) if isinstance(effect, Keep)]
+    again = Front(keep.data)
+    assert again.taken() == [FIRST] and again.core.refused == (0, "")
+    still = Follower(0, 10, 5, 7, 3 * SECOND, Path(), lambda site: ("not in service",))
+    assert still.begin(0, 2, keep.data) == [] and still.refused[0] == FIRST
+
+
 def test_what_can_not_be_kept_is_not_taken() -> None:
     front = Front().begun(FIRST)
     front.fails = True
