--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -34,6 +34,7 @@
     after: list[float]
     missing: list[int]
     refused: list[int]
+    real: list[float] = field(default_factory=list)  # of `after`, those of real fronts
 
     def until(self, part: float) -> float | None:
         """When this part of those who could take it had it; None where that many never did."""
@@ -105,7 +106,7 @@
         if row["what"] != "committed" or row["at"] < since or row["at"] + DUE > end:
             continue
         version, kind = row["version"], kinds.get(row["why"], "unknown")
-        after, missing = [], []
+        after, real, missing = list[float](), list[float](), list[int]()
         for front in range(fronts + hollow):
             found = bisect.bisect_left(versions[front], version)
             if found == len(versions[front]):
@@ -115,8 +116,10 @@
             got = moments[front][found]
             begun = max([row["at"], *(min(to, got) for begin, to in cuts[front] if begin < got)])
             after.append(max(0, got - begun) / SECOND)
+            if front < fronts:
+                real.append(after[-1])
         known = sorted(refused[version])
-        spreads.append(Spread(version, kind, row["why"], row["at"], sorted(after), missing, known))
+        spreads.append(Spread(version, kind, row["why"], row["at"], sorted(after), missing, known, real))
     breaches = _audit(rows, fronts, kinds) + _audit_terms(rows, moments, versions)
     made = Followed(fronts + hollow, wanted.under, spreads, {}, breaches)
     made.decided = sum(row["what"] == "decided" for row in rows)
@@ -260,6 +263,10 @@
         made["config.in-force.p50"] = _at(times, 0.5), "s"
         made["config.in-force.p999"] = _at(times, 0.999), "s"
         made["config.in-force.all"] = times[-1], "s"
+        real = sorted(time for one in good for time in one.real)
+        if hollow and real:  # hollow ones are believed where these are alike
+            made["config.in-force.real.p50"] = _at(real, 0.5), "s"
+            made["config.in-force.real.p999"] = _at(real, 0.999), "s"
     made["config.refused"] = float(sum(len(one.refused) for one in found.spreads)), "refusals"
     asked = [row["known"] for row in rows if row["what"] == "title-asked"]
     if asked:
@@ -284,10 +291,10 @@
         requests = [n for row in sums for n in row["requests"]]
         made["config.requests"] = sum(requests) / over, "requests a second at all"
     used = {row["process"]: row["seconds"] for row in rows if row["what"] == "process-sums"}
-    real = [seconds for name, seconds in used.items() if name.startswith("front ")]
+    spent = [seconds for name, seconds in used.items() if name.startswith("front ")]
     empty = [seconds for name, seconds in used.items() if name.startswith("hollow ")]
-    if real:
-        made["config.front-cpu"] = sum(real) / len(real) / over, "cores a real front, all it does"
+    if spent:
+        made["config.front-cpu"] = sum(spent) / len(spent) / over, "cores a real front, all it does"
     if empty and hollow:
         made["config.hollow-cpu"] = sum(empty) / hollow / over, "cores a hollow front, all it does"
     herd = _herd(rows)
