--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -6,7 +6,7 @@
 
 import bisect
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -35,6 +35,7 @@
     missing: list[int]
     refused: list[int]
     real: list[float] = field(default_factory=list)  # of `after`, those of real fronts
+    returned: list[float] = field(default_factory=list)  # and those that count from the end of a cut
 
     def until(self, part: float) -> float | None:
         """When this part of those who could take it had it; None where that many never did."""
@@ -106,7 +107,7 @@
         if row["what"] != "committed" or row["at"] < since or row["at"] + DUE > end:
             continue
         version, kind = row["version"], kinds.get(row["why"], "unknown")
-        after, real, missing = list[float](), list[float](), list[int]()
+        after, real, missing, returned = list[float](), list[float](), list[int](), list[float]()
         for front in range(fronts + hollow):
             found = bisect.bisect_left(versions[front], version)
             if found == len(versions[front]):
@@ -118,8 +119,12 @@
             after.append(max(0, got - begun) / SECOND)
             if front < fronts:
                 real.append(after[-1])
+            if begun > row["at"]:
+                returned.append(after[-1])
         known = sorted(refused[version])
-        spreads.append(Spread(version, kind, row["why"], row["at"], sorted(after), missing, known, real))
+        spreads.append(
+            Spread(version, kind, row["why"], row["at"], sorted(after), missing, known, real, returned)
+        )
     breaches = _audit(rows, fronts, kinds) + _audit_terms(rows, moments, versions)
     made = Followed(fronts + hollow, wanted.under, spreads, {}, breaches)
     made.decided = sum(row["what"] == "decided" for row in rows)
@@ -263,6 +268,13 @@
         made["config.in-force.p50"] = _at(times, 0.5), "s"
         made["config.in-force.p999"] = _at(times, 0.999), "s"
         made["config.in-force.all"] = times[-1], "s"
+        returned = sorted(time for one in good for time in one.returned)
+        if returned:
+            never_cut = sorted((Counter(times) - Counter(returned)).elements())
+            made["config.in-force.not-cut.p999"] = _at(never_cut, 0.999), "s"
+            made["config.in-force.not-cut.all"] = never_cut[-1], "s"
+            made["config.in-force.returned.p50"] = _at(returned, 0.5), "s from the end of a cut"
+            made["config.in-force.returned.all"] = returned[-1], "s from the end of a cut"
         real = sorted(time for one in good for time in one.real)
         if hollow and real:  # hollow ones are believed where these are alike
             made["config.in-force.real.p50"] = _at(real, 0.5), "s"
