--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -269,7 +269,7 @@
         made["config.in-force.p999"] = _at(times, 0.999), "s"
         made["config.in-force.all"] = times[-1], "s"
         returned = sorted(time for one in good for time in one.returned)
-        if returned:
+        if returned and len(returned) < len(times):
             never_cut = sorted((Counter(times) - Counter(returned)).elements())
             made["config.in-force.not-cut.p999"] = _at(never_cut, 0.999), "s"
             made["config.in-force.not-cut.all"] = never_cut[-1], "s"
