--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -354,6 +354,8 @@
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 @click.option("--fronts", type=click.IntRange(1, 300), help="So many fronts, whatever the day says.")
 @click.option("--hollow", type=click.IntRange(0, 2000), help="So many hollow fronts, whatever the day says.")
+@click.option("--each", type=click.FloatRange(0, 1000, min_open=True),
+              help="So many viewers a second at every front, whatever the day says.")  # fmt: skip
 @click.option(
     "--records", type=click.Path(dir_okay=False, path_type=Path),
     help="Add a day's figures of hollow fronts and of the configuration to this file.",
@@ -375,6 +377,7 @@
     as_json: bool,
     fronts: int | None,
     hollow: int | None,
+    each: float | None,
     records: Path | None,
     tree: Path | None,
     follow: bool | None,
@@ -393,7 +396,7 @@
     results = []
     with tempfile.TemporaryDirectory(prefix="ponddoor-") as spare:
         for number in seed or (None,):
-            counts = {"fronts": fronts or None, "hollow": hollow}
+            counts = {"fronts": fronts or None, "hollow": hollow, "each": each}
             shares = {name: count for name, count in counts.items() if count is not None} or None
             held = usable(partial(load_day, day, number, hints, shares))
             if held.instances is not None and follow is not None:
