--- a/ponddoor/capacity/control_measure.py
+++ b/ponddoor/capacity/control_measure.py
@@ -84,6 +84,14 @@
             found.append(Figure(f"control.bytes.{name}", (told[kind] + HEADERS * said[kind]) * each, "B/s"))
     busiest = max(world.nodes, key=lambda node: node.taken)
     begun = said[KINDS.index("begun")]
+    if world.course.arrivals:
+        probed = world.answered["probed"] / seconds
+        found += [
+            Figure("server.probes", probed / world.course.servers, "1/s", "held"),
+            Figure("control.probes", probed / living, "1/s"),
+            Figure("control.answers", world.answered["playing"] * each, "1/s"),
+            Figure("control.refusals", world.answered["refused"] * each, "1/s"),
+        ]
     return [
         *found,
         Figure("control.cpu", sum(node.cpu for node in world.nodes) / 1e9 * each, "core"),
--- a/ponddoor/capacity/virtual_measure.py
+++ b/ponddoor/capacity/virtual_measure.py
@@ -361,6 +361,7 @@
         gc.freeze()
         gc.disable()
         self.counted_from = self.now
+        self.answered.clear()
         for node in self.nodes:
             node.said.clear()
             node.told.clear()
