--- a/ponddoor/capacity/plot.py
+++ b/ponddoor/capacity/plot.py
@@ -107,14 +107,22 @@
 
 
 def _logarithmic(axis: Any, both: bool) -> None:
-    from matplotlib.ticker import NullFormatter
+    """Logarithmic axes whose ticks are 1, 2 and 5 of each decade."""
+    from matplotlib.ticker import FuncFormatter
+
+    def shown(value: float, _: int) -> str:
+        return format(value, ".12g") if format(value, "e")[0] in "125" else ""
 
     axis.set_xscale("log")
-    axis.xaxis.set_minor_formatter(NullFormatter())
+    axis.xaxis.set_minor_formatter(FuncFormatter(shown))
+    axis.xaxis.set_major_formatter(FuncFormatter(shown))
     if both:
         axis.set_yscale("log")
-        axis.yaxis.set_minor_formatter(NullFormatter())
-    axis.tick_params(labelsize=7)
+        low, high = axis.get_ylim()
+        axis.yaxis.set_major_formatter(FuncFormatter(shown))
+        few = FuncFormatter(shown) if high < 200 * low else FuncFormatter(lambda *_: "")
+        axis.yaxis.set_minor_formatter(few)
+    axis.tick_params(which="both", labelsize=6)
 
 
 def _panel(axis: Any, name: str, several: list[Projection]) -> None:
