--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -22,6 +22,7 @@
 from ponddoor.capacity.measure_commands import measure as measure_capacity
 from ponddoor.config.commands import config as config_commands
 from ponddoor.config.commands import raft as raft_commands
+from ponddoor.interface.words import KINDS
 from ponddoor.settings.sexpr import SettingsError
 
 
@@ -306,8 +307,16 @@
 @click.option("--control", type=int, required=True, help="Port that takes orders and tells.")
 @click.option("--until", type=float, required=True, help="When it ends, by the monotonic clock.")
 @click.option("--out", type=click.Path(path_type=Path), help="Where it writes at its end what it would tell.")
+@click.option("--without", type=click.Choice(KINDS), help="A kind of word that they leave out.", hidden=True)
 def hollow(
-    site: Path, day: Path, first: int, count: int, control: int, until: float, out: Path | None
+    site: Path,
+    day: Path,
+    first: int,
+    count: int,
+    control: int,
+    until: float,
+    out: Path | None,
+    without: str | None,
 ) -> None:
     """Fronts without viewers, many in one process, as rehearse starts them."""
     from ponddoor.rehearse.day import load_day
@@ -323,6 +332,7 @@
         sys.exit(2)
     followers = followers_in(site.parent, f"hollow-{first}") if played.instances is not None else None
     process = HollowProcess(held, played, tuple(range(first, first + count)), until, followers)
+    process.without = without or ""
     try:
         asyncio.run(process.run(control, out))
     except OSError as problem:
@@ -428,7 +438,9 @@
                         click.echo("\ninterrupted: what was started is ended", err=True)
                         sys.exit(130)
                     if records is not None and isinstance(playing, HollowRehearsal):
-                        write_records(records, playing.records(commit_of(Path(__file__).parent)))
+                        again = " ".join(["ponddoor", *sys.argv[1:]])
+                        run = commit_of(Path(__file__).parent), again, len(results) - 1
+                        write_records(records, playing.records(*run))
                     if (config := results[-1].config) is not None:
                         same = [result.config.under for result in results if result.config is not None]
                         if beside and len(results) > 1 and (before := results[-2].config) is not None:
