A measurement that is killed ends what it started

The process of a run went on for nobody when the command was killed, and its front, list and servers with it. It looks for its parent now and interrupts itself.

--- a/ponddoor/capacity/measure.py
+++ b/ponddoor/capacity/measure.py
@@ -6,6 +6,8 @@
 import gc
 import multiprocessing
 import os
+import signal
+import threading
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
@@ -15,6 +17,7 @@
 from ponddoor.capacity import records
 from ponddoor.capacity.virtual_measure import seeded
 
+LOOK = 0.5  # seconds between two looks at whether the parent is there
 SHARE = 0.5  # of the memory that is free now, that a run may take
 
 
@@ -77,10 +80,22 @@
         raise MeasureError(f"{what}: {size} {found.of} {told}")
 
 
+def ends_with(parent: int) -> None:
+    """Have this process interrupted when its parent is gone: guards against a run, and processes under test,
+    that go on for nobody."""
+
+    def look() -> None:
+        while os.getppid() == parent:
+            time.sleep(LOOK)
+        os.kill(os.getpid(), signal.SIGINT)
+
+    threading.Thread(target=look, daemon=True).start()
+
+
 def played(found: Measurement, size: int, under: str, seed: int) -> list[Figure]:
     """One run, in a new process. Raises what the run raises."""
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(1, mp_context=context) as pool:
+    with ProcessPoolExecutor(1, context, ends_with, (os.getpid(),)) as pool:
         return pool.submit(found.play, size, under, seed).result()
 
 
--- a/tests/capacity/test_measure.py
+++ b/tests/capacity/test_measure.py
@@ -1,5 +1,11 @@
 """Measurements at small sizes: the same figures for the same seed, every kind of word, what is refused."""
 
+import contextlib
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -136,6 +142,38 @@
     assert {"know.dead.p99", "know.alive.p99", "know.wrong"} <= {one.what for one in found}
 
 
+def test_what_was_started_ends_with_the_command(tmp_path: Path) -> None:
+    asked = ["capacity", "measure", "viewers", "--seed", "1", "--out", str(tmp_path / "none.jsonl"),
+             "--size", "50", "--under", "idle"]  # fmt: skip
+    places = {**os.environ, "TMPDIR": str(tmp_path)}
+    begun = subprocess.Popen([sys.executable, "-m", "ponddoor.cli", *asked], env=places)
+    try:
+        assert until(lambda: [pid for pid in under(str(tmp_path)) if pid != begun.pid], 60)
+    finally:
+        begun.kill()  # it can do nothing more itself
+        begun.wait()
+    assert until(lambda: not under(str(tmp_path)), 60)
+
+
+def under(folder: str) -> list[int]:
+    """The processes that name a folder in their arguments."""
+    found = []
+    for one in Path("/proc").iterdir():
+        with contextlib.suppress(OSError):
+            if one.name.isdigit() and folder.encode() in (one / "cmdline").read_bytes():
+                found.append(int(one.name))
+    return found
+
+
+def until(what: Callable[[], object], seconds: float) -> bool:
+    limit = time.monotonic() + seconds
+    while time.monotonic() < limit:
+        if what():
+            return True
+        time.sleep(0.1)
+    return False
+
+
 @pytest.mark.parametrize("arguments, told", [
     (("know", "--size", "1000000000"), "fronts, 2 to "),
     (("know", "--size", "1"), "1 fronts, 2 to "),
