--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -346,9 +346,8 @@
                 bounds = [held[name] for name in dict.fromkeys(_limits_of(since)) if name]
             built = since and (root / since).exists()
             why = f"no mechanism before; since then `{since}`" if built else "no mechanism"
-            why += "".join(
-                f"; {_figure(p)} {_known(p)}" for p in one.projections if not p.row.module and p.series
-            )
+            seen = [p for p in one.projections if not p.row.module and p.series]
+            why += "".join(f"; measured: {_figure(p)} of {_digits(p.known_at)}" for p in seen)
         else:
             why = f"{_figure(first)} at {_at(first)} ({_known(first)})"
         rows.append(
