--- a/ponddoor/rehearse/hollow_run.py
+++ b/ponddoor/rehearse/hollow_run.py
@@ -95,6 +95,9 @@
             for number in (signal.SIGINT, signal.SIGTERM):
                 loop.remove_signal_handler(number)
         self._reckon()
+        if result.config is not None:  # a run on a machine that was too busy is known by this
+            late = self.cost.get("hollow: loop, share of time late", 0.0)
+            result.config.figures["config.loops-late"] = late, "share of time, hollow processes"
         result.hollow = tables.lines(self.found, *self.sides, self.cost)
         result.hollow_dict = tables.as_dict(self.found, self.cost)
         return result
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -169,6 +169,7 @@
         config = None
         if self.day.instances is not None:
             config = followed(rows, self.day.fronts, self.day.hollow, self.day.instances)
+            config.figures["config.rehearsal-late"] = self.late / SECOND, "s, the relay's process, most"
             breaches = breaches + config.breaches
         return Result(
             self.day.name, self.day.seed, self.decisions, players, breaches, left_out, setups, fell,
