--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -6,7 +6,7 @@
 
 import bisect
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -34,6 +34,8 @@
     after: list[float]
     missing: list[int]
     refused: list[int]
+    real: list[float] = field(default_factory=list)  # of `after`, those of real fronts
+    returned: list[float] = field(default_factory=list)  # and those that count from the end of a cut
 
     def until(self, part: float) -> float | None:
         """When this part of those who could take it had it; None where that many never did."""
@@ -69,7 +71,8 @@
         for name, of in (("hollow", "config.hollow-cpu"), ("real", "config.front-cpu")):
             if of in self.figures and of in before.figures and before.under == "no-follow":
                 more = self.figures[of][0] - before.figures[of][0]
-                self.figures[f"config.cpu.{name}"] = more, f"cores a {name} front, for following"
+                self.figures[f"config.cpu.{name}"] = more, "core"
+                self.figures["config.cpu"] = more, "core"  # of the real ones, where there are any
 
     def rows(self) -> dict[str, Any]:
         """For the table of a rehearsal."""
@@ -105,7 +108,7 @@
         if row["what"] != "committed" or row["at"] < since or row["at"] + DUE > end:
             continue
         version, kind = row["version"], kinds.get(row["why"], "unknown")
-        after, missing = [], []
+        after, real, missing, returned = list[float](), list[float](), list[int](), list[float]()
         for front in range(fronts + hollow):
             found = bisect.bisect_left(versions[front], version)
             if found == len(versions[front]):
@@ -115,8 +118,14 @@
             got = moments[front][found]
             begun = max([row["at"], *(min(to, got) for begin, to in cuts[front] if begin < got)])
             after.append(max(0, got - begun) / SECOND)
+            if front < fronts:
+                real.append(after[-1])
+            if begun > row["at"]:
+                returned.append(after[-1])
         known = sorted(refused[version])
-        spreads.append(Spread(version, kind, row["why"], row["at"], sorted(after), missing, known))
+        spreads.append(
+            Spread(version, kind, row["why"], row["at"], sorted(after), missing, known, real, returned)
+        )
     breaches = _audit(rows, fronts, kinds) + _audit_terms(rows, moments, versions)
     made = Followed(fronts + hollow, wanted.under, spreads, {}, breaches)
     made.decided = sum(row["what"] == "decided" for row in rows)
@@ -253,6 +262,8 @@
     everybody, made = fronts + hollow, dict[str, tuple[float, str]]()
     good = [one for one in found.spreads if one.kind == Kind.GOOD.value]
     made["config.versions"] = float(len(found.spreads)), "versions"
+    committed = sum(row["what"] == "committed" and row["at"] >= since for row in rows)
+    made["config.changes"] = committed / max((end - since) / SECOND, 1e-9), "1/s"
     if good:
         made["config.in-force"] = float(min(len(one.after) for one in good)), "fronts"
     times = sorted(time for one in good for time in one.after)
@@ -260,6 +271,17 @@
         made["config.in-force.p50"] = _at(times, 0.5), "s"
         made["config.in-force.p999"] = _at(times, 0.999), "s"
         made["config.in-force.all"] = times[-1], "s"
+        returned = sorted(time for one in good for time in one.returned)
+        if returned and len(returned) < len(times):
+            never_cut = sorted((Counter(times) - Counter(returned)).elements())
+            made["config.in-force.not-cut.p999"] = _at(never_cut, 0.999), "s"
+            made["config.in-force.not-cut.all"] = never_cut[-1], "s"
+            made["config.in-force.returned.p50"] = _at(returned, 0.5), "s"
+            made["config.in-force.returned.all"] = returned[-1], "s"
+        real = sorted(time for one in good for time in one.real)
+        if hollow and real:  # hollow ones are believed where these are alike
+            made["config.in-force.real.p50"] = _at(real, 0.5), "s"
+            made["config.in-force.real.p999"] = _at(real, 0.999), "s"
     made["config.refused"] = float(sum(len(one.refused) for one in found.spreads)), "refusals"
     asked = [row["known"] for row in rows if row["what"] == "title-asked"]
     if asked:
@@ -284,15 +306,15 @@
         requests = [n for row in sums for n in row["requests"]]
         made["config.requests"] = sum(requests) / over, "requests a second at all"
     used = {row["process"]: row["seconds"] for row in rows if row["what"] == "process-sums"}
-    real = [seconds for name, seconds in used.items() if name.startswith("front ")]
+    spent = [seconds for name, seconds in used.items() if name.startswith("front ")]
     empty = [seconds for name, seconds in used.items() if name.startswith("hollow ")]
-    if real:
-        made["config.front-cpu"] = sum(real) / len(real) / over, "cores a real front, all it does"
+    if spent:
+        made["config.front-cpu"] = sum(spent) / len(spent) / over, "cores a real front, all it does"
     if empty and hollow:
         made["config.hollow-cpu"] = sum(empty) / hollow / over, "cores a hollow front, all it does"
     herd = _herd(rows)
     if herd is not None:
-        made["config.herd"] = herd, "times the mean for a second, after a heal"
+        made["config.herd"] = herd, "times"
     return made
 
 
--- a/tests/following/test_days.py
+++ b/tests/following/test_days.py
@@ -94,6 +94,8 @@
     )  # fmt: skip
     assert [one.after for one in found.spreads] == [[0.25, 0.5], [0.5, 0.5]]
     assert found.figures["config.in-force.all"] == (0.5, "s")
+    assert found.figures["config.in-force.returned.all"] == (0.5, "s")
+    assert found.figures["config.in-force.not-cut.p999"] == (0.5, "s")
     assert found.figures["config.instance-cpu"] == (0.1, "cores an instance, most")
     assert not found.breaches
 
@@ -211,7 +213,8 @@
         network.opened = lambda source, target, more: opened.append((source, target, more))
 
         async def far(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            came.append(await reader.read(100))
+            came.append(b"")  # a connection
+            came[-1] = await reader.read(100)
             writer.close()
 
         server = await asyncio.start_server(far, "127.0.0.1", 0)
