Raft's simulation: leader completeness is asked of terms from that of the commit on

Schedules 809 and 11573 of the followers, over real Raft cores, ended with 'member 0 leads term 1 without committed entry 1'. The cores were right, the check was wrong: entry 1 was committed in term 2; member 0 stood still and learnt late that it had won term 1, which the others had left behind. Raft (5.4) promises committed entries to leaders of later terms. A test plays the schedule, which failed before.

--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -914,7 +914,10 @@
 
     def _beside(self) -> None:
         """What the members have done since, they have done."""
-        self.raft.until(self.now)
+        try:
+            self.raft._until(self.now)
+        except raft.ViolatedError as problem:
+            self.fail(f"of the members: {problem}")
         self.head = len(self.raft.applied_by)
         for instance, node in zip(self.instances, self.raft.nodes, strict=True):
             up = node.raft is not None
--- a/ponddoor/raft/simulation.py
+++ b/ponddoor/raft/simulation.py
@@ -127,6 +127,7 @@
         self.cut: set[tuple[int, int]] = set()
         self.leaders: dict[int, int] = {}  # term: who led it
         self.log: dict[int, Entry] = {}  # what is committed
+        self.committed_in: dict[int, int] = {}  # index: the lowest term in which it was seen to be
         self.applied_by: dict[tuple[str, int], int] = {}  # (client, serial): where it was applied
         self.acked: dict[tuple[str, int], int] = {}
         self.calls: dict[int, Call] = {}
@@ -357,7 +358,10 @@
             life = node.life
             self.after(0, self.plan.hunt_within, lambda: self._hunt(node, life))
         for index, entry in self.log.items():
-            if index > raft.snapshot.index and raft.term_at(index) != entry.term:
+            # Leader completeness (5.4) speaks of terms from that of the commit on: one that stood still may
+            # learn late that it won a term which the others have left behind
+            later = raft.term >= self.committed_in[index]
+            if later and index > raft.snapshot.index and raft.term_at(index) != entry.term:
                 self.fail(f"member {node.number} leads term {raft.term} without committed entry {index}")
 
     def _applied(self, node: Node, entry: Entry, first: bool) -> None:
@@ -365,6 +369,9 @@
             self.fail(f"member {node.number} applied {entry.index} after {node.applied}")
         node.applied = entry.index
         held = self.log.setdefault(entry.index, entry)
+        assert node.raft is not None
+        term = node.raft.term
+        self.committed_in[entry.index] = min(self.committed_in.get(entry.index, term), term)
         if held != entry:
             self.fail(f"entry {entry.index} is {held} and {entry}")
         self.found.committed = len(self.log)
--- a/tests/raft/test_raft.py
+++ b/tests/raft/test_raft.py
@@ -231,6 +231,13 @@
     assert explore(first, 50) == (50, "")
 
 
+def test_who_learns_late_that_it_won_a_term_that_is_left_behind_breaks_nothing() -> None:
+    """It stood still while the others elected another and committed in a later term."""
+    world = Simulation(Schedule(809, members=5, spare=0, clients=1, seconds=9, crashes=3, cuts=1, changes=0))
+    world.run()
+    assert world.committed_in[1] == 2 and list(world.leaders)[:2] == [2, 1]
+
+
 @pytest.mark.parametrize("shape", [crowded, changing, stale, compacting])
 def test_none_is_broken_where_guards_matter(shape: Any) -> None:
     assert explore(80, 8, shape=shape) == (8, "")
