--- a/ponddoor/config/followers.py
+++ b/ponddoor/config/followers.py
@@ -56,6 +56,7 @@
 APART = 1_500_000  # how long an instance has heard of no leader when it says so
 STEP = 10_000  # of real Raft cores beside this world
 VERSIONS = 160  # in the log of which a schedule plays a part
+MOST_AT_ONCE = 100_000  # steps in one moment: a core that wants to be called for ever ends a run, not a day
 MOST_REQUESTS = 12  # of one front in one second, whatever happens
 BASE = """
 (site harbour (zones east west) (kinds (kind vod (streams 80)))
@@ -286,6 +287,7 @@
         self.fronts = [Front(number) for number in range(plan.fronts)]
         self.cut: set[tuple[int, int]] = set()
         self.touched: list[Front] = []  # in this step
+        self.moment = (0, 0)  # the moment, and steps in it
         self.sides: list[int] = [0] * INSTANCES  # the side of a split that each instance is on
         for instance in self.instances[: plan.dead]:
             instance.up, instance.dead = False, True
@@ -883,6 +885,9 @@
     def checked(self) -> None:
         """After each step: what a front says is in force is what it took, and it never says less."""
         self.found.steps = self.steps
+        self.moment = (self.now, self.moment[1] + 1 if self.now == self.moment[0] else 0)
+        if self.moment[1] > MOST_AT_ONCE:
+            self.fail("time stands still")
         touched, self.touched = self.touched, []
         for front in touched:
             held = front.follower
