--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -77,7 +77,8 @@
     if fit.shape is Shape.POWER:
         return f"{told(fit.value, unit)} x {of}^{fit.power:.2f}"
     grown = {Shape.LINEAR: of, Shape.N_LOG_N: f"{of} x ln {of}", Shape.SQUARED: f"{of} squared"}[fit.shape]
-    return f"{told(fit.base, unit)} + {told(fit.value, unit)} x {grown}"
+    base = f"{told(fit.base, unit)} + " if abs(fit.base) > 1e-9 * abs(fit.at(fit.sizes[-1])) else ""
+    return f"{base}{told(fit.value, unit)} x {grown}"
 
 
 def _off(fit: Fit, unit: str) -> str:
@@ -98,6 +99,13 @@
     return "measured once" if times == 1 else f"measured {times} times"
 
 
+def _short(one: Projection) -> str:
+    """How a figure is known, where there is little room."""
+    if one.mark is Mark.EXTRAPOLATED:
+        return f" (extrapolated {_digits(one.far)} x)"
+    return f" (at {_digits(one.known_at)})" if one.mark is Mark.LAST else ""
+
+
 def _at(one: Projection) -> str:
     return f"{_digits(one.known_at if one.mark is Mark.LAST else one.size)} {one.row.of}"
 
