--- a/tests/following/test_days.py
+++ b/tests/following/test_days.py
@@ -240,6 +240,10 @@
             server.close()
         return came, opened
 
-    came, opened = asyncio.run(work())
+    async def bounded() -> tuple[list[bytes], list[tuple[str, str, int]]]:
+        async with asyncio.timeout(20):
+            return await work()
+
+    came, opened = asyncio.run(bounded())
     assert came == [b"GET /config/file"]
     assert opened[0] == ("front 0", "instance 0", 1) and len(opened) <= 2
