--- a/ponddoor/config/followers_mutants.py
+++ b/ponddoor/config/followers_mutants.py
@@ -56,6 +56,17 @@
         return State(), State()
 
 
+class Undated(Quick):
+    """Tells the life that its clock says, whatever it told before."""
+
+    def _restored(self, kept: bytes) -> tuple[State, State]:
+        wall = self.life
+        try:
+            return super()._restored(kept)
+        finally:
+            self.life = wall
+
+
 class Hasty(Quick):
     """A version is in force first and kept afterwards."""
 
@@ -144,7 +155,7 @@
 
 def dropping(seed: int) -> Schedule:
     """Lines are lost while connections stand, and connections are half open."""
-    return replace(drawn(seed - seed % 20), seed=seed, dropped=0.1, breaks=0.05, fronts=4)
+    return replace(drawn(seed - seed % 20), seed=seed, dropped=0.3, breaks=0.05, fronts=6)
 
 
 def away(seed: int) -> Schedule:
@@ -168,4 +179,5 @@
     "a seldom look while apart": (Homeless, away),
     "another than one that is apart": (Loyal, away),
     "a report of each change": (Mute, drawn),
+    "the life": (Undated, restarting),
 }
--- a/ponddoor/front/following.py
+++ b/ponddoor/front/following.py
@@ -17,7 +17,19 @@
 import structlog
 
 from ponddoor.front.coming import Loss
-from ponddoor.front.follower import MOST_LINE, Effect, Fetch, Follower, Keep, Leave, Say, Take, Tell, Watch
+from ponddoor.front.follower import (
+    CONNECT,
+    MOST_LINE,
+    Effect,
+    Fetch,
+    Follower,
+    Keep,
+    Leave,
+    Say,
+    Take,
+    Tell,
+    Watch,
+)
 from ponddoor.front.pump import SECOND, clock
 from ponddoor.front.words import wall
 from ponddoor.settings.sexpr import MOST_BYTES
@@ -31,7 +43,6 @@
     TurnedAwayError,
 )
 
-CONNECT = 1.0  # s
 ANSWER = 2.0  # s, for a report
 MOST_WHOLE = 2 * MOST_BYTES  # bytes of a whole state: of its characters some take two
 AHEAD = 200  # calls that wait for the core; a watch that brings more waits itself
@@ -53,6 +64,7 @@
     ) -> None:
         self.follower, self.instances, self._take, self._file = follower, instances, take, kept
         self.counts: dict[str, int] = {}  # what the shell itself refused, by reason
+        self.refused: Callable[[int, str], None] | None = None  # told of each version that can't be used here
         self._pending: list[Effect] | None = None
         self._calls: asyncio.Queue[tuple[Call, bool]] = asyncio.Queue(AHEAD)
         self._link: asyncio.Task[None] | None = None  # the watch, or a whole state that was asked for
@@ -174,6 +186,8 @@
                 self._start(self._tell(effect))
             case Say(level, event, detail):
                 getattr(log, level)(event, detail=detail, front=self.follower.me)
+                if event == "config-refused" and self.refused is not None:
+                    self.refused(*self.follower.refused)
 
     def _connect(self, work: "Coroutine[Any, Any, None] | None") -> None:
         """One connection to one instance at a time: the one before is closed."""
@@ -191,7 +205,7 @@
 
     async def _watch(self, turn: int, instance: int, after: int) -> None:
         host, port = self.instances[instance]
-        pool = Pool(host, port, 1, CONNECT)
+        pool = Pool(host, port, 1, CONNECT / SECOND)
         path = f"/config/watch?after={after}&front={self.follower.me}"
         try:
             # The core ends a silence by its own clock; this one only guards against a lost timer
@@ -215,7 +229,7 @@
 
     async def _fetch(self, turn: int, instance: int) -> None:
         host, port = self.instances[instance]
-        pool = Pool(host, port, 1, CONNECT, most_body=MOST_WHOLE)
+        pool = Pool(host, port, 1, CONNECT / SECOND, most_body=MOST_WHOLE)
         try:
             answer = await pool.request("GET", "/config/file", timeout=self.follower.silence / SECOND)
             if answer.status != 200:
@@ -269,7 +283,7 @@
 
     async def _tell(self, effect: Tell) -> None:
         host, port = self.instances[effect.instance]
-        pool = Pool(host, port, 1, CONNECT)
+        pool = Pool(host, port, 1, CONNECT / SECOND)
         why = ""
         try:
             answer = await pool.request("POST", "/config/fronts", effect.report, ANSWER)
--- a/ponddoor/rehearse/day.py
+++ b/ponddoor/rehearse/day.py
@@ -9,6 +9,8 @@
 
 import numpy as np
 
+from ponddoor.rehearse import changes
+from ponddoor.rehearse.changes import Instances, Pace, instances_of, pace_of
 from ponddoor.rehearse.places import MOST_HOLLOW, Layout
 from ponddoor.settings.check import Form, top_form
 from ponddoor.settings.sexpr import Problem, SettingsError, read
@@ -48,6 +50,7 @@
     "link_slow": {"part": (0, 1, 1), "size": (0, 60, 0.2)},
     "link_narrow": {"part": (0, 1, 1), "size": (100, 1e9, 10_000)},
     "link_reset": {"part": (0, 1, 1)},
+    **changes.TROUBLES,
     "place_killed": {"which": (-1, 10_000, -1)},
     "place_stopped": {"which": (-1, 10_000, -1)},
     "place_cut": {"which": (-1, 10_000, -1)},
@@ -55,12 +58,13 @@
 }
 _PLACES = ("machine", "rack", "zone", "region")
 _LINKS = ("list", "servers", "fronts", "list-out", "servers-out", "fronts-out", "list-in", "servers-in",
-          "fronts-in")  # fmt: skip
+          "fronts-in", "instances", "instances-out", "instances-in")  # fmt: skip
 
 HOWS: dict[str, tuple[str, ...]] = {
     "answer_lost": ("silent", "reset"),
     "hint_lies": ("idle", "duress"),
     **{kind: _LINKS for kind in TROUBLES if kind.startswith("link_")},
+    **changes.HOWS,
     **{kind: _PLACES for kind in TROUBLES if kind.startswith("place_")},
     "place_cut": (*_PLACES, *(f"{place}-{way}" for place in _PLACES for way in ("out", "in"))),
 }
@@ -109,6 +113,9 @@
     answers: float = 0.0  # what the list bears a second (0: all), its queue, and how long it stays fallen
     queue: int = 100
     fall: int = 5 * SECOND
+    instances: Instances | None = None  # that agree on the configuration, and how it changes
+    changes: Pace | None = None
+    each: float = 0.0  # viewers a second at every front, from which the rate is reckoned; 0: as `rate` says
     hollow: int = 0  # fronts without viewers beside the real ones, numbered after them
     layout: Layout = Layout()
     count: tuple[int, int] = (0, 0)  # from when to when words are counted
@@ -185,13 +192,14 @@
     answers, queue = bears.number("answers", 0.0, 0, 1e6), bears.whole("queue", 100, 1, 1_000_000)
     day = replace(day, answers=answers, queue=queue, fall=bears.time("fall", 5 * SECOND))
     bears.done()
-    hollow = top.whole("hollow", 0, 0, MOST_HOLLOW)
-    day = replace(day, hollow=hollow, layout=_layout(top.section("places"), site))
+    day = replace(day, instances=instances_of(top), changes=pace_of(top))
+    _fits_instances(top, day)
+    hollow, each = top.whole("hollow", 0, 0, MOST_HOLLOW), top.number("each", 0.0, 0, 1000)
+    day = replace(day, hollow=hollow, each=each, layout=_layout(top.section("places"), site))
     day = replace(day, count=_span(top, "count", (day.length // 4, day.length)))
     day = replace(day, **(shares or {}))  # type: ignore[arg-type]
-    each = top.number("each", 0.0, 0, 1000)
-    if each:
-        day = replace(day, rate=each * (day.fronts + day.hollow))
+    if day.each:
+        day = replace(day, rate=day.each * (day.fronts + day.hollow))
     _fits_hollow(top, day)
     top.done(words=1)
     if day.servers < site.facts.plant.cells:
@@ -204,6 +212,13 @@
     return replace(day, seed=seed)
 
 
+def _fits_instances(top: Form, day: Day) -> None:
+    if day.instances is not None and day.shell != "front":
+        top.problem(top.place, "(instances ...) with (shell node)", "(shell front): nodes do not follow")
+    asked = [t.kind for t in day.troubles if t.kind in changes.TROUBLES or t.how.startswith("instances")]
+    if day.instances is None and (day.changes is not None or asked):
+        found = "(changes ...)" if day.changes is not None else asked[0]
+        top.problem(top.place, f"{found} without instances", "(instances N)")
 def _layout(held: Form, site: Site) -> Layout:
     """(places (machine FRONTS) (rack MACHINES) (regions N))"""
     zones = tuple([place.zone for place in site.fronts] or [0])
