--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -312,15 +312,17 @@
         made["config.front-cpu"] = sum(spent) / len(spent) / over, "cores a real front, all it does"
     if empty and hollow:
         made["config.hollow-cpu"] = sum(empty) / hollow / over, "cores a hollow front, all it does"
-    herd = _herd(rows)
-    if herd is not None:
-        made["config.herd"] = herd, "times"
+    for name, methods in (("config.herd", ("GET",)), ("config.herd.with-reports", ("GET", "POST"))):
+        herd = _herd(rows, methods)
+        if herd is not None:
+            made[name] = herd, "times"
     return made
 
 
-def _herd(rows: list[Row]) -> float | None:
+def _herd(rows: list[Row], methods: tuple[str, ...]) -> float | None:
     """The most requests in a second over the mean, while those who were cut off come back."""
-    moments = sorted(at for row in rows if row["what"] == "instance-requests" for at in row["moments"])
+    told = [row for row in rows if row["what"] == "instance-requests" and row["method"] in methods]
+    moments = sorted(at for row in told for at in row["moments"])
     worst: float | None = None
     for row in rows:
         if row["what"] != "link-whole" or not row["fault"]["cut"]:
--- a/ponddoor/rehearse/instances.py
+++ b/ponddoor/rehearse/instances.py
@@ -107,7 +107,7 @@
     _open: Counter[str] = field(default_factory=Counter)
     _most_open: Counter[str] = field(default_factory=Counter)
     _requests: Counter[tuple[str, int]] = field(default_factory=Counter)  # by instance and second
-    _asked: list[int] = field(default_factory=list)
+    _asked: dict[str, list[int]] = field(default_factory=lambda: {"GET": [], "POST": []})  # moments
     _used: dict[str, tuple[int, float, float]] = field(default_factory=dict)  # pid, ended ones', this one's
     _before: dict[str, float] = field(default_factory=dict)  # process time before the day began
 
@@ -204,8 +204,9 @@
         if way == "in" and data.startswith(ASKED):
             now = time.monotonic_ns() // 1000
             self._requests[(one, now // SECOND)] += 1
-            if len(self._asked) < MOST_REQUESTS:
-                self._asked.append(now)
+            asked = self._asked["GET" if data.startswith(b"GET") else "POST"]
+            if len(asked) < MOST_REQUESTS:
+                asked.append(now)
 
     def _came(self, source: str, target: str, more: int) -> None:
         if source in self._linked and target.startswith("instance "):
@@ -323,7 +324,8 @@
             )  # fmt: skip
         for name, seconds in used.items():
             self.note("process-sums", process=name, seconds=seconds)
-        self.note("instance-requests", moments=self._asked)
+        for method, moments in self._asked.items():
+            self.note("instance-requests", method=method, moments=moments)
 
     # Troubles
 
