--- a/ponddoor/rehearse/followed.py
+++ b/ponddoor/rehearse/followed.py
@@ -18,6 +18,7 @@
 SECOND = 1_000_000
 HEADERS = 80  # bytes of IPv4 and TCP around what one write sends, and of its acknowledgement
 DUE = 9 * SECOND  # a version committed later than this before the end is not judged
+BUSY = 0.05  # of the time that hollow processes were late: times say nothing from here on
 SHOWN = 12  # versions in the table: the slowest
 RULES = ("one version a request", "never back", "whole", "refusal kept", "committed once")
 Row = dict[str, Any]
@@ -55,10 +56,12 @@
     decided: int = 0  # requests that were seen to be decided under one version or two
 
     def records(self, command: str, seed: int, repetition: int, commit: str, cores: int) -> list[Record]:
-        """One record a figure."""
+        """One record a figure. Those of a run on a machine that was too busy stand apart."""
+        late, _ = self.figures.get("config.loops-late", (0.0, ""))
+        under = self.under + ("-busy" if late >= BUSY else "")
         return [
             Record(
-                what=what, under=self.under, of="fronts", size=self.fronts, repetition=repetition, seed=seed,
+                what=what, under=under, of="fronts", size=self.fronts, repetition=repetition, seed=seed,
                 figure=round(figure, 6), unit=unit, how="sockets", commit=commit, cores=cores,
                 command=command,
             )
