One title's sessions all play; the factor of bare fronts has its own name

The links of a title's four holders bore a third of its sessions, so title.* was of a third. They are sized by the holders now. The factor of virtual time of bare and whole fronts stood under one name.

--- a/ponddoor/capacity/know_measure.py
+++ b/ponddoor/capacity/know_measure.py
@@ -113,7 +113,7 @@
             found = _died(world, under, max(count, 1), 300 * SECOND if under == "replaced" else 0)
     took = time.process_time() - begun
     return [*found, Figure("know.wrong", world.most_wrong, "pairs"),
-            Figure("virtual.factor", (world.now - began_at) / SECOND / took, "times")]  # fmt: skip
+            Figure("know.factor", (world.now - began_at) / SECOND / took, "times")]  # fmt: skip
 
 
 def _died(world: Knowing, under: str, count: int, away: int) -> list[Figure]:
--- a/ponddoor/capacity/loop_measure.py
+++ b/ponddoor/capacity/loop_measure.py
@@ -26,7 +26,8 @@
     """One front with sessions that play, and the means to time what it does."""
 
     def __init__(self, servers: int, sessions: int, titles: int, holders: int) -> None:
-        link = max(1.0, sessions * 1.2 / servers)  # MB a second: room for a rung under the top
+        holding = min(servers, holders) if titles == 1 else servers
+        link = max(1.0, sessions * 1.2 / holding)  # MB a second: room for a rung under the top
         text = SITE.format(
             zones="z0", servers=servers, racks=max(1, servers // 6), link=link, uplink=round(link * 1e3, 3)
         )
--- a/tests/capacity/test_measure.py
+++ b/tests/capacity/test_measure.py
@@ -111,6 +111,7 @@
 def test_all_sessions_are_resized_in_one_stretch() -> None:
     found = by_name(loop_measure.resize(300, "all", 1))
     assert found["resize.held"] == 300 and found["resize.stretch"] > 0 and found["resize.memory"] > 0
+    assert by_name(loop_measure.resize(300, "one-title", 1))["title.held"] == 300
 
 
 def test_a_request_is_decided_while_all_else_is_held() -> None:
