--- a/ponddoor/capacity/sockets_measure.py
+++ b/ponddoor/capacity/sockets_measure.py
@@ -171,6 +171,7 @@
         try:
             await bed.start()
             port = _list_port(bed.site)
+            await bed.until(port, "/servers", b"version")
             process = bed.processes[0]
             empty = memory_bytes(process.pid)
             clients = await connected(port, size)
