--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -206,9 +206,7 @@
                     cells.append("-")
                     continue
                 one = at_size(ROLES[0].rows[0], target.fronts, held[0], None)
-                cells.append(
-                    told(one.figure, unit) + ("" if one.mark is Mark.MEASURED else f" ({_known(one)})")
-                )
+                cells.append(told(one.figure, unit) + _short(one))
             if any(cell != "-" for cell in cells):
                 rows.append((kind, *cells))
         if rows:
