--- a/ponddoor/capacity/project.py
+++ b/ponddoor/capacity/project.py
@@ -188,8 +188,8 @@
 def series_of(records: Iterable[Record]) -> dict[Key, list[Series]]:
     """Records by need, one series for each way of running, the fullest first.
 
-    Trials are left out: they are of no text that stands. Where a size was measured again at another commit
-    the figures that come last in the files count alone."""
+    Trials are left out: they are of no text that stands. Where a repetition of a size was measured again at
+    another commit, what comes last in the files counts alone."""
     kept: dict[tuple[str, str, str, str, float], list[Record]] = defaultdict(list)
     for record in records:
         if record.how == "trial":
@@ -197,8 +197,8 @@
         record = canonical(record)
         under = record.under.removesuffix(UNREACHED)
         held = kept[record.what, under, record.of, record.how, record.size]
-        if held and held[-1].commit != record.commit:
-            held.clear()
+        run = (record.seed, record.repetition)
+        held[:] = [one for one in held if (one.seed, one.repetition) != run or one.commit == record.commit]
         held.append(record)
     grouped: dict[tuple[str, str, str, str], list[Record]] = defaultdict(list)
     for (what, under, of, how, _), held in kept.items():
--- a/tests/capacity/test_projection.py
+++ b/tests/capacity/test_projection.py
@@ -114,6 +114,8 @@
     new = records("control.words", "calm", "fronts", "1/s", SIZES, lambda n: 2.0, commit="new")
     tried = records("control.words", "calm", "fronts", "1/s", SIZES, lambda n: 7.0, how="trial")
     assert only(target, old + new).figure == 2
+    later = records("control.words", "calm", "fronts", "1/s", (820,), lambda n: 5.0, 1, commit="later")
+    assert only(target, new + later).figure == pytest.approx(3)  # one of three repetitions is newer
     assert only(target, new + tried).figure == 2
     assert not series_of(tried)
 
