--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -170,7 +170,7 @@
     for (need, of, module), under in blank.items():
         without = ("-", "-", of, "-", Mark.NONE.value, "-", "-")
         rows.append((need, ", ".join(under), *without, _carried(module, root)))
-    return f"State: {role.state}. Messages: {role.messages}.\n\n{_table(head, rows)}"
+    return f"State: {role.state}. Messages: {role.messages}.\n\n{_table(head, dict.fromkeys(rows))}"
 
 
 def _together(found: Found, target: Target) -> str:
