--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -16,6 +16,7 @@
     Verdict,
     a_day,
     at_size,
+    left_out,
     processes,
     project,
     ranking,
@@ -398,12 +399,8 @@
             rows.append(
                 (f"`{one.what}`", one.under, one.how, f"{_digits(one.sizes[-1])} {one.of}", last, shown)
             )
-    trials = sum(record.how == "trial" for record in records)
-    noted = (
-        f"\n{trials} figures of trials on scratch copies are in the files and in no table.\n"
-        if trials
-        else ""
-    )
+    out = sum(map(left_out, records))
+    noted = f"\n{out} figures of trials, or of runs on too busy a machine, are in no table.\n" if out else ""
     if kinds:
         noted += f"\n{kinds} more series are of words and bytes by kind under other conditions.\n"
     if not rows:
--- a/ponddoor/capacity/plot.py
+++ b/ponddoor/capacity/plot.py
@@ -19,6 +19,7 @@
 
 _TITLE = "Description"
 _LINES = 6  # a panel
+NEAR = 0.02  # of its limit: a need that stays below is in the first panel alone
 _MOST_TEXT = 10_000
 
 
@@ -55,11 +56,12 @@
 
     held = panels(project(target, records))
     wide = 3
-    high = 1 + -(-len(held) // wide)
+    near = {name: several for name, several in held.items() if max(map(_part, several)) >= NEAR}
+    high = 1 + -(-len(near) // wide)
     drawn = plt.figure(figsize=(5 * wide, 3.2 * (high + 1)))
     grid = drawn.add_gridspec(high + 1, wide)
     _all(drawn.add_subplot(grid[0:2, 0:2]), held, target)
-    for number, (name, several) in enumerate(held.items()):
+    for number, (name, several) in enumerate(near.items()):
         _panel(drawn.add_subplot(grid[2 + number // wide, number % wide]), name, several)
     drawn.tight_layout()
     picture.parent.mkdir(parents=True, exist_ok=True)
@@ -68,6 +70,12 @@
     return len(held)
 
 
+def _part(one: Projection) -> float:
+    """The greatest need of a projection as a part of its limit."""
+    most = one.limit.most if one.limit is not None else 1.0
+    return max([one.figure, *one.measured.values()]) / most
+
+
 def _all(axis: Any, held: Mapping[str, list[Projection]], target: Target) -> None:
     """Each need's worst condition as a multiple of its limit, over fronts that grow in step with all else."""
     if not held:
--- a/ponddoor/capacity/project.py
+++ b/ponddoor/capacity/project.py
@@ -28,6 +28,7 @@
 _KNOWN = re.compile(r"know\.([a-z0-9-]+)\.(dead|alive)\.(50|99)")
 _PLACED = re.compile(r"(scale\.know\.(?:dead|alive)\.(?:half|p99))\.([a-z]+)-\d+")
 UNREACHED = "-unreached"  # behind a condition: the run ended before it came about
+BUSY = "-busy"  # behind a condition: the machine was too busy, the run says nothing
 SAME = 0.005  # a size counts as measured where it lies off by no more
 
 
@@ -185,14 +186,19 @@
     return msgspec.structs.replace(record, what=what, under=under, unit=unit, figure=record.figure * by)
 
 
+def left_out(record: Record) -> bool:
+    """Whether a record is in no table."""
+    return record.how == "trial" or record.under.endswith(BUSY)
+
+
 def series_of(records: Iterable[Record]) -> dict[Key, list[Series]]:
     """Records by need, one series for each way of running, the fullest first.
 
-    Trials are left out: they are of no text that stands. Where a repetition of a size was measured again at
+    Trials are left out: they are of no text that stands; and so are runs on too busy a machine. Where a repetition of a size was measured again at
     another commit, what comes last in the files counts alone."""
     kept: dict[tuple[str, str, str, str, float], list[Record]] = defaultdict(list)
     for record in records:
-        if record.how == "trial":
+        if left_out(record):
             continue
         record = canonical(record)
         under = record.under.removesuffix(UNREACHED)
