--- a/ponddoor/capacity/page.py
+++ b/ponddoor/capacity/page.py
@@ -16,6 +16,7 @@
     Verdict,
     a_day,
     at_size,
+    left_out,
     processes,
     project,
     ranking,
@@ -170,7 +171,7 @@
     for (need, of, module), under in blank.items():
         without = ("-", "-", of, "-", Mark.NONE.value, "-", "-")
         rows.append((need, ", ".join(under), *without, _carried(module, root)))
-    return f"State: {role.state}. Messages: {role.messages}.\n\n{_table(head, rows)}"
+    return f"State: {role.state}. Messages: {role.messages}.\n\n{_table(head, dict.fromkeys(rows))}"
 
 
 def _together(found: Found, target: Target) -> str:
@@ -206,9 +207,7 @@
                     cells.append("-")
                     continue
                 one = at_size(ROLES[0].rows[0], target.fronts, held[0], None)
-                cells.append(
-                    told(one.figure, unit) + ("" if one.mark is Mark.MEASURED else f" ({_known(one)})")
-                )
+                cells.append(told(one.figure, unit) + _short(one))
             if any(cell != "-" for cell in cells):
                 rows.append((kind, *cells))
         if rows:
@@ -400,12 +399,8 @@
             rows.append(
                 (f"`{one.what}`", one.under, one.how, f"{_digits(one.sizes[-1])} {one.of}", last, shown)
             )
-    trials = sum(record.how == "trial" for record in records)
-    noted = (
-        f"\n{trials} figures of trials on scratch copies are in the files and in no table.\n"
-        if trials
-        else ""
-    )
+    out = sum(map(left_out, records))
+    noted = f"\n{out} figures of trials, or of runs on too busy a machine, are in no table.\n" if out else ""
     if kinds:
         noted += f"\n{kinds} more series are of words and bytes by kind under other conditions.\n"
     if not rows:
