--- a/ponddoor/capacity/project.py
+++ b/ponddoor/capacity/project.py
@@ -194,8 +194,8 @@
 def series_of(records: Iterable[Record]) -> dict[Key, list[Series]]:
     """Records by need, one series for each way of running, the fullest first.
 
-    Trials are left out: they are of no text that stands; and so are runs on too busy a machine. Where a repetition of a size was measured again at
-    another commit, what comes last in the files counts alone."""
+    Trials are left out, since they are of no text that stands, and runs on too busy a machine. Where a
+    repetition of a size was measured again at another commit, what comes last in the files counts alone."""
     kept: dict[tuple[str, str, str, str, float], list[Record]] = defaultdict(list)
     for record in records:
         if left_out(record):
