--- a/ponddoor/rehearse/relay.py
+++ b/ponddoor/rehearse/relay.py
@@ -25,6 +25,7 @@
 SEGMENT = 1460  # bytes
 RESENT_AFTER, OPENED_AFTER = 0.2, 1.0  # s until a lost segment, and a lost opening, are sent again
 MOST_RESENT = 8
+MOST_WIRES = 5000  # connections at a time
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +63,8 @@
     owner: dict[int, str] = field(default_factory=dict)
     passed: Callable[[str, str, bytes], None] | None = None
     opened: Callable[[str, str, int], None] | None = None  # with 1 as it opens and -1 as it ends
+    most_wires: int = MOST_WIRES
+    turned_away: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _wires: set["_Wire"] = field(default_factory=set)
     _servers: list[asyncio.Server] = field(default_factory=list)
@@ -144,6 +147,12 @@
 
     async def _accept(self, source: str, target: str, to: Address, reader: asyncio.StreamReader,
                       writer: asyncio.StreamWriter) -> None:  # fmt: skip
+        if len(self._wires) >= self.most_wires:
+            # Guards against a fleet that tries anew while this process lags: it would take all descriptors,
+            # and then do nothing but say so.
+            self.turned_away += 1
+            _abort(writer)
+            return
         wire = _Wire(self, source, target)
         wire.writers.append(writer)
         self._wires.add(wire)
--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -169,6 +169,8 @@
         config = None
         if self.day.instances is not None:
             config = followed(rows, self.day.fronts, self.day.hollow, self.day.instances)
+            if turned_away := self.network.turned_away:
+                config.figures["config.relay-full"] = float(turned_away), "connections turned away"
             config.figures["config.rehearsal-late"] = self.late / SECOND, "s, the relay's process, most"
             breaches = breaches + config.breaches
         return Result(
--- a/tests/following/test_days.py
+++ b/tests/following/test_days.py
@@ -247,3 +247,39 @@
     came, opened = asyncio.run(bounded())
     assert came == [b"GET /config/file"]
     assert opened[0] == ("front 0", "instance 0", 1) and len(opened) <= 2
+
+
+def test_a_relay_that_has_enough_connections_turns_away_and_goes_on() -> None:
+    async def work() -> tuple[int, bytes]:
+        network = Network(most_wires=2)
+
+        async def far(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(await reader.read(100))
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(far, "127.0.0.1", 0)
+        try:
+            async with asyncio.timeout(20):
+                there = await network.stream("front 0", "instance 0", server.sockets[0].getsockname()[:2])
+                held = [await asyncio.open_connection(*there) for _ in range(2)]
+                for reader, writer in held:
+                    writer.write(b"one")
+                    assert await reader.read(100) == b"one"
+                reader, _ = await asyncio.open_connection(*there)
+                with pytest.raises(ConnectionResetError):
+                    await reader.read(1)
+                for _, writer in held:
+                    writer.close()
+                while network._wires:
+                    await asyncio.sleep(0.001)
+                reader, writer = await asyncio.open_connection(*there)
+                writer.write(b"two")
+                got = await reader.read(100)
+                writer.close()
+                return network.turned_away, got
+        finally:
+            network.close()
+            server.close()
+
+    assert asyncio.run(work()) == (1, b"two")
