--- a/ponddoor/rehearse/hollow_table.py
+++ b/ponddoor/rehearse/hollow_table.py
@@ -16,6 +16,7 @@
 ENOUGH = 1600  # words of a kind on each side, from which chance is well under that
 UNLIKELY = 1e-5  # of fewer words: a chance under which two counts are not of one rate
 KEEPERS_SAY = ("answer", "brief")  # only who keeps a part says these
+TO_ALL = "begun"
 ASKED = {"answer": "holders", "brief": "ours"}  # and in answer to these
 SECOND = 1_000_000
 LATE = "hollow: loop, share of time late"
@@ -174,7 +175,9 @@
             weights = [sum(span.seconds for span in side) for side in sides]
         sums = [total(side, kind) for side in sides]
         each = [(n / max(w, 1e-9), b / max(w, 1e-9)) for (n, b), w in zip(sums, weights, strict=True)]
-        row = KindRow(kind, each[0], each[1], (sums[0][0], sums[1][0]))
+        # Said to all at once: what chance draws is the saying, not each of its words
+        heard_by = max(span.front for span in [*real, *hollow]) if kind == TO_ALL else 1
+        row = KindRow(kind, each[0], each[1], (sums[0][0] // heard_by, sums[1][0] // heard_by))
         rows.append(row)
         if not row.agrees((weights[0], weights[1])):
             apart.append(f"{kind}: {row.real[0]:.3f} real, {row.hollow[0]:.3f} hollow")
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -241,3 +241,9 @@
     few = [tables.Span(0, 10.0, {"via": [30, 900]}, {}, False, 0.0)]
     none = [tables.Span(1, 10.0, {"ping": [0, 0]}, {}, False, 0.0)]
     assert any(line.startswith("via") for line in tables.agreement(few, none, [], 1.0).apart)
+    silent = [tables.Span(n, 100.0, {}, {}, False, 0.0) for n in range(20)]
+    once = [tables.Span(20 + n, 100.0, {"begun": [39 * (n == 0), 2535]}, {}, False, 0.0) for n in range(20)]
+    often = [tables.Span(20 + n, 100.0, {"begun": [39, 2535]}, {}, False, 0.0) for n in range(20)]
+    for said, agrees in ((once, True), (often, False)):  # one front told all others; each of twenty did
+        rows, _ = tables.kind_rows(silent, said)
+        assert rows[0].agrees((2000.0, 2000.0)) is agrees
