--- a/ponddoor/raft/simulation.py
+++ b/ponddoor/raft/simulation.py
@@ -127,6 +127,7 @@
         self.cut: set[tuple[int, int]] = set()
         self.leaders: dict[int, int] = {}  # term: who led it
         self.log: dict[int, Entry] = {}  # what is committed
+        self.committed_in: dict[int, int] = {}  # index: the lowest term in which it was seen to be
         self.applied_by: dict[tuple[str, int], int] = {}  # (client, serial): where it was applied
         self.acked: dict[tuple[str, int], int] = {}
         self.calls: dict[int, Call] = {}
@@ -142,7 +143,17 @@
 
     def run(self) -> Found:
         """Play the schedule. Raises ViolatedError."""
-        plan, end = self.plan, self.plan.seconds * 1_000_000
+        end = self.plan.seconds * 1_000_000
+        self.begin(end)
+        self._until(end)
+        self.calm()
+        self._until(end + 10_000_000)
+        self._goes_on()
+        return self.found
+
+    def begin(self, end: int) -> None:
+        """Start the members and clients; trouble comes until shortly before the end."""
+        plan = self.plan
         for node in self.nodes[: plan.members]:
             self._start(node)
         for client in range(plan.clients):
@@ -155,7 +166,9 @@
         ):
             for _ in range(count):
                 self.after(500_000, end * 3 // 4, what)
-        self._until(end)
+
+    def calm(self) -> None:
+        """The trouble is over, and who is down is back."""
         self.faults = False
         self.cut.clear()
         for node in self.nodes:
@@ -164,9 +177,6 @@
             node.paused_until = 0
             if node.raft is None and node.life:
                 self._start(node)
-        self._until(end + 10_000_000)
-        self._goes_on()
-        return self.found
 
     def _until(self, end: int) -> None:
         try:
@@ -348,7 +358,10 @@
             life = node.life
             self.after(0, self.plan.hunt_within, lambda: self._hunt(node, life))
         for index, entry in self.log.items():
-            if index > raft.snapshot.index and raft.term_at(index) != entry.term:
+            # Leader completeness (5.4) speaks of terms from that of the commit on: one that stood still may
+            # learn late that it won a term which the others have left behind
+            later = raft.term >= self.committed_in[index]
+            if later and index > raft.snapshot.index and raft.term_at(index) != entry.term:
                 self.fail(f"member {node.number} leads term {raft.term} without committed entry {index}")
 
     def _applied(self, node: Node, entry: Entry, first: bool) -> None:
@@ -356,6 +369,9 @@
             self.fail(f"member {node.number} applied {entry.index} after {node.applied}")
         node.applied = entry.index
         held = self.log.setdefault(entry.index, entry)
+        assert node.raft is not None
+        term = node.raft.term
+        self.committed_in[entry.index] = min(self.committed_in.get(entry.index, term), term)
         if held != entry:
             self.fail(f"entry {entry.index} is {held} and {entry}")
         self.found.committed = len(self.log)
--- a/tests/following/test_rollout.py
+++ b/tests/following/test_rollout.py
@@ -12,7 +12,7 @@
 
 from ponddoor.config import rollout
 from ponddoor.config.api import Api
-from ponddoor.config.commands import config
+from ponddoor.config.commands import _connections, config
 from ponddoor.config.machine import Change, Machine, packed, taken_apart
 from ponddoor.config.rollout import Report, Reports, Row, Told, lines, merged
 from ponddoor.raft.core import Append, Limits, Members, Raft, Role, Voted
@@ -55,6 +55,16 @@
     assert held.take(rollout.FORGOTTEN, report(7)) == "" and set(held.held) == {1, 7}
 
 
+def test_who_is_no_more_is_forgotten_and_who_is_quiet_is_not() -> None:
+    held = Reports()
+    for front in range(3):
+        held.take(front, report(front))
+    held.forget(rollout.FORGOTTEN, {0})
+    assert set(held.held) == {0, 1, 2}
+    held.forget(rollout.FORGOTTEN + 1, {0})
+    assert set(held.held) == {0, 2}
+
+
 # What all say together
 
 
@@ -243,6 +253,15 @@
     assert again.digest == machine.digest and again.history[0].digest == ""
 
 
+def test_a_version_that_no_front_could_read_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    machine = Machine()
+    monkeypatch.setattr("ponddoor.config.machine.MOST_WHOLE", len(TEXT) + 200)
+    assert machine.apply(1, packed(Change("a", "b", 1, taken_apart(parse(TEXT, "t"))))).version == 1
+    fits = Change("a", "b", 1, {"groups/film": FILM})
+    over = Change("a", "b", 1, {f"titles/t{n}": f"(title t{n} (home 0) (span 1))" for n in range(20)})
+    assert machine.apply(2, packed(over)).why == "malformed" and machine.apply(3, packed(fits)).version == 2
+
+
 # Apart
 
 
@@ -339,6 +358,14 @@
     assert nowhere.exit_code == 2 and nowhere.output.count("\n") == 1
 
 
+@pytest.mark.parametrize(("soft", "most"), [(1024, 960), (2064, 2000), (20_000, 2000), (-1, 2000)])
+def test_the_descriptors_at_hand_bound_the_connections(
+    monkeypatch: pytest.MonkeyPatch, soft: int, most: int
+) -> None:
+    monkeypatch.setattr("resource.getrlimit", lambda what: (soft, 1 << 20))
+    assert _connections() == most
+
+
 def test_nobody_in_reach(tmp_path: Path) -> None:
     async def live() -> None:
         async with served(tmp_path) as world:
