Free ports: what a call leaves of a block of ports is there for the next call

Seen: in a whole run of the tests all that need ports failed from the middle of tests/following on, and passed alone. Ruled out: the text (the same tests pass alone in the same clone), load (they pass at load 50). Now the rest of a block is kept for the next call, by process, so that one that is forked takes blocks of its own.

--- a/ponddoor/rehearse/run.py
+++ b/ponddoor/rehearse/run.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import os
 import random
 import signal
 import socket
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
@@ -85,35 +87,48 @@
 
 _GUARDS: list[socket.socket] = []  # each holds the first port of a block that is ours while we live
 _BLOCK = 64
+_left: dict[int, deque[int]] = {}  # by process: the ports of its blocks that were not handed out yet
 
 
 def free_ports(count: int) -> list[int]:
     """Ports on loopback that nothing holds now, outside the range the kernel hands out by itself.
 
     Guards against two rehearsals at once that find the same ports: each takes whole blocks, and holds one
-    port of a block for as long as it lives. Raises RehearsalError where there are not enough."""
+    port of a block for as long as it lives. What a call leaves of a block the next one takes, but never a
+    process that was forked meanwhile: it has blocks of its own. Raises RehearsalError where there are not
+    enough."""
+    left = _left.setdefault(os.getpid(), deque())
     found: list[int] = []
-    blocks = list(range(12_000, 32_000, _BLOCK))
-    random.SystemRandom().shuffle(blocks)
-    for first in blocks:
-        guard = socket.socket()
+    blocks: list[int] | None = None
+    while len(found) < count:
+        if not left:
+            if blocks is None:
+                blocks = list(range(12_000, 32_000, _BLOCK))
+                random.SystemRandom().shuffle(blocks)
+            left.extend(_block_of(blocks))
+        port = left.popleft()
+        with (
+            contextlib.suppress(OSError),
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            found.append(port)
+    return found
+
+
+def _block_of(blocks: list[int]) -> range:
+    """The ports of the next block that nobody has. Raises RehearsalError."""
+    while blocks:
+        first, guard = blocks.pop(), socket.socket()
         try:
             guard.bind(("127.0.0.1", first))
         except OSError:
             guard.close()
             continue
         _GUARDS.append(guard)
-        for port in range(first + 1, first + _BLOCK):
-            with (
-                contextlib.suppress(OSError),
-                socket.socket() as tcp,
-                socket.socket(type=socket.SOCK_DGRAM) as udp,
-            ):
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-                found.append(port)
-            if len(found) == count:
-                return found
+        return range(first + 1, first + _BLOCK)
     raise RehearsalError("not enough free ports")
 
 
