Tests of members as they run have a bound on their time

Seen once: a run of tests/raft/test_member.py stood for 17 minutes on a machine at load 60, without processor time; its cause is not found. Each test now ends as failed after 60 s (they take one each).

--- a/tests/raft/test_member.py
+++ b/tests/raft/test_member.py
@@ -16,6 +16,7 @@
 from ponddoor.rehearse.run import free_ports
 from ponddoor.settings.sexpr import parse
 from ponddoor.store.files import Disk, DiskError, LockedError
+from ponddoor.web.timing import within
 from tests.front.conftest import site_text
 
 KEY = bytes(range(32))
@@ -108,7 +109,7 @@
             assert member.machine.number == 0  # its log is there, and nothing of it is applied yet
             assert (await member.change(Change("me", "why", 1, limits(7)))).version == 2
 
-    asyncio.run(live())
+    asyncio.run(within(60, live()))
 
 
 def test_three_agree_lose_their_leader_and_agree_again(tmp_path: Path) -> None:
@@ -132,7 +133,7 @@
                 await other.read()
             assert caught.value.leader == leader.identity.me
 
-    asyncio.run(live())
+    asyncio.run(within(60, live()))
 
 
 def test_one_alone_is_a_cluster_and_keeps_what_it_acknowledged(tmp_path: Path) -> None:
@@ -151,7 +152,7 @@
             with pytest.raises(ForeignDiskError):
                 await made.start(0, cluster="another")
 
-    asyncio.run(live())
+    asyncio.run(within(60, live()))
 
 
 def test_a_member_learns_votes_and_takes_over_and_another_leaves(
@@ -186,7 +187,7 @@
             for held in list(made.members.values()):
                 await held.stop()
 
-    asyncio.run(live())
+    asyncio.run(within(60, live()))
 
 
 class Gone(Disk):
@@ -213,4 +214,4 @@
             assert (await made.change(limits(3), 3)).version in (2, 3)
             await leader.stop()
 
-    asyncio.run(live())
+    asyncio.run(within(60, live()))
