Tests: each leaves the configuration of log lines as it was

Seen: in a whole run all tests that write a log line failed after tests/capacity (ValueError: I/O operation on closed file, 184 of them), and one of Raft stood still. Cause: a test that runs a command in its own process (click's runner) leaves structlog with the runner's standard error, which is closed then. Reproduced by tests/capacity/test_measure.py before tests/front/test_listing.py: failed without the fixture.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,13 @@
 """Plays scenarios: small text files, a line a step; docs/design.md tells the notation."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import fields, replace
 from pathlib import Path
 from typing import Any
 
 import pytest
+import structlog
 
 from ponddoor.decide import Front
 from ponddoor.interface import actions as act
@@ -15,6 +16,14 @@
 from ponddoor.interface import words
 from ponddoor.runtime.driver import Driver
 
+
+@pytest.fixture(autouse=True)
+def log_lines_of_one_test() -> Iterator[None]:
+    """Guards against a command that was run in a test and left all later log lines to its closed output."""
+    yield
+    structlog.reset_defaults()
+
+
 GROUP = fx.ServiceGroup(
     "g", 1_000_000, 3_000_000, 1.0, fx.Effect.SAFE, fx.Scope.ALL, 1_000_000, 0, 9, 0, False, 1.0
 )
