--- a/ponddoor/soak/commands.py
+++ b/ponddoor/soak/commands.py
@@ -17,7 +17,17 @@
 import msgspec
 
 from ponddoor.soak.minimise import minimise
-from ponddoor.soak.plan import Fault, Plan, PlanError, check, draw, draw_crossings, draw_shutdown, load
+from ponddoor.soak.plan import (
+    Fault,
+    Plan,
+    PlanError,
+    check,
+    draw,
+    draw_crossings,
+    draw_many_servers,
+    draw_shutdown,
+    load,
+)
 from ponddoor.soak.run import Outcome, SoakRun
 
 SHOWN = 5  # violations of a run
@@ -29,12 +39,14 @@
 @click.option("--seconds", default=20.0, show_default=True, help="How long a run lasts.")
 @click.option(
     "--kind",
-    type=click.Choice(["mixed", "shutdown", "crossings"]),
+    type=click.Choice(["mixed", "shutdown", "crossings", "many-servers"]),
     default="mixed",
     show_default=True,
-    help="All faults; terminations alone; ends of connections in the instant of a release.",
+    help="All faults; terminations alone; ends of connections in the instant of a release; all faults with "
+    "hundreds or thousands of servers, and changes of the list.",
 )
 @click.option("--nodes", default=0, help="How many nodes; 0: drawn from the seed.")
+@click.option("--servers", default=0, help="How many servers of many-servers; 0: drawn from the seed.")
 @click.option("--only", default="", help="Play these faults of the seed alone, by number: 0,4,7.")
 @click.option("--plan", "plan_file", type=click.Path(dir_okay=False, path_type=Path), help="A plan as JSON.")
 @click.option("--show", is_flag=True, help="Print the plan as JSON and play nothing.")
@@ -46,6 +58,7 @@
     seconds: float,
     kind: str,
     nodes: int,
+    servers: int,
     only: str,
     plan_file: Path | None,
     show: bool,
@@ -54,7 +67,7 @@
 ) -> None:
     """Play node processes under faults drawn from seeds and judge what passed on the sockets."""
     try:
-        drawn = [_drawn(kind, number, seconds, nodes) for number in range(seed, seed + count)]
+        drawn = [_drawn(kind, number, seconds, nodes, servers) for number in range(seed, seed + count)]
         plans = _plans(drawn, only, plan_file)
     except PlanError as error:
         click.echo(f"ponddoor soak: {error}", err=True)
@@ -71,7 +84,9 @@
     sys.exit(1 if failed else 0)
 
 
-def _drawn(kind: str, seed: int, seconds: float, nodes: int) -> Plan:
+def _drawn(kind: str, seed: int, seconds: float, nodes: int, servers: int) -> Plan:
+    if kind == "many-servers":
+        return draw_many_servers(seed, seconds, nodes, servers)
     if kind == "shutdown":
         return draw_shutdown(seed)
     if kind == "crossings":
@@ -146,7 +161,9 @@
     kept = ",".join(str(_place(plan.faults, fault)) for fault in smaller.faults)
     only = f" --only {kept}" if len(smaller.faults) < len(plan.faults) and kept else ""
     drawn = f"--seed {plan.seed} --seconds {plan.seconds:g}"
-    drawn += f" --nodes {smaller.nodes}" if plan.kind == "mixed" else f" --kind {plan.kind}"
+    drawn += f" --kind {plan.kind}" if plan.kind != "mixed" else ""
+    drawn += f" --nodes {smaller.nodes}" if plan.kind in ("mixed", "many-servers") else ""
+    drawn += f" --servers {smaller.servers}" if plan.racks else ""
     return f"ponddoor soak {drawn}{only}"
 
 
@@ -165,6 +182,7 @@
         "exited_before_kill": outcome.exited,
         "late_s": round(outcome.worst_lag_s, 3),
         "crossings": outcome.crossings,
+        "longest_turn_s": round(outcome.longest_turn_s, 3),
         "violations": len(outcome.violations),
     }
     return json.dumps(row)
--- a/ponddoor/soak/discovery.py
+++ b/ponddoor/soak/discovery.py
@@ -15,6 +15,8 @@
 HEARTBEAT_S = 1.0
 SLOW_S = 0.4  # how long a slow service takes to begin to answer
 ANY_HOST = "HOST:"  # in an event, for each node's own address of the servers
+ANY_NETWORK = "NETWORK."  # likewise, for each node's own network of servers that one process stands in for
+FIRST_NETWORK = 10  # the second number of the first node's network
 SETTLED_S = 0.1  # after a trouble, until connections are taken again
 
 
@@ -59,7 +61,7 @@
     hosts: tuple[str, ...]
     ports: tuple[int, ...]
     life_of: Callable[[str], NodeLife | None]
-    events: list[list[Member]] = field(default_factory=list)
+    events: list[tuple[list[Member], bool]] = field(default_factory=list)  # and whether it is the whole list
     state: State = State.WELL
     _listeners: list[asyncio.Server] = field(default_factory=list)
     _open: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -71,9 +73,9 @@
             listener = await asyncio.start_server(self._accept, self.hosts, port, backlog=1024)
             self._listeners.append(listener)
 
-    def publish(self, members: list[Member]) -> None:
-        """A change of the list; the first one is all of it."""
-        self.events.append(members)
+    def publish(self, members: list[Member], whole: bool = False) -> None:
+        """A change of the list; the first one is all of it, as a `whole` one is."""
+        self.events.append((members, whole or not self.events))
         self.oracle.events.append((time.monotonic(), len(self.events)))
         self._wake()
 
@@ -82,8 +84,14 @@
         return {"rev": len(self.events), "notices": [self._event(n) for n in range(1, len(self.events) + 1)]}
 
     def _event(self, number: int) -> dict[str, Any]:
-        rows = [member.as_row() for member in self.events[number - 1]]
-        return {"rev": number, "pool": {"revision": number, "complete": number == 1, "members": rows}}
+        members, whole = self.events[number - 1]
+        rows = [member.as_row() for member in members]
+        return {"rev": number, "pool": {"revision": number, "complete": whole, "members": rows}}
+
+    def for_node(self, text: str, node: int) -> str:
+        """Events as a node gets them, with its own addresses of the servers."""
+        text = text.replace(ANY_NETWORK, f"127.{FIRST_NETWORK + node}.")
+        return text.replace(ANY_HOST, f"{self.hosts[node]}:")
 
     def _wake(self) -> None:
         news, self._news = self._news, asyncio.Event()
@@ -135,7 +143,7 @@
             if self.state is not State.HANGS:
                 while last < len(self.events):
                     last += 1
-                    line = json.dumps(self._event(last)).replace(ANY_HOST, f"{self.hosts[life.node]}:")
+                    line = self.for_node(json.dumps(self._event(last)), life.node)
                     writer.write(line.encode() + b"\n")
                     self._note_told(number, life, last)
                 writer.write(b"%d\n" % last)
@@ -146,8 +154,10 @@
     def _note_told(self, number: int, life: NodeLife, event: int) -> None:
         now = time.monotonic()
         for earlier in range(event, 0, -1):
-            self.oracle.known_at.setdefault((number, earlier), now)
-        for member in self.events[event - 1]:
+            if (number, earlier) in self.oracle.known_at:
+                break
+            self.oracle.known_at[number, earlier] = now
+        for member in self.events[event - 1][0]:
             spans = life.drained.setdefault(member.id, [])
             ended = not spans or spans[-1][1] < FOREVER
             if member.phase == "in_service" and not ended:
--- a/ponddoor/soak/plan.py
+++ b/ponddoor/soak/plan.py
@@ -9,7 +9,9 @@
 MIN_KILL_DEADLINE_S = 0.7  # the protocol page: SIGKILL comes the longest deadline and this after SIGTERM
 MAX_KILL_DEADLINE_S = 3.0  # a longer deadline is counted as this
 MAX_PROCESSES = 48
+MAX_SERVERS_OF_ONE_PROCESS = 12_800  # of a plan with racks
 MAX_SECONDS = 120.0
+SERVERS_OF_A_RACK = 5
 
 FaultKind = Literal[
     "terminate",  # SIGTERM, then SIGKILL at the earliest moment that the page allows, then a new process
@@ -36,8 +38,16 @@
     "client_garbage",
     "client_pieces",  # writes messages in pieces
     "release_crossings",  # ends the connection in the instant in which its session is released
+    "list_changes",  # five events a second, of twenty rows each
+    "list_halves",  # events that each change half of all servers
+    "list_wholes",  # the whole list anew each second
+    "servers_replaced",  # one server in ten goes, and a new one takes its place, in steps
+    "servers_reset",  # a quarter of the servers resets whatever connects
 ]
-FAULT_KINDS: tuple[str, ...] = FaultKind.__args__  # type: ignore[attr-defined]
+MANY_SERVERS_KINDS = ("list_changes", "list_halves", "list_wholes", "servers_replaced", "servers_reset")
+FAULT_KINDS: tuple[str, ...] = tuple(
+    kind for kind in FaultKind.__args__ if kind not in MANY_SERVERS_KINDS  # type: ignore[attr-defined]
+)
 
 
 class ServiceClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -73,6 +83,7 @@
     classes: tuple[ServiceClass, ...]
     faults: tuple[Fault, ...]
     kind: str = "mixed"  # of the draw
+    racks: int = 0  # of servers that one process stands in for, two to a title; 0: each server holds all
 
     @property
     def kill_delay_s(self) -> float:
@@ -149,6 +160,27 @@
     return Plan(seed, seconds, 4, 3, 8, 50.0, bool(seed % 2), False, 500.0, 256, classes, faults, "crossings")
 
 
+def draw_many_servers(seed: int, seconds: float, nodes: int = 0, servers: int = 0) -> Plan:
+    """Hundreds or thousands of servers, changes of the list, and the faults of `draw` beside them."""
+    rng = Random(seed)
+    drawn_nodes, drawn_servers = rng.randint(3, 6), rng.choice((800, 1600, 3200))
+    mixed = draw(seed, seconds, nodes or drawn_nodes)
+    changes: Any = rng.sample(MANY_SERVERS_KINDS, rng.randint(2, 4))
+    faults = [
+        Fault(kind, round(rng.uniform(0.05, 0.4) * seconds, 3), round(rng.uniform(2.0, 0.6 * seconds), 3), 0)
+        for kind in changes
+    ]
+    count = servers or drawn_servers
+    return msgspec.structs.replace(
+        mixed,
+        servers=count,
+        racks=max(count // SERVERS_OF_A_RACK, 1),
+        sockets=672,
+        faults=tuple(sorted((*mixed.faults, *faults), key=lambda one: one.at)),
+        kind="many-servers",
+    )
+
+
 def _fault(rng: Random, seconds: float) -> Fault:
     kind: Any = rng.choice(FAULT_KINDS)
     at = rng.uniform(0.1, 0.75) * seconds
@@ -171,8 +203,11 @@
     """Raises PlanError for what the machine can't bear or nobody could play."""
     if not 1 <= plan.nodes <= MAX_PROCESSES:
         raise PlanError(f"{where}: {plan.nodes} nodes; 1 to {MAX_PROCESSES} can be played")
-    if not 1 <= plan.servers <= MAX_PROCESSES:
-        raise PlanError(f"{where}: {plan.servers} servers; 1 to {MAX_PROCESSES} can be played")
+    most_servers = MAX_SERVERS_OF_ONE_PROCESS if plan.racks else MAX_PROCESSES
+    if not 1 <= plan.servers <= most_servers:
+        raise PlanError(f"{where}: {plan.servers} servers; 1 to {most_servers} can be played")
+    if not 0 <= plan.racks <= plan.servers:
+        raise PlanError(f"{where}: {plan.racks} racks; each has a server at least")
     if not 1 <= plan.seconds <= MAX_SECONDS:
         raise PlanError(f"{where}: {plan.seconds:g} seconds; 1 to {MAX_SECONDS:g} can be played")
     if not plan.classes or any(not 0 < one.deadline_ms <= 60_000 for one in plan.classes):
--- a/ponddoor/soak/processes.py
+++ b/ponddoor/soak/processes.py
@@ -11,12 +11,13 @@
 from pathlib import Path
 from typing import Any
 
-from ponddoor.soak.discovery import ANY_HOST, Discovery
+from ponddoor.soak.discovery import Discovery
 from ponddoor.soak.oracle import Oracle
 from ponddoor.soak.plan import Plan
 from ponddoor.soak.records import FOREVER, NodeLife
 
 READY_LIMIT_S = 30.0
+MANY_SERVERS_KB = 200_000.0  # kB/s for each unit of weight, of all servers of a plan with racks together
 NODE = (sys.executable, "-m", "ponddoor.node")
 
 
@@ -59,7 +60,7 @@
             "connectTimeout": 250.0,
             "maxAttempts": 3,
             "maxRetryAfter": 500.0,
-            "mayTell": False,
+            "mayTell": bool(plan.racks),
             "probes": True,
             "retryAfter": True,
             "secondCopies": False,
@@ -83,12 +84,12 @@
             "classSeats": [0] * len(classes),
             "classTop": [2] * len(classes),
             "floorByClass": [0] * len(classes),
-            "groups": 2,
-            "kbPerWeight": 1000.0,
+            "groups": plan.racks or 2,
+            "kbPerWeight": MANY_SERVERS_KB / plan.servers if plan.racks else 1000.0,
             "kindStreams": [300],
             "ladderWorth": [0.2, 0.6, 1.0],
             "live": [False] * len(classes),
-            "positions": 4,
+            "positions": plan.racks or 4,
             "rackKb": 90000.0,
             "rateFactor": [1.0] * len(classes),
             "rungKb": [100.0, 300.0, 900.0],
@@ -108,6 +109,7 @@
     oracle: Oracle
     discovery: Discovery
     program: tuple[str, ...] = NODE
+    peers: tuple[str, ...] = ()  # where the nodes hear one another, by number
     board: int = 0  # which of discovery's two ports the configuration names
     life: NodeLife | None = None
     starts: int = 0
@@ -133,14 +135,15 @@
             "known": self.known(),
             "settings": settings(self.plan, self.number),
         }
+        if self.peers:
+            told |= {"peer_listen": self.peers[self.number], "peers": list(self.peers)}
         beside = self.path.with_suffix(".new")
         beside.write_text(json.dumps(told))
         beside.replace(self.path)
 
     def known(self) -> dict[str, Any]:
         """The list of the start, with this node's addresses of the servers."""
-        text = json.dumps(self.discovery.known())
-        return dict(json.loads(text.replace(ANY_HOST, f"{self.discovery.hosts[self.number]}:")))
+        return dict(json.loads(self.discovery.for_node(json.dumps(self.discovery.known()), self.number)))
 
     async def start(self, is_ready: Callable[[], Any]) -> NodeLife:
         """A new process; returns once it passes a test, or its time for that is over."""
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -2,30 +2,33 @@
 
 import asyncio
 import itertools
+import json
 import signal
 import sys
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 
 import msgspec
 
 from ponddoor.rehearse.run import free_ports
-from ponddoor.soak.discovery import ANY_HOST, Discovery, Member, State
+from ponddoor.soak.discovery import ANY_HOST, ANY_NETWORK, FIRST_NETWORK, Discovery, Member, State
 from ponddoor.soak.oracle import Oracle
 from ponddoor.soak.plan import Fault, Plan
 from ponddoor.soak.processes import NODE, NodeProcess
 from ponddoor.soak.records import FOREVER, AnswerKind, NodeLife, Session, Violation
-from ponddoor.soak.servers import MediaServer, Mode
+from ponddoor.soak.servers import MediaServer, Mode, SharedListener
 from ponddoor.soak.viewers import ViewerPool
 
 LAG_SAMPLE_S = 0.01
 SETTLE_S = 1.5  # after the last fault, until the judgement
 BUSY_CODE = "import time\nend = time.monotonic() + {seconds}\nwhile time.monotonic() < end: pass"
 BUSY_PROCESSES = 6
+CHANGES_A_SECOND, ROWS_OF_A_CHANGE = 5, 20
+REPLACED_STEPS = 5
 SERVER_MODES = {
     "server_hangs": Mode.HANGS,
     "server_silent": Mode.SILENT,
@@ -53,6 +56,8 @@
     exited: int  # processes that ended after SIGTERM before SIGKILL came
     worst_lag_s: float
     crossings: dict[str, int]  # releases whose connection was ended in their instant, by how it ended
+    longest_turn_s: float = 0.0  # of a node, as its log tells
+    connects_to_resetting: float = 0.0  # of a server and node in each second of that fault, at most
 
 
 @dataclass(slots=True)
@@ -72,6 +77,11 @@
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _server_ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
     _burners: list[asyncio.subprocess.Process] = field(default_factory=list)
+    _shared: SharedListener | None = None
+    _shared_port: int = 0
+    _by_number: dict[int, MediaServer] = field(default_factory=dict)
+    _listed: dict[str, Member] = field(default_factory=dict)  # every server as the list last told it
+    _resetting: list[tuple[MediaServer, float, float]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.oracle = Oracle(self.plan.drain_grace_ms / 1000)
@@ -101,17 +111,25 @@
     async def _set_up(self) -> None:
         plan = self.plan
         hosts = tuple(f"127.0.1.{number + 1}" for number in range(plan.nodes))
-        ports = free_ports(2 + plan.nodes)
+        ports = free_ports(3 + 2 * plan.nodes)
+        self._shared_port = ports.pop()
+        peer_ports = [ports.pop() for _ in range(plan.nodes)] if plan.racks else []
+        peers = tuple(f"{host}:{port}" for host, port in zip(hosts, peer_ports, strict=False))
+        if plan.racks:
+            self._shared = SharedListener(self._server_at)
+            self._shared.start(self._shared_port)
         self.discovery = Discovery(self.oracle, hosts, tuple(ports[:2]), self._life_of)
         await self.discovery.start()
         for _ in range(plan.servers):
             self.servers.append(await self._new_server())
-        self.discovery.publish([self._member(server, "in_service") for server in self.servers])
+        self._publish([self._member(server, "in_service") for server in self.servers])
         ids = itertools.count(plan.seed * 1_000_000 + 1)
-        for number, port in enumerate(ports[2:]):
+        for number, port in enumerate(ports[2 : 2 + plan.nodes]):
             listen = f"{hosts[number]}:{port}"
             self.nodes.append(
-                NodeProcess(plan, number, listen, self.folder, self.oracle, self.discovery, self.program)
+                NodeProcess(
+                    plan, number, listen, self.folder, self.oracle, self.discovery, self.program, peers
+                )
             )
             rng = Random(plan.seed * 1000 + number)
             self.pools.append(ViewerPool(plan, self.oracle, rng, (hosts[number], port), ids))
@@ -130,11 +148,14 @@
         await asyncio.gather(*(node.end() for node in self.nodes), return_exceptions=True)
         for server in (*self.servers, *self.retired):
             server.close()
+        if self._shared is not None:
+            self._shared.close()
         self.discovery.close()
         await asyncio.sleep(0)
 
     def _life_of(self, host: str) -> NodeLife | None:
-        number = int(host.rpartition(".")[2]) - 1
+        numbers = [int(part) for part in host.split(".")]
+        number = numbers[1] - FIRST_NETWORK if numbers[1] >= FIRST_NETWORK else numbers[3] - 1
         return self.nodes[number].life if number < len(self.nodes) else None
 
     async def _new_server(self) -> MediaServer:
@@ -148,14 +169,25 @@
             hosts,
             self._life_of,
             self._session_ends,
-            free_ports(1)[0],
+            self._shared_port if self._shared is not None else free_ports(1)[0],
         )
-        await server.start()
+        self._by_number[number] = server
+        if self._shared is None:
+            await server.start()
         return server
 
+    def _server_at(self, host: str) -> MediaServer | None:
+        _, _, high, low = (int(part) for part in host.split("."))
+        server = self._by_number.get(high * 250 + low)
+        return server if server is not None and server.in_service else None
+
     def _member(self, server: MediaServer, phase: str, started: bool = False) -> Member:
         up_since = time.time() * 1000 if started else 0.0
-        return Member(server.id, f"{ANY_HOST}{server.port}", phase, int(server.id[2:], 16) % 4, up_since)
+        number = int(server.id[2:], 16)
+        address = f"{ANY_HOST}{server.port}"
+        if self._shared is not None:
+            address = f"{ANY_NETWORK}{number // 250}.{number % 250}:{server.port}"
+        return Member(server.id, address, phase, number % (self.plan.racks or 4), up_since)
 
     def _session_ends(self, session: Session) -> None:
         self.pools[session.life.node].cross_release(session)
@@ -213,8 +245,22 @@
             sum(life.sigterm_at < life.exited_at < life.killed_at for life in self.oracle.lives),
             self.oracle.longest_lag,
             dict(sum((pool.crossed for pool in self.pools), Counter[str]())),
+            self._longest_turn_s(),
+            self._connects_to_resetting(),
         )
 
+    def _longest_turn_s(self) -> float:
+        lines = [line for node in self.nodes for line in node.log_lines('"event": "state"')]
+        return max((json.loads(line)["lag_us"] for line in lines), default=0) / 1e6
+
+    def _connects_to_resetting(self) -> float:
+        """The most connects that one server had of a node in each second while it reset them."""
+        rates = [
+            sum(since <= at < until for at in server.connects) / max(until - since, 1.0) / len(self.nodes)
+            for server, since, until in self._resetting
+        ]
+        return max(rates, default=0.0)
+
     # Faults
 
     async def _strike(self, fault: Fault) -> None:
@@ -242,6 +288,11 @@
                 "client_garbage": self._client_garbage,
                 "client_pieces": self._client_pieces,
                 "release_crossings": self._release_crossings,
+                "list_changes": self._list_changes,
+                "list_halves": self._list_halves,
+                "list_wholes": self._list_wholes,
+                "servers_replaced": self._servers_replaced,
+                "servers_reset": self._servers_reset,
             }
             await handlers[kind](fault)
 
@@ -319,15 +370,73 @@
         self.retired.append(server)
         fresh = self.servers[place] = await self._new_server()
         await asyncio.sleep(min(fault.seconds, 1.0))
-        self.discovery.publish([self._member(server, "terminated")])
-        self.discovery.publish([self._member(fresh, "in_service", started=True)])
+        self._publish([self._member(server, "terminated")])
+        self._publish([self._member(fresh, "in_service", started=True)])
 
     async def _server_drains(self, fault: Fault) -> None:
         server = self._server(fault)
-        self.discovery.publish([self._member(server, "terminating")])
+        self._publish([self._member(server, "terminating")])
         await asyncio.sleep(fault.seconds)
         if server in self.servers:
-            self.discovery.publish([self._member(server, "in_service")])
+            self._publish([self._member(server, "in_service")])
+
+    def _publish(self, members: list[Member], whole: bool = False) -> None:
+        self._listed |= {member.id: member for member in members}
+        self.discovery.publish(members, whole)
+
+    def _some_toggled(self, count: int) -> list[Member]:
+        """Some of the listed servers in their other phase: one that drains is in service again."""
+        listed = [server for server in self.servers if server.id in self._listed]
+        chosen = self._rng.sample(listed, min(count, len(listed)))
+        drains = [self._listed[server.id].phase == "in_service" for server in chosen]
+        return [
+            replace(self._listed[server.id], phase="terminating" if drain else "in_service")
+            for server, drain in zip(chosen, drains, strict=True)
+        ]
+
+    async def _list_changes(self, fault: Fault) -> None:
+        until = time.monotonic() + fault.seconds
+        while time.monotonic() < until:
+            self._publish(self._some_toggled(ROWS_OF_A_CHANGE))
+            await asyncio.sleep(1 / CHANGES_A_SECOND)
+
+    async def _list_halves(self, fault: Fault) -> None:
+        """Events that each put half of all servers into their other phase."""
+        until = time.monotonic() + fault.seconds
+        while time.monotonic() < until:
+            self._publish(self._some_toggled(len(self.servers) // 2))
+            await asyncio.sleep(1.0)
+
+    async def _list_wholes(self, fault: Fault) -> None:
+        until = time.monotonic() + fault.seconds
+        while time.monotonic() < until:
+            changed = {member.id: member for member in self._some_toggled(len(self.servers) // 10)}
+            listed = [self._listed[server.id] for server in self.servers if server.id in self._listed]
+            self._publish([changed.get(member.id, member) for member in listed], whole=True)
+            await asyncio.sleep(1.0)
+
+    async def _servers_replaced(self, fault: Fault) -> None:
+        for _ in range(REPLACED_STEPS):
+            rows = list[Member]()
+            for place in self._rng.sample(range(len(self.servers)), len(self.servers) // 50 or 1):
+                server = self.servers[place]
+                await server.die()
+                self.retired.append(server)
+                fresh = self.servers[place] = await self._new_server()
+                rows += [self._member(server, "terminated"), self._member(fresh, "in_service", started=True)]
+            self._publish(rows)
+            await asyncio.sleep(fault.seconds / REPLACED_STEPS)
+
+    async def _servers_reset(self, fault: Fault) -> None:
+        struck = self._rng.sample(self.servers, len(self.servers) // 4 or 1)
+        since = time.monotonic()
+        for server in struck:
+            server.set_mode(Mode.RESETS)
+        await asyncio.sleep(fault.seconds)
+        self._resetting += [(server, since, time.monotonic()) for server in struck]
+        for server in struck:
+            if server.mode is Mode.RESETS:
+                server.set_mode(Mode.WELL)
 
     async def _server_drops(self, fault: Fault) -> None:
         self._server(fault).reset_connections()
--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,6 +16,7 @@
 from ponddoor.soak.records import FOREVER, Attempt, AttemptEnd, NodeLife, Session, SessionEnd
 from ponddoor.soak.wire import MAX_MESSAGE_BYTES, Cause, server_line
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER
 ANSWER_S = (0.0, 0.05)  # from a set-up to its answer
 UNREAD_S = 0.5  # a release that was written so long before a reset may not have been read
 SESSION_S = (0.1, 3.0)  # how long a session stands
@@ -28,6 +31,7 @@
     FULL = "full"
     ERRORS = "errors"
     SPOILS = "spoils"
+    RESETS = "resets"  # whatever connects; only behind a shared listener
 
 
 @dataclass(slots=True)
@@ -46,6 +50,8 @@
     standing: dict[str, Session] = field(default_factory=dict)
     connections: "set[_Connection]" = field(default_factory=set)
     release_again: dict[int, list[str]] = field(default_factory=dict)  # by node, for its next connection
+    in_service: bool = True
+    connects: list[float] = field(default_factory=list)  # behind a shared listener: when nodes connected
     _listener: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -77,19 +83,23 @@
     def set_mode(self, mode: Mode) -> None:
         """Behave like this from now on."""
         now = time.monotonic()
-        if self.mode is Mode.SILENT and mode is not Mode.SILENT:
+        unreachable = (Mode.SILENT, Mode.RESETS)
+        if self.mode in unreachable and mode not in unreachable:
             begin, _ = self.oracle.server_troubles[self.id][-1]
             self.oracle.server_troubles[self.id][-1] = (begin, now + 1.0)
-        elif mode is Mode.SILENT and self.mode is not Mode.SILENT:
+        elif mode in unreachable and self.mode not in unreachable:
             self.oracle.server_troubles.setdefault(self.id, []).append((now, FOREVER))
         was, self.mode = self.mode, mode
         if was is Mode.SILENT:
             for connection in list(self.connections):
                 connection.read_on()
+        if mode is Mode.RESETS:
+            self.reset_connections()
 
     def reset_connections(self) -> None:
         """Reset every open connection, with what is out on it."""
-        self.forget_unread_releases()
+        if self.connections:
+            self.forget_unread_releases()
         for connection in list(self.connections):
             connection.reset()
 
@@ -103,6 +113,7 @@
 
     async def die(self) -> None:
         """The process ends: connections are reset, sessions are cut, new connections are refused."""
+        self.in_service = False
         if self._listener is not None:
             self._listener.close()
         self.oracle.server_troubles.setdefault(self.id, []).append((time.monotonic(), FOREVER))
@@ -119,6 +130,56 @@
             connection.reset()
 
 
+class SharedListener:
+    """One listener for any number of servers: each has an address of its own in each node's network."""
+
+    def __init__(self, server_at: Callable[[str], MediaServer | None]) -> None:
+        """`server_at` tells the server behind an address; None where none is in service."""
+        self._server_at = server_at
+        self._socket: socket.socket | None = None
+        self._tasks: set[asyncio.Task[object]] = set()
+
+    def start(self, port: int) -> None:
+        """Listen on every loopback address. Raises OSError where the port is taken."""
+        opened = self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.bind(("0.0.0.0", port))
+        opened.listen(4096)
+        opened.setblocking(False)
+        asyncio.get_running_loop().add_reader(opened, self._accept, opened)
+
+    def _accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                opened, _ = listener.accept()
+            except OSError:
+                return
+            server = self._server_at(opened.getsockname()[0])
+            if server is not None:
+                server.connects.append(time.monotonic())
+            if server is None or server.mode is Mode.RESETS:
+                opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                opened.close()
+                continue
+            opened.setblocking(False)
+            task: asyncio.Task[object] = loop.create_task(self._connect(server, opened))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, server: MediaServer, opened: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: _Connection(server), opened)
+
+    def close(self) -> None:
+        """The end of the run."""
+        for task in list(self._tasks):
+            task.cancel()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+
+
 class _Connection(asyncio.Protocol):
     """One connection from a node."""
 
--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -18,6 +18,7 @@
 
 NEW_CONNECTIONS_AFTER_SIGTERM_S = 0.4  # the protocol page: so long new connections may come
 RECONNECT_S = 0.05
+RACKS_OF_A_TITLE = 2
 VIEWER_ENDS = 0.3  # the share of sessions that their viewers end
 RESEND_LIMIT_S = 1.0  # past this a set-up is not sent again; what may cross a close, the oracle judges
 GIVE_UP_GRACE_S = 0.5  # a viewer waits so long over its time
@@ -87,6 +88,13 @@
                 connection.ask(self.rng.choice(self.plan.classes))
                 await asyncio.sleep(self.rng.expovariate(1000 / self.plan.interval_ms))
 
+    def place_of_title(self) -> wire.Place:
+        """Where a title lies: on two racks of a plan with racks, else on all servers."""
+        if not self.plan.racks:
+            return wire.Place(0, 4)
+        copies = min(RACKS_OF_A_TITLE, self.plan.racks)
+        return wire.Place(self.rng.randrange(self.plan.racks), copies)
+
     async def is_ready(self) -> bool:
         """Whether the node passes a test."""
         connection = await self.connect()
@@ -110,7 +118,8 @@
             self.playing[session.request] = session
             request = self.oracle.requests.get(session.request)
             class_name = request.class_name if request is not None else self.plan.classes[0].name
-            connection.write(wire.set_up(session.request, class_name, 0, session.server))
+            message = wire.set_up(session.request, class_name, 0, session.server, place=self.place_of_title())
+            connection.write(message)
         await asyncio.sleep(0.2)
         connection.close()
 
@@ -323,7 +332,7 @@
         if pool.rng.random() < 0.1:
             wait *= pool.rng.uniform(0.02, 1.0)  # a viewer's later try has less time left
         ident = f"{next(pool.ids):016x}"
-        data = wire.set_up(ident, service_class.name, wait * 1000)
+        data = wire.set_up(ident, service_class.name, wait * 1000, place=pool.place_of_title())
         request = Request(
             ident,
             self.life,
--- a/ponddoor/soak/wire.py
+++ b/ponddoor/soak/wire.py
@@ -108,9 +108,22 @@
     return ViewerMessage(kind, f"{session:016x}", parameters)
 
 
-def set_up(session: str, class_name: str, wait_ms: float, at_server: str = "") -> bytes:
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a title lies: its home, and over how many positions from there on."""
+
+    home: int
+    copies: int
+
+
+EVERYWHERE = Place(0, 4)
+
+
+def set_up(
+    session: str, class_name: str, wait_ms: float, at_server: str = "", place: Place = EVERYWHERE
+) -> bytes:
     """A set-up, or (with `at_server`) the hand-over of a session that plays there."""
-    figures = "home:0;copies:4;top:2;viewer:00000000b4d65521"
+    figures = f"home:{place.home};copies:{place.copies};top:2;viewer:00000000b4d65521"
     if at_server:
         figures += f";at:{at_server}"
     return encode(
