Shells: a list change, a connect and a look cost what they name, not all servers

Seen by callers: turns of the loop grew with servers also where nothing was said of them; a large event of the list was fed in one turn, and what came meanwhile lay unread. Cause: Servers.learn, look, inform and make_room, and the roster, went through all servers each time. Why it works: the roster tells what a message changes; links that are used are kept in two ordered sets; the engine is fed 500 rows a turn, those first that may no longer be used, and links know the whole change at once.

--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -126,6 +126,10 @@
     def playing_at(self, server: int) -> list[Held]:
         return list(self._at_server.get(server, {}).values())
 
+    def plays_at(self, server: int) -> bool:
+        """Whether a session plays at a server."""
+        return bool(self._at_server.get(server))
+
     # What happens
 
     def new_terms(self, now: int, facts: SiteFacts) -> list[Effect]:
--- a/ponddoor/front/listing.py
+++ b/ponddoor/front/listing.py
@@ -13,7 +13,7 @@
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.front.reconnect import Loss, ReconnectSchedule
-from ponddoor.front.roster import Entry, GapError, Kept, ListMessage, Roster, decode
+from ponddoor.front.roster import GapError, Kept, ListChange, ListMessage, Roster, decode
 from ponddoor.front.words import wall
 from ponddoor.interface import events as ev
 from ponddoor.settings.site import Site
@@ -25,14 +25,14 @@
 
 @dataclass(slots=True)
 class ListKeeper:
-    """Feeds one front's engine with the list. `learned` is told the entries in hand after each change."""
+    """Feeds one front's engine with the list. `learned` is told each change."""
 
     site: Site
     me: int
     roster: Roster
     engine: Engine
     apply: Apply
-    learned: Callable[[dict[int, Entry]], None]
+    learned: Callable[[ListChange], None]
     kept: Path | None
     schedule: ReconnectSchedule
     reachable: bool = False
@@ -51,9 +51,9 @@
             log.info("list-at-hand", servers=len(self.roster.entries), age_s=age, version=self.roster.version)
         elif found is not Kept.NONE:
             log.warning("kept-list-not-taken", why=found.value, file=str(self.kept))
-        rows = self.roster.rows()
-        self.learned(self.roster.entries)
-        self.apply(lambda now: self.engine.news(now, ev.NewsScope.CACHED, rows))
+        found_list = self.roster.all()
+        self.learned(found_list)
+        self.apply(lambda now: self.engine.news(now, ev.NewsScope.CACHED, found_list.rows))
         self.due = self.schedule.start(clock())
         if not self.site.facts.asked_discovery:
             self.watch(True)
@@ -135,12 +135,11 @@
             pool.close()
 
     def _take(self, message: ListMessage) -> None:
-        got = self.roster.take(message)
-        if got is None:
+        change = self.roster.take(message)
+        if change is None:
             return
-        scope, rows = got
-        self.learned(self.roster.entries)
-        self.apply(lambda now: self.engine.news(now, scope, rows))
+        self.learned(change)
+        self.apply(lambda now: self.engine.news(now, ev.NewsScope.CHANGES, change.rows))
         self._keep()
 
     def _keep(self) -> None:
--- a/ponddoor/front/roster.py
+++ b/ponddoor/front/roster.py
@@ -34,6 +34,15 @@
     beat: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ListChange:
+    """What a message changes: rows for the decisions, new or changed entries, servers that are gone."""
+
+    rows: tuple[ev.ServerRow, ...]
+    entries: tuple[Entry, ...] = ()
+    gone: tuple[int, ...] = ()
+
+
 class Kept(Enum):
     """What a front finds on disk at its start."""
 
@@ -69,7 +78,7 @@
     ignored: int = 0
     unusable: int = 0
 
-    def take(self, message: ListMessage) -> tuple[ev.NewsScope, tuple[ev.ServerRow, ...]] | None:
+    def take(self, message: ListMessage) -> ListChange | None:
         """Apply news; None where it is old or said twice. Raises GapError where something is missing."""
         if message.beat:
             if (message.list_id, message.version) != (self.list_id, self.version):
@@ -81,17 +90,39 @@
             return None
         if message.since is not None and (not same or message.since != self.version):
             raise GapError(f"changes since {message.since}, the version in hand is {self.version}")
-        named = [self._whole(entry) for entry in message.servers]
-        rows = {entry.server: row for entry in named if (row := self._row(entry)) is not None}
-        usable = {entry.server: entry for entry in named if entry.server in rows}
         self.list_id, self.version = message.list_id, message.version
-        if message.since is None:
-            self.entries = usable
-            return ev.NewsScope.FULL, tuple(rows.values())
-        self.entries |= usable
-        for entry in [one for one in usable.values() if one.state == "gone"]:
-            del self.entries[entry.server]  # guards against a list that grows with every server that ever was
-        return ev.NewsScope.CHANGES, tuple(rows.values())
+        return self._apply(message.servers, message.since is None)
+
+    def _apply(self, told: list[Entry], whole: bool) -> ListChange:
+        """What entries change. Of a whole list most say what is known, and cost no more than that look."""
+        named, changed, rows = set[int](), dict[int, Entry](), dict[int, ev.ServerRow]()
+        for entry in told:
+            number = entry.server
+            if self.entries.get(number) == entry and number not in changed:
+                named.add(number)
+                continue
+            entry = self._whole(entry)
+            row = self._row(entry)
+            if row is None:
+                continue
+            named.add(number)
+            changed[number], rows[number] = entry, row
+        removed = [self.entries[number] for number in self.entries.keys() - named] if whole else []
+        for entry in removed:
+            row = self._row(msgspec.structs.replace(entry, state="gone"))
+            if row is not None:
+                rows[entry.server] = row
+        gone = [entry.server for entry in removed]
+        gone += [number for number, entry in changed.items() if entry.state == "gone"]
+        entries = {number: entry for number, entry in changed.items() if entry.state != "gone"}
+        self.entries |= entries
+        for number in gone:
+            self.entries.pop(number, None)
+        return ListChange(tuple(rows.values()), tuple(entries.values()), tuple(gone))
+
+    def all(self) -> ListChange:
+        """All that is in hand, as one change."""
+        return ListChange(self.rows(), tuple(self.entries.values()))
 
     def _whole(self, entry: Entry) -> Entry:
         """Of a server that is gone the list may tell no more than that."""
--- a/ponddoor/front/servers.py
+++ b/ponddoor/front/servers.py
@@ -16,7 +16,7 @@
 from ponddoor.front.engine import Engine
 from ponddoor.front.hinting import Hinting
 from ponddoor.front.pump import Apply
-from ponddoor.front.roster import Entry
+from ponddoor.front.roster import Entry, ListChange
 from ponddoor.interface import events as ev
 from ponddoor.settings.site import Site
 from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
@@ -83,32 +83,37 @@
     setups: dict[tuple[str, int], asyncio.Task[None]] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     dropped_teardowns: int = 0
+    _leaving: set[int] = field(default_factory=set)  # gone from the list, with sessions left
     hinting: Hinting | None = None
     tells_terms: bool = False  # the site may change: a server is told by what terms a session plays
 
-    def learn(self, entries: dict[int, Entry]) -> None:
-        """The list in hand has changed: connect to who is new, let go of who is gone and holds nothing."""
-        for number, entry in entries.items():
+    def learn(self, change: ListChange) -> None:
+        """The list has changed: connect to who is new, let go of who is gone and holds nothing."""
+        for entry in change.entries:
+            number = entry.server
+            self._leaving.discard(number)
             link = self.links.get(number)
             if link is not None and link.entry.address != entry.address:
                 self._drop(number)
                 link = None
-            if link is None and entry.state != "gone":
+            if link is None:
                 host, _, port = entry.address.rpartition(":")
                 side = self.site.servers
                 connect = self.site.facts.permissions.connect_timeout / SECOND
                 pool = Pool(host, int(port), side.connections, connect, side.idle_time / SECOND)
                 self.links[number] = link = _Link(entry, pool)
                 link.notes = asyncio.create_task(self._follow(number, link))
-            elif link is not None:
+            else:
                 link.entry = entry
-        for number in [n for n, link in self.links.items() if n not in entries or link.entry.state == "gone"]:
+        self._leaving.update(number for number in change.gone if number in self.links)
+        for number in sorted(self._leaving):
             if not self.engine.playing_at(number):
                 self._drop(number)
 
     def _drop(self, number: int) -> None:
         if self.hinting is not None:
             self.hinting.gone(number)
+        self._leaving.discard(number)
         link = self.links.pop(number)
         if link.notes is not None:
             link.notes.cancel()
--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.front.reconnect import Loss, ReconnectSchedule
-from ponddoor.front.roster import Entry, GapError, Roster
+from ponddoor.front.roster import GapError, ListChange, Roster
 from ponddoor.interface import events as ev
 from ponddoor.node import board_codec
 from ponddoor.node.lines import Lines, UnreadableError
@@ -18,6 +19,7 @@
 from ponddoor.web.connecting import connect_within
 from ponddoor.web.timing import read_within
 
+ROWS_A_TURN = 500  # of the list that the engine is fed with in one turn of the loop
 SILENCE = 2.4  # s: the last number comes each second
 CONNECT = 1.0  # s: of the four after which news counts as told, with two tries and the pauses between them
 ANSWER = 0.05  # s after `watch`, in which what it has to tell comes: the protocol's slack
@@ -26,26 +28,28 @@
 
 @dataclass(slots=True)
 class Board:
-    """Feeds the engine with the list. `learned` is told the entries in hand after each change, `asked` when
+    """Feeds the engine with the list. `learned` is told each change at once, `asked` when
     what the board has to tell to a node that begins has come, or can't be had."""
 
     roster: Roster
     engine: Engine
     apply: Apply
-    learned: Callable[[dict[int, Entry]], None]
+    learned: Callable[[ListChange], None]
     asked: Callable[[], None]
     schedule: ReconnectSchedule
     address: Address = ("", 0)
     breaks: int = 0
     _following: asyncio.Task[None] | None = None
+    _rows: deque[ev.ServerRow] = field(default_factory=deque)  # told, and not yet fed to the engine
+    _feeding: bool = False
 
     def begin(self, place: Place) -> None:
         """The list of the start, then what follows."""
         for message in place.known:
             self.roster.take(message)
-        self.learned(self.roster.entries)
-        rows = self.roster.rows()
-        self.apply(lambda now: self.engine.news(now, ev.NewsScope.CACHED, rows))
+        known = self.roster.all()
+        self.learned(known)
+        self.apply(lambda now: self.engine.news(now, ev.NewsScope.CACHED, known.rows))
         self._follow_from(place.board, self.schedule.start(clock()))
 
     def follow(self, address: Address) -> None:
@@ -106,11 +110,22 @@
                 writer.transport.abort()
 
     def _take(self, line: bytes) -> None:
-        got = self.roster.take(board_codec.read(line))
-        if got is not None:
-            scope, rows = got
-            self.learned(self.roster.entries)
-            self.apply(lambda now: self.engine.news(now, scope, rows))
+        change = self.roster.take(board_codec.read(line))
+        if change is not None:
+            self.learned(change)
+            # What may no longer be used is heard first
+            self._rows.extend(sorted(change.rows, key=lambda row: row.state is ev.ServerState.READY))
+            if not self._feeding:
+                self._feed()
+
+    def _feed(self) -> None:
+        """Some rows a turn: between them what has come is read, and every state is a whole one. The shells
+        know the whole change by now, so nothing goes out to a server that may no longer be used."""
+        rows = tuple(self._rows.popleft() for _ in range(min(ROWS_A_TURN, len(self._rows))))
+        self._feeding = bool(self._rows)
+        if self._feeding:
+            asyncio.get_running_loop().call_soon(self._feed)
+        self.apply(lambda now: self.engine.news(now, ev.NewsScope.CHANGES, rows))
 
     def close(self) -> None:
         if self._following is not None:
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -19,7 +19,7 @@
 from ponddoor.front.limits import Gate, LagMeter
 from ponddoor.front.pump import SECOND, Pump, clock
 from ponddoor.front.reconnect import ReconnectSchedule
-from ponddoor.front.roster import Entry, Roster
+from ponddoor.front.roster import ListChange, Roster
 from ponddoor.node.board import Board
 from ponddoor.node.early import EarlySignal
 from ponddoor.node.servers import Servers
@@ -73,8 +73,8 @@
         self._told_to_end = asyncio.Event()
         self._most_lag = 0
 
-    def _learned(self, entries: dict[int, Entry]) -> None:
-        self.servers.learn(entries)
+    def _learned(self, change: ListChange) -> None:
+        self.servers.learn(change)
         left, part = self.sockets - SPARE_DESCRIPTORS, self.sockets // VIEWERS_SHARE
         self.viewers.most = max(left - len(self.servers.links), part)
         self.servers.most = max(left - self.viewers.most, part)
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -79,7 +79,7 @@
             self.transport.write(data)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ServerLink:
     """What a front holds towards one server."""
 
@@ -100,6 +100,7 @@
     def say(self, item: Item) -> None:
         """Write a message, or keep it until the connection is there; a SETUP, until all is read."""
         self.used_at = clock()
+        self.servers.used(self)
         if self.connection is not None and not isinstance(item, fx.SendSetup):
             self._write(self.connection, item)
         elif len(self.waiting) < MOST_WAITING:
@@ -116,7 +117,13 @@
     def needed(self) -> bool:
         """Whether the connection carries something, or sessions play there."""
         busy = self.waiting or self.tests or (self.connection is not None and self.connection.setups)
-        return bool(busy or self.servers.engine.playing_at(self.number))
+        return bool(busy or self.servers.engine.plays_at(self.number))
+
+    @property
+    def active(self) -> bool:
+        """Whether time alone can bring something here."""
+        connects = self.connection is not None or self.connecting is not None or self.later is not None
+        return bool(connects or self.pending_releases or self.needed)
 
     def send_waiting(self) -> None:
         """What waits may go out, each message for itself."""
@@ -142,11 +149,14 @@
         if self.connection is None and self.connecting is None:
             self.servers.make_room()
             self.connecting = asyncio.create_task(self._connect())
+            self.servers.connected[self] = None
+            self.servers.used(self)
 
     def connect_in_turn(self) -> None:
         """Connect after this front's part of a connect timeout: fronts that lost a server together do not
         connect to it together. No SETUP waits for it."""
         if self.connection is None and self.connecting is None and self.later is None:
+            self.servers.used(self)
             wait = self.servers.turn() / SECOND
             self.later = asyncio.get_running_loop().call_later(wait, self.connect)
 
@@ -163,6 +173,7 @@
             await asyncio.get_running_loop().create_connection(lambda: connection, sock=opened)
         except (OSError, TimeoutError) as problem:
             self.connecting = None
+            self.servers.connected.pop(self, None)
             if isinstance(problem, OSError) and problem.errno in LOCAL_ERRORS:
                 self._no_descriptor(problem)
             else:
@@ -170,6 +181,7 @@
             return
         self.connecting = None
         if connection.transport is None or connection.transport.is_closing():
+            self.servers.connected.pop(self, None)
             self._unreached(False)
             return
         self.connection, self.heard_at = connection, clock()
@@ -203,6 +215,7 @@
 
     def keep_release(self, sess: str) -> None:
         """A release that can't be sent now goes out first on the next connection."""
+        self.servers.used(self)
         if len(self.pending_releases) < MOST_PENDING_RELEASES:
             self.pending_releases[sess] = None
         else:
@@ -328,6 +341,7 @@
         if self.connection is not connection:
             return
         self.connection = None
+        self.servers.connected.pop(self, None)
         setups, connection.setups = connection.setups, {}
         tests, self.tests = self.tests, {}
         unheard = [sess for sess, at in connection.released.items() if clock() - at < RELEASE_SETTLED]
@@ -346,7 +360,7 @@
             self.connect()
         elif unheard:
             self.connect_in_turn()
-        if self.servers.engine.playing_at(self.number):
+        if self.servers.engine.plays_at(self.number):
             if self.entry.state == "gone":
                 self.servers.lose(self)
             else:
@@ -354,7 +368,7 @@
 
     def look(self, now: int, idle: int) -> None:
         """What time alone brings: half lines, silence, idle connections, connections that are wanted."""
-        connection, needed = self.connection, bool(self.servers.engine.playing_at(self.number))
+        connection, needed = self.connection, self.servers.engine.plays_at(self.number)
         quiet = min(
             SIGN_OF_LIFE_AFTER,
             max(SILENT_LIMIT // 2, SILENT_LIMIT - LEAST_TRIES * self.servers.connect_timeout),
@@ -408,5 +422,6 @@
             connection.transport.close()
         if self.connecting is not None:
             self.connecting.cancel()
+        self.servers.connected.pop(self, None)
         for _, limit in self.tests.values():
             limit.cancel()
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -11,12 +11,13 @@
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, Apply, clock
-from ponddoor.front.roster import Entry
+from ponddoor.front.roster import ListChange
 from ponddoor.interface import events as ev
 from ponddoor.node.server_link import MOST_PENDING_RELEASES, Item, ServerLink
 
 UNLISTED_FOR = 13 * SECOND // 2  # a session is handed over at a server that the list may name so much later
-UNLISTED_SERVERS = 256
+UNLISTED_SERVERS = 4096
+GONE_SERVERS = 16_384  # whose numbers are kept
 FLUSH_CHECK_S = 0.01  # between two looks at what was written last
 log = structlog.get_logger("servers")
 
@@ -35,6 +36,8 @@
     counts: dict[str, int] = field(default_factory=dict)
     most: int = 1 << 30  # connections at once
     informed: bool = False
+    connected: dict[ServerLink, None] = field(default_factory=dict)  # or connecting, the longest unused first
+    _watched: dict[ServerLink, None] = field(default_factory=dict)  # that a look may find something at
     _unlisted: dict[int, int] = field(default_factory=dict)  # servers of hand-overs, since when
     _unlisted_releases: dict[int, dict[str, None]] = field(default_factory=dict)
     _gone: dict[int, None] = field(default_factory=dict)  # servers that the list has named and removed
@@ -49,25 +52,31 @@
         Before that they wait: a drain that the list has counts as told from the start of this process."""
         if not self.informed:
             self.informed = True
-            for link in self.links.values():
+            for link in list(self._watched):
                 link.send_waiting()
 
     @property
     def unsent(self) -> bool:
-        return any(link.unsent for link in self.links.values())
+        """Whether something is still to be written."""
+        return any(link.unsent for link in self._watched)
+
+    def used(self, link: ServerLink) -> None:
+        """A link is used, or waits for something: it is looked at from now on."""
+        self._watched[link] = None
+        if link in self.connected:
+            del self.connected[link]
+            self.connected[link] = None
 
     def make_room(self) -> None:
         """Where all connections that the descriptors allow are open, close the one that was of no use for
         longest. Where every connection is needed none is closed, and there is one too many."""
-        used = [
-            link for link in self.links.values() if link.connection is not None or link.connecting is not None
-        ]
-        if len(used) >= self.most:
-            free = [link for link in used if link.connection is not None and not link.needed]
-            if free:
-                oldest = min(free, key=lambda link: link.used_at)
-                assert oldest.connection is not None
-                oldest.close_connection(oldest.connection, "made room")
+        if len(self.connected) < self.most:
+            return
+        free = (link for link in self.connected if link.connection is not None and not link.needed)
+        oldest = next(free, None)
+        if oldest is not None:
+            assert oldest.connection is not None
+            oldest.close_connection(oldest.connection, "made room")
 
     def turn(self) -> int:
         """How long this front waits before it connects where many do: its part of a connect timeout (us)."""
@@ -77,9 +86,10 @@
         """An id for a message that belongs to no session."""
         return f"{next(self._ids):016x}"
 
-    def learn(self, entries: dict[int, Entry]) -> None:
-        """The list in hand has changed."""
-        for number, entry in entries.items():
+    def learn(self, change: ListChange) -> None:
+        """The list has changed."""
+        for entry in change.entries:
+            number = entry.server
             link = self.links.get(number)
             place = entry.address, entry.started_us
             if link is None:
@@ -90,25 +100,34 @@
             else:  # another process: what played there is over
                 self.links[number] = ServerLink(self, number, entry, heard_at=clock())
                 self.lose(link)
-                self._fail(link)
-        for number in [number for number in self.links if number not in entries]:
-            link = self.links[number]
+                self._discard(link)
+        for number in change.gone:
+            if (link := self.links.get(number)) is None:
+                continue
             link.entry = msgspec.structs.replace(link.entry, state="gone")
             self._note_gone(number)
             if link.connection is None:
                 self.lose(link)
+            self._watched[link] = None
             self._let_go(link)
 
     def _let_go(self, link: ServerLink) -> None:
         """A server that has gone is forgotten once nothing of ours is left there."""
         busy = (
-            self.engine.playing_at(link.number)
+            self.engine.plays_at(link.number)
             or link.waiting
             or (link.connection is not None and link.connection.setups)
         )
         if link.entry.state == "gone" and not busy:
-            self.links.pop(link.number, None)
-            self._fail(link)
+            if self.links.get(link.number) is link:
+                del self.links[link.number]
+            self._discard(link)
+
+    def _discard(self, link: ServerLink) -> None:
+        """The link is of no use any more: no look finds it."""
+        self._fail(link)
+        self._watched.pop(link, None)
+        self.connected.pop(link, None)
 
     def _fail(self, link: ServerLink) -> None:
         """Nothing goes out on this link any more. What waited is answered in the next turn: the decisions
@@ -162,7 +181,7 @@
 
     def lose(self, link: ServerLink) -> None:
         """What plays at a server is over."""
-        if self.engine.playing_at(link.number):
+        if self.engine.plays_at(link.number):
             log.info(
                 "sessions-lost",
                 server=f"{link.number:08x}",
@@ -190,7 +209,7 @@
         self._unlisted.pop(link.number, None)
         for sess in self._unlisted_releases.pop(link.number, {}):
             link.keep_release(sess)
-        if link.pending_releases or self.engine.playing_at(link.number):
+        if link.pending_releases or self.engine.plays_at(link.number):
             link.connect_in_turn()
 
     def _release_unlisted(self, server: int, sess: str) -> None:
@@ -204,7 +223,7 @@
 
     def _note_gone(self, number: int) -> None:
         self._gone[number] = None
-        if len(self._gone) > MOST_PENDING_RELEASES:
+        if len(self._gone) > GONE_SERVERS:
             del self._gone[next(iter(self._gone))]
 
     def _look_unlisted(self, now: int) -> None:
@@ -216,14 +235,16 @@
 
     def look(self, now: int, idle: int) -> None:
         """Called every quarter of a second or so."""
-        for link in list(self.links.values()):
+        for link in list(self._watched):
             link.look(now, idle)
             self._let_go(link)
+            if not link.active:
+                self._watched.pop(link, None)
         self._look_unlisted(now)
 
     async def close(self, until: int) -> None:
         """End every connection once what was written to it has left, `until` at the latest."""
-        while any(link.unsent for link in self.links.values() if link.connection) and clock() < until:
+        while any(link.unsent for link in self._watched if link.connection) and clock() < until:
             await asyncio.sleep(FLUSH_CHECK_S)
-        for link in self.links.values():
+        for link in {**self._watched, **self.connected}:
             link.close()
--- a/ponddoor/rehearse/hollow_process.py
+++ b/ponddoor/rehearse/hollow_process.py
@@ -174,12 +174,13 @@
             await asyncio.sleep(0.2)
 
     def _take(self, line: bytes) -> None:
-        got = self.roster.take(decode(line))
-        if got is None:
+        change = self.roster.take(decode(line))
+        if change is None:
             return
         self._listed.set()
         part = len(self.mine) / (self.day.fronts + self.day.hollow)
-        for number, entry in self.roster.entries.items():
+        for entry in change.entries:
+            number = entry.server
             held = self.pretended.get(number)
             if held is None:
                 made = PretendedServer(self.site, entry, self.day.seed, part, self.noted, self.stream_over)
@@ -187,12 +188,12 @@
                 made.begin()
             else:
                 held.listed(entry)
-        for number in [number for number in self.pretended if number not in self.roster.entries]:
-            self.pretended.pop(number).end_all()
-            self._lost(number)
-        scope, rows = got
+        for number in change.gone:
+            if number in self.pretended:
+                self.pretended.pop(number).end_all()
+                self._lost(number)
         for front in self.fronts.values():
-            front.news(scope, rows)
+            front.news(ev.NewsScope.CHANGES, change.rows)
 
     def noted(self, server: int, kind: ev.NoteKind, value: float) -> None:
         for front in self.fronts.values():
--- a/tests/front/test_cores.py
+++ b/tests/front/test_cores.py
@@ -8,7 +8,7 @@
 from ponddoor.front.limits import SAMPLE, LagMeter
 from ponddoor.front.roster import Entry, GapError, Kept, ListMessage, Roster, decode, encode
 from ponddoor.front.sealed import MOST, ROOM, Seal, WordTooLongError
-from ponddoor.interface.events import NewsScope, ServerState
+from ponddoor.interface.events import ServerState
 
 KEY, AGE, NOW = bytes(range(32)), 10_000_000, 1_700_000_000_000_000
 
@@ -25,8 +25,9 @@
     held = roster()
     assert held.take(ListMessage("l", 4, [entry(1)])) is not None
     change = ListMessage("l", 5, [entry(1, "draining")], since=4)
-    scope, rows = held.take(change) or (None, ())
-    assert scope is NewsScope.CHANGES and rows[0].state is ServerState.DRAINING
+    got = held.take(change)
+    assert got is not None and [row.server for row in got.rows] == [1]
+    assert got.rows[0].state is ServerState.DRAINING
     assert held.take(change) is None and held.take(ListMessage("l", 3, [entry(1)])) is None
     assert held.rows()[0].state is ServerState.DRAINING and held.ignored == 2
 
