--- a/ponddoor/node/board_codec.py
+++ b/ponddoor/node/board_codec.py
@@ -9,7 +9,7 @@
 from ponddoor.front.roster import Entry, ListMessage
 from ponddoor.node.lines import UnreadableError
 
-MOST = 1 << 20  # bytes of a line: all servers of a large fleet
+MOST = 1 << 24  # bytes of a line: 12,800 servers of a kibibyte each, and some more
 LIST = "board"  # events of one start are one list
 _STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 _SERVER = re.compile("s-([0-9a-f]{8})")
