Servers that reset or refuse what connects are connected to by backoff with jitter

Seen by callers: a quarter of the servers resets each connection, and each is connected to without a pause; each connect is a handshake that servers pay for, and the node's loop had no time for set-ups. Cause: a pending release, a set-up and a session that plays each made the next connection at once, which broke and kept the release. Why it works: all that connects to a server shares one backoff (second try at once, then 1 to 1.5 s, then 2 to 3 s); set-ups meanwhile are answered as never sent, releases wait. A line from the server ends it.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -63,6 +63,7 @@
         apply = self.pump.apply
         connect = facts.permissions.connect_timeout
         self.servers = Servers(self.engine, apply, groups, connect, facts.me, facts.fronts)
+        self.servers.random.seed(facts.seed)
         self.viewers = Viewers(self.engine, apply, self.servers.attend, groups, 0)
         roster = Roster(place.zones, place.kinds, facts.plant.cells, now - time.time_ns() // 1000)
         schedule = ReconnectSchedule(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -11,6 +11,7 @@
 import structlog
 
 from ponddoor.front import effects as fx
+from ponddoor.front.backoff import ConnectBackoff
 from ponddoor.front.pump import SECOND, clock, once_read
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
@@ -34,6 +35,7 @@
 PARTIAL_LINE_LIMIT = SECOND // 4  # a line that takes longer than this to end does not end
 MOST_WAITING = 1000  # messages that wait for one connection
 MOST_PENDING_RELEASES = 1000  # for a server out of reach, or unread on a connection that may end
+OF_USE_AFTER = SECOND  # a connection that ends sooner, and on which nothing was heard, has failed
 RELEASE_SETTLED = SECOND  # a release on a connection that is open so long after has been read
 WRITE_BUFFER_LIMIT = 1 << 18  # bytes that a server may leave unread
 LOCAL_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
@@ -52,6 +54,8 @@
         self.given_up: dict[str, int] = {}
         self.released: dict[str, int] = {}
         self.partial_since: int | None = None
+        self.opened_at = clock()
+        self.heard = False  # the server has said something on it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -65,6 +69,8 @@
                 self.partial_since = None
             for line in lines:
                 if self.link.connection is self:
+                    self.heard = True
+                    self.link.backoff.succeeded()
                     self.link.take(self, line)
         except UnreadableError as problem:
             self.link.servers.count("spoilt")
@@ -96,6 +102,10 @@
     sign_asked_at: int = 0
     gone_since: int | None = None
     later: asyncio.TimerHandle | None = None
+    backoff: ConnectBackoff = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.backoff = ConnectBackoff(self.servers.random)
 
     def say(self, item: Item) -> None:
         """Write a message, or keep it until the connection is there; a SETUP, until all is read."""
@@ -145,8 +155,16 @@
             self._write(self.connection, item)
 
     def connect(self) -> None:
-        self._no_later()
-        if self.connection is None and self.connecting is None:
+        """Connect now or, after failures, once the backoff allows it: what waits is answered by then."""
+        if self.connection is not None or self.connecting is not None:
+            return
+        if self.backoff.wait(clock()):
+            self.servers.count("connects-held-back")
+            self._fail_waiting(ev.Result.CONNECT_FAILED)
+            if self.pending_releases:
+                self.connect_in_turn()
+        else:
+            self._no_later()
             self.servers.make_room()
             self.connecting = asyncio.create_task(self._connect())
             self.servers.connected[self] = None
@@ -157,8 +175,12 @@
         connect to it together. No SETUP waits for it."""
         if self.connection is None and self.connecting is None and self.later is None:
             self.servers.used(self)
-            wait = self.servers.turn() / SECOND
-            self.later = asyncio.get_running_loop().call_later(wait, self.connect)
+            wait = max(self.servers.turn(), self.backoff.wait(clock()) + 1) / SECOND
+            self.later = asyncio.get_running_loop().call_later(wait, self._connect_later)
+
+    def _connect_later(self) -> None:
+        self.later = None
+        self.connect()
 
     def _no_later(self) -> None:
         if self.later is not None:
@@ -177,11 +199,13 @@
             if isinstance(problem, OSError) and problem.errno in LOCAL_ERRORS:
                 self._no_descriptor(problem)
             else:
+                self.backoff.failed(clock())
                 self._unreached(isinstance(problem, ConnectionRefusedError))
             return
         self.connecting = None
         if connection.transport is None or connection.transport.is_closing():
             self.servers.connected.pop(self, None)
+            self.backoff.failed(clock())
             self._unreached(False)
             return
         self.connection, self.heard_at = connection, clock()
@@ -194,24 +218,24 @@
         """The machine gives us no connection: nothing ran, and the server is not to blame."""
         self.servers.count("no-descriptor")
         log.warning("no-descriptor", server=f"{self.number:08x}", why=str(problem))
-        waiting, self.waiting = self.waiting, []
-        for item in waiting:
-            if isinstance(item, fx.SendTeardown):
-                self.keep_release(item.sess)
-            else:
-                self.servers.never_sent(item, ev.Result.MOOT)
+        self._fail_waiting(ev.Result.MOOT)
 
     def _unreached(self, refused: bool) -> None:
         """No connection came up: nothing that waited for it ran. Refused, the process is dead."""
-        waiting, self.waiting = self.waiting, []
         if refused:
             self.pending_releases.clear()
+            self.waiting = [item for item in self.waiting if not isinstance(item, fx.SendTeardown)]
             self.servers.lose(self)
+        self._fail_waiting(ev.Result.CONNECT_FAILED)
+
+    def _fail_waiting(self, why: ev.Result) -> None:
+        """What waits is answered as never sent; releases wait for the next connection."""
+        waiting, self.waiting = self.waiting, []
         for item in waiting:
-            if isinstance(item, fx.SendTeardown) and not refused:
+            if isinstance(item, fx.SendTeardown):
                 self.keep_release(item.sess)
             else:
-                self.servers.never_sent(item, ev.Result.CONNECT_FAILED)
+                self.servers.never_sent(item, why)
 
     def keep_release(self, sess: str) -> None:
         """A release that can't be sent now goes out first on the next connection."""
@@ -340,6 +364,8 @@
             connection.transport.abort()
         if self.connection is not connection:
             return
+        if not connection.heard and clock() - connection.opened_at < OF_USE_AFTER:
+            self.backoff.failed(clock())
         self.connection = None
         self.servers.connected.pop(self, None)
         setups, connection.setups = connection.setups, {}
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from dataclasses import dataclass, field
+from random import Random
 
 import msgspec
 import structlog
@@ -34,6 +35,7 @@
     fronts: int = 1
     links: dict[int, ServerLink] = field(default_factory=dict)
     counts: dict[str, int] = field(default_factory=dict)
+    random: Random = field(default_factory=Random)  # of the backoff's jitter
     most: int = 1 << 30  # connections at once
     informed: bool = False
     connected: dict[ServerLink, None] = field(default_factory=dict)  # or connecting, the longest unused first
--- a/ponddoor/soak/commands.py
+++ b/ponddoor/soak/commands.py
@@ -183,6 +183,8 @@
         "late_s": round(outcome.worst_lag_s, 3),
         "crossings": outcome.crossings,
         "longest_turn_s": round(outcome.longest_turn_s, 3),
+        "cpu_s": round(outcome.cpu_s, 2),
+        "connects_to_resetting": round(outcome.connects_to_resetting, 2),
         "violations": len(outcome.violations),
     }
     return json.dumps(row)
--- a/ponddoor/soak/processes.py
+++ b/ponddoor/soak/processes.py
@@ -194,6 +194,14 @@
             self._paused_at = FOREVER
         self._process.send_signal(number)
 
+    @property
+    def cpu_s(self) -> float:
+        """Processor time of the process of now, in seconds; 0 where it has ended."""
+        if self._process is None or self._process.returncode is not None:
+            return 0.0
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def log_lines(self, word: str) -> list[str]:
         """The lines of its log with a word in them."""
         path = self.folder / f"node-{self.number}.log"
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -57,6 +57,7 @@
     worst_lag_s: float
     crossings: dict[str, int]  # releases whose connection was ended in their instant, by how it ended
     longest_turn_s: float = 0.0  # of a node, as its log tells
+    cpu_s: float = 0.0  # of the processes that ran at the end
     connects_to_resetting: float = 0.0  # of a server and node in each second of that fault, at most
 
 
@@ -246,6 +247,7 @@
             self.oracle.longest_lag,
             dict(sum((pool.crossed for pool in self.pools), Counter[str]())),
             self._longest_turn_s(),
+            sum(node.cpu_s for node in self.nodes),
             self._connects_to_resetting(),
         )
 
--- /dev/null
+++ b/tests/front/test_backoff.py
@@ -0,0 +1,39 @@
+"""The backoff of connects: how often an address is tried, and when again."""
+
+from random import Random
+
+import pytest
+
+from ponddoor.front.backoff import FIRST_WAIT, LONGEST_WAIT, ConnectBackoff
+
+SECOND = 1_000_000
+MOST_IN_A_SECOND = 2.5
+RELEASE_LIMIT = 8 * SECOND
+
+
+def tries(seed: int, until: int) -> list[int]:
+    """When an address that always fails is tried, where something wants it all the time."""
+    backoff, now, made = ConnectBackoff(Random(seed)), 0, list[int]()
+    while now < until:
+        made.append(now)
+        backoff.failed(now)
+        now += max(backoff.wait(now), 1)
+    return made
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_an_address_that_fails_is_tried_seldom_and_within_the_limit_of_a_release(seed: int) -> None:
+    made = tries(seed, RELEASE_LIMIT)
+    assert sum(at < SECOND for at in made) <= MOST_IN_A_SECOND
+    gaps = [later - earlier for earlier, later in zip(made[1:], made[2:], strict=False)]
+    assert min(gaps) >= FIRST_WAIT and max(gaps) < 1.5 * LONGEST_WAIT
+    assert len(made) >= 4
+
+
+def test_a_connection_of_use_ends_the_backoff() -> None:
+    backoff = ConnectBackoff(Random(1))
+    backoff.failed(0)
+    backoff.failed(0)
+    assert backoff.wait(0) >= FIRST_WAIT
+    backoff.succeeded()
+    assert backoff.wait(0) == 0
