Decisions: of very many holders some are compared; sums of large racks are kept

Seen by callers: 1,000 servers that hold every title, 80 set-ups a second, 256 descriptors: of 1,051 set-ups none was served, 825 late or never answered (4,000 servers: none of 1,051, 849). Cause: each set-up compared all holders several times, and summed all links of a rack for each event; one turn of the loop took up to 4.4 s. Why it works: of over 64 holders 32 drawn by chance and 8 of those in use are compared; the sums of a rack of over 64 links are kept, and what changes is reckoned anew.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -31,7 +31,7 @@
 from ponddoor.interface.facts import Effect, Reporting, Scope, SiteFacts
 from ponddoor.interface.script import Resumed, Script
 from ponddoor.server_table import ServerTable
-from ponddoor.state import LONG_AGO, Arrivals, Chance, Pipe, Server, Sess
+from ponddoor.state import LONG_AGO, Arrivals, Chance, Pipe, Server, Sess, Standing
 
 SECOND = 1_000_000
 HEADROOM = 0.04           # of a link or uplink, left for true rates above the ladder and for others' raises
@@ -62,8 +62,10 @@
 TAKES = 0.9               # of the throughput that a player measured, that a rung may use
 REST = SECOND             # a failing server's first rest; doubled with each further failure
 LONGEST = 3               # so often
+MOST_COMPARED = 64        # holders of a title that are all looked at, and links of a rack that are all summed
+DRAWN, DRAWN_IN_USE = 32, 8  # of more holders, those drawn by chance, and those drawn where we play
+ROLL_EVERY = SECOND // 100  # some links of a large rack are reckoned anew, so often at most
 AGAINST = 2               # fronts whose word it takes to avoid a server that we know nothing bad of
-Standing = tuple[dict[int, float], float, float, dict[int, float], float]
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
@@ -88,8 +90,9 @@
         parts = min(len(self.racks), 1 + facts.fronts * SECOND // target // BEARS)
         self.fleet = Fleet(facts, now, terms, parts)
         self.groups = [self.fleet.group_of(rack, len(self.racks)) for rack in range(len(self.racks))]
+        self.last_rack = {group: rack for rack, group in enumerate(self.groups)}
         self.word: tuple[bytes, words.Word | None] = b"", None  # the last that came
-        self.stood: dict[int, tuple[list[tuple[int, float]], int, Standing]] = {}
+        self.stood: dict[int, Standing] = {}
         self.lasts = ASK_WAIT // 4 if self.fleet.asks else 0
         self.parts = [max(part, 1 / facts.fronts) for part in PARTS]
         self.told_by_probes = facts.permissions.probes and facts.reporting is Reporting.ON_PROBE
@@ -146,7 +149,7 @@
         if news.scope in (ev.NewsScope.FULL, ev.NewsScope.CACHED):  # whoever is not named is gone
             named = {row.server for row in news.rows}
             for server in [s for number, s in self.table.running.items() if number not in named]:
-                self.table.put_row(server, replace(server.row, state=ServerState.GONE))
+                self.learn_row(replace(server.row, state=ServerState.GONE))
         for row in news.rows:
             self.learn_row(row)
 
@@ -160,7 +163,26 @@
             self.table.reported(held)
             self.fleet.evidence.forget(row.server)
             self.fleet.counts.end_key(row.server)
+        before = self.running_rack(held)
         self.table.put_row(held, row)
+        self.reckon_anew(held)
+        if before != (after := self.running_rack(held)):
+            self.book_move(held, before, after)
+
+    def running_rack(self, server: Server) -> int | None:
+        """The number of its rack; None where it has gone."""
+        running = server.row.server in self.table.running
+        return self.number_of_rack(server) if running else None
+
+    def book_move(self, server: Server, before: int | None, after: int | None) -> None:
+        """What is asked of a large rack's links is kept as a sum, which a server has left or joined."""
+        asked = server.link.known[-1][1]
+        for number, change in ((before, -asked), (after, asked)):
+            if number is not None and change and len(self.by_rack[number]) > MOST_COMPARED:
+                rack = self.racks[number]
+                rack.known = [*rack.known[-99:], (self.now, rack.known[-1][1] + change)]
+            if number is not None and (held := self.stood.get(number)) is not None:
+                held.changed.add(server.row.server)
 
     def learn_probe(self, event: ev.Probed) -> None:
         server, well = self.servers.get(event.server), event.result is Result.SERVED
@@ -174,6 +196,12 @@
         """A report of a server's link, of the moment it was taken."""
         server.link.load(taken, ratio)
         self.table.reported(server)
+        self.reckon_anew(server)
+
+    def reckon_anew(self, server: Server) -> None:
+        """Something is known of a link that its rack's sums do not have."""
+        if (held := self.stood.get(server.row.cell % len(self.racks))) is not None:
+            held.changed.add(server.row.server)
 
     def judge(self, server: Server, well: bool) -> None:
         server.ends = [*server.ends[-5:], (self.now, well)]
@@ -246,14 +274,17 @@
                 and server.reported < min(rack.loads[-1][1], 0.97)):
             rack.load(taken, max(1 / max(mild, 0.1), rack.loads[-1][1]))
             return
-        played = [m for m in self.mates(server) if m.sessions or self.fleet.counts.likely(m.row.server)]
+        mates = self.mates(server)
+        if len(mates) > MOST_COMPARED:  # of a large rack those where we play tell enough
+            mates = [m for m in self.table.in_use() if self.rack(m) is rack][:MOST_COMPARED]
+        played = [m for m in mates if m.sessions or self.fleet.counts.likely(m.row.server)]
         short = [m.notes[-1][1] for m in played
                  if m.notes and m.notes[-1][1] < 0.98 and m.notes[-1][0] > taken - 2 * SECOND]
         full = sum(m.link.loads[-1][1] >= 0.99 for m in played if self.fresh(m.link))
         if len(short) < 2 or 2 * len(short) <= len(played) or 2 * full > len(played):
             self.load(server, taken, 1 / max(mild, 0.1))
         elif "uplink_asked" not in self.facts.report_fields and self.steady(rack, taken):
-            asked = rack.known_at(taken) if self.whole(server) else sum(map(self.asked, self.mates(server)))
+            asked = rack.known_at(taken) if self.whole(server) else self.asked_of_rack(server)
             rack.short = (taken, asked * max(*short, 0.1))
 
     def learn_report(self, server: Server, report: dict[str, float]) -> None:
@@ -296,8 +327,12 @@
         """What we know to be asked of a link and of its rack's uplink has changed."""
         self.table.use(server)
         asked = server.own() + self.fleet.counts.likely(server.row.server)
+        before = server.link.known[-1][1]
         server.link.known = [*server.link.known[-39:], (self.now, asked)]
-        rack, in_all = self.rack(server), sum(s.link.known[-1][1] for s in self.mates(server))
+        self.reckon_anew(server)
+        rack, mates = self.rack(server), self.mates(server)
+        in_all = (sum(s.link.known[-1][1] for s in mates) if len(mates) <= MOST_COMPARED
+                  else rack.known[-1][1] + (asked - before if self.running_rack(server) is not None else 0.0))
         rack.known = [*rack.known[-99:], (self.now, in_all)]
 
     def rebook(self, number: int) -> None:
@@ -346,14 +381,17 @@
         is less where the load is guessed from others."""
         found = dict[int, float]()
         numbers = {s.row.server: s.row.cell % len(self.racks) for s in servers}
+        for server in servers:  # of large racks these links are reckoned as of now
+            self.reckon_anew(server)
         stands = {number: self.standing(number) for number in set(numbers.values())}
         for server in servers:
             at, link = server.row.server, server.link
-            rooms, spare, positive, asked, in_all = stands[numbers[at]]
-            room, blind = rooms.get(at, 0.0), 0 if self.whole(server) else 1 if self.fresh(link) else 2
-            share = min(room * (part or self.parts[blind]), spare * room / positive * (part or 1))
+            stand = stands[numbers[at]]
+            room, blind = stand.rooms.get(at, 0.0), 0 if self.whole(server) else 1 if self.fresh(link) else 2
+            share = min(room * (part or self.parts[blind]), stand.spare * room / stand.positive * (part or 1))
             ours = share if room > 0 else room
-            found[at] = ours if spare >= 0 else min(room, spare * asked.get(at, 0.0) / max(in_all, 1.0))
+            ours_short = stand.spare * stand.asked.get(at, 0.0) / max(stand.in_all, 1.0)
+            found[at] = ours if stand.spare >= 0 else min(room, ours_short)
         for server in filter(self.hinted, servers):
             room = server.told[1] - server.own()
             found[server.row.server] = room * (part or self.parts[0]) if room > 0 else room
@@ -364,18 +402,52 @@
 
         Kept until what we know of the rack changes, a hub's for a little: most of its time goes here."""
         rack, mates = self.racks[number], self.by_rack[number]
-        if (held := self.stood.get(number)) and held[0] is rack.known and self.now - held[1] < self.lasts:
-            return held[2]
+        held, large = self.stood.get(number), len(mates) > MOST_COMPARED
+        if held is not None and large:
+            self.refresh(number, held)
+            return held
+        if held is not None and not large and held.known is rack.known and self.now - held.at < self.lasts:
+            return held
         asked = {s.row.server: self.asked(s) for s in mates}
         rooms = {s.row.server: self.gives(s) * (1 - HEADROOM) - asked[s.row.server] for s in mates}
-        total = in_all = sum(asked.values())
+        open_kb = sum(kb for kb in rooms.values() if kb > 0)
+        stands = Standing(self.now, rack.known, rooms, asked, open_kb, sum(asked.values()))
+        stands.spare = self.spare(rack, stands.in_all)
+        self.stood[number] = stands
+        return stands
+
+    def refresh(self, number: int, held: Standing) -> None:
+        """The sums of a large rack, with what has changed in it, and some links in turn."""
+        changed, held.changed = held.changed, set()
+        if self.now - held.at >= ROLL_EVERY:
+            held.at, mates = self.now, self.by_rack[number]
+            held.turn = (held.turn + DRAWN) % len(mates)
+            changed.update(s.row.server for s in mates[held.turn:held.turn + DRAWN])
+        for at in sorted(changed):
+            server = self.servers.get(at)
+            gone = server is None or server.row.state is ServerState.GONE
+            if server is None or gone or self.number_of_rack(server) != number:
+                held.drop(at)
+            else:
+                asked = self.asked(server)
+                held.put(at, self.gives(server) * (1 - HEADROOM) - asked, asked)
+        held.spare = self.spare(self.racks[number], held.in_all)
+
+    def spare(self, rack: Pipe, in_all: float) -> float:
+        """Of a rack's uplink, where so much is asked of its links."""
+        total = in_all
         if "uplink_asked" in self.facts.report_fields and self.fresh(rack):
             total = rack.unknown() + rack.known[-1][1]
-        spare = self.gives_rack(rack, total) * (1 - HEADROOM) - total
-        positive = max(sum(kb for kb in rooms.values() if kb > 0), 1.0)
-        stands = rooms, spare, positive, asked, in_all
-        self.stood[number] = (rack.known, self.now, stands)
-        return stands
+        return self.gives_rack(rack, total) * (1 - HEADROOM) - total
+
+    def number_of_rack(self, server: Server) -> int:
+        return server.row.cell % len(self.racks)
+
+    def asked_of_rack(self, server: Server) -> float:
+        mates = self.mates(server)
+        if len(mates) <= MOST_COMPARED:
+            return sum(map(self.asked, mates))
+        return self.standing(self.number_of_rack(server)).in_all
 
     def arrivals_part(self) -> float:
         """Of a holder's idle that an arrival takes: as many others come there before the account knows."""
@@ -487,7 +559,9 @@
             playing = [s for s in self.sessions.values() if s.began is not None]
             if sum(s.rung <= s.group.floor for s in playing) * 2 > len(playing) > 1:
                 return None  # few could be cut to make room: one more costs the others more than it earns
-        pooled = sum(max(0.0, kb) for kb in idle.values())
+        count = self.table.holder_count(sess.req.home, sess.req.span)
+        more = count / (DRAWN + DRAWN_IN_USE) if count > MOST_COMPARED else 1.0
+        pooled = sum(max(0.0, kb) for kb in idle.values()) * more
         sess.rung = self.size([sess], pooled, [self.usable(sess)])[0]
         most = min(idle[best.row.server], self.idles([best], self.arrivals_part())[best.row.server])
         while sess.rung > sess.group.floor and sess.rate(sess.rung) > most:
@@ -500,9 +574,24 @@
         """The holders of its title that a SETUP may go to now; without `paced`, also those that are cold."""
         if self.spent(sess) or 0 < sess.group.seats <= self.seats.get(sess.seat(), 0):
             return []
-        return [s for s in self.table.holders(sess.req.home, sess.req.span)
+        return [s for s in self.compared(sess.req.home, sess.req.span)
                 if self.may_repeat(sess, s) and not (paced and self.paced_until(s) > self.now)]
 
+    def compared(self, home: int, span: int) -> list[Server]:
+        """The holders of a title or, of very many, some by chance and some of those where we play.
+
+        Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001: the best of a few
+        drawn by chance is close to the best of all."""
+        count, holds = self.table.holder_count(home, span), self.facts.plant.holds
+        if count <= MOST_COMPARED:
+            return self.table.holders(home, span)
+        drawn = self.table.holders_at(home, span, (self.chance.draw(count) for _ in range(DRAWN)))
+        ours = [s for s in self.table.in_use()
+                if s.row.state is ServerState.READY and holds(s.row.cell, home, span)]
+        first = self.chance.draw(max(len(ours), 1))
+        some = (ours[first:] + ours[:first])[:DRAWN_IN_USE]
+        return sorted({s.row.server: s for s in (*drawn, *some)}.values(), key=lambda s: s.order)
+
     def spent(self, sess: Sess) -> bool:
         """Whether no SETUP may follow: too many, or none left in the budget; `serve` has but one out."""
         rules, since = self.facts.rules, self.now - self.facts.rules.resend_span
@@ -740,7 +829,7 @@
 
         It covers keepers that are gone, and messages that are lost. It may harm where answers are slow."""
         req, until = sess.req, min(self.now + ASK_WAIT, sess.deadline)
-        groups = [self.groups[rack] for rack in self.facts.plant.racks_of(req.home, req.span)]
+        groups = self.groups_of(req.home, req.span)
         question = functools.partial(words.AskHolders, home=req.home, span=req.span, zone=self.facts.zone)
         yield from self.fleet.ask(self.fleet.asked_about(groups, ASKED, self.chance), question, until)
         open_now = [s for s in self.open_to(sess) if self.rested_until(s) <= self.now]
@@ -755,6 +844,25 @@
                 yield act.Probe(server.row.server)
         yield act.Wait(min(until, max((s.inquired + ASK_WAIT for s in two), default=self.now)))
 
+    def groups_of(self, home: int, span: int) -> list[int]:
+        """The groups whose racks hold a title, its home's first."""
+        cells, racks, at = self.facts.plant.cells, len(self.racks), 0
+        found = dict[int, None]()
+        while at < min(span, cells):
+            cell = (home + at) % cells
+            group = self.groups[cell % racks]
+            found[group] = None
+            at += min(self.last_rack[group] - cell % racks, cells - 1 - cell) + 1
+        return list(found)
+
+    def holders_kept(self, home: int, span: int) -> list[Server]:
+        """The holders of a title of which we know what all ask."""
+        if self.table.holder_count(home, span) > MOST_COMPARED:
+            return [s for s in self.compared(home, span) if self.whole(s)]
+        holds, racks = self.facts.plant.holds, self.facts.plant.racks_of(home, span)
+        return [s for rack in racks for s in self.by_rack[rack] if holds(s.row.cell, home, span)
+                and self.whole(s) and s.row.state is ServerState.READY]
+
     def answering(self) -> Script:
         """A keeper's answers: the best holders, the asker's zone first, and the best cold ones."""
         while True:
@@ -767,9 +875,7 @@
                              and s.row.state is not ServerState.GONE]
                     idle, granted = self.idles(about, 1.0), None
                 case ev.PeerMessage(), words.AskHolders(number, home, span, zone):
-                    holds, racks = self.facts.plant.holds, self.facts.plant.racks_of(home, span)
-                    about = [s for rack in racks for s in self.by_rack[rack] if holds(s.row.cell, home, span)
-                             and self.whole(s) and s.row.state is ServerState.READY]
+                    about = self.holders_kept(home, span)
                     idle = self.idles(about, 1.0)
                     about.sort(key=lambda s: -idle[s.row.server] * (1.0 if s.row.zone == zone else NEAR))
                     cold = list(filter(self.cold, about))
--- a/ponddoor/server_table.py
+++ b/ponddoor/server_table.py
@@ -6,6 +6,7 @@
 
 import bisect
 import heapq
+from collections.abc import Iterable
 from operator import attrgetter
 
 from ponddoor.interface import events as ev
@@ -120,6 +121,27 @@
         lists = [self._by_cell.get((home + at) % cells, ()) for at in range(span)]
         return sorted((server for one in lists for server in one), key=_by_order)
 
+    def holder_count(self, home: int, span: int) -> int:
+        """How many ready servers hold a title of this home and span."""
+        cells = self.plant.cells
+        if span >= cells:
+            return len(self.ready)
+        return sum(len(self._by_cell.get((home + at) % cells, ())) for at in range(span))
+
+    def holders_at(self, home: int, span: int, places: Iterable[int]) -> list[Server]:
+        """Those at these places among all holders, from 0; in their order."""
+        cells, wanted = self.plant.cells, sorted(set(places))
+        if span >= cells:
+            return [self.ready[place] for place in wanted]
+        found, first, taken = list[Server](), 0, 0
+        for at in range(span):
+            held = self._by_cell.get((home + at) % cells, [])
+            while taken < len(wanted) and wanted[taken] < first + len(held):
+                found.append(held[wanted[taken] - first])
+                taken += 1
+            first += len(held)
+        return sorted(found, key=_by_order)
+
     def use(self, server: Server) -> None:
         """Its sessions, or their rungs, have changed."""
         server.changed()
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -81,6 +81,40 @@
         return sum(at > now - span and (cell - home) % cells < wide for at, home, wide in self.kept)
 
 
+@dataclass(slots=True)
+class Standing:
+    """A rack's links and uplink, as reckoned at a moment. Rates in kB a second.
+
+    `changed` are the servers of which something is known since, to be reckoned anew in a large rack."""
+
+    at: int
+    known: list[tuple[int, float]]    # the rack's, by identity: another one where the account has changed
+    rooms: dict[int, float]           # of each link
+    asked: dict[int, float]
+    open_kb: float                    # the sum of the rooms over 0
+    in_all: float                     # of what is asked
+    spare: float = 0.0                # of the uplink
+    turn: int = 0                     # the first link that was reckoned in turn last
+    changed: set[int] = field(default_factory=set)
+
+    @property
+    def positive(self) -> float:
+        """The sum of the rooms over 0, to divide by."""
+        return max(self.open_kb, 1.0)
+
+    def put(self, server: int, room: float, asked: float) -> None:
+        """A link is reckoned anew."""
+        self.drop(server)
+        self.rooms[server], self.asked[server] = room, asked
+        self.open_kb += max(room, 0.0)
+        self.in_all += asked
+
+    def drop(self, server: int) -> None:
+        """A link is none of the rack's any more."""
+        self.open_kb -= max(self.rooms.pop(server, 0.0), 0.0)
+        self.in_all -= self.asked.pop(server, 0.0)
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """One server as this front sees it."""
--- a/tests/many_servers/test_work_per_event.py
+++ b/tests/many_servers/test_work_per_event.py
@@ -69,7 +69,15 @@
     return steps_of(lambda: driven.run_until(driven.now + 10 * SECOND))
 
 
-EVENTS = (list_change, replaced_servers, set_up, refusal, release, report, failure, period)
+def note(driven: DrivenFront) -> int:
+    """A server delivers less than it should, twice."""
+    number, server = driven.start(11)
+    driven.run_until(driven.now + SECOND)
+    notes = [ev.Note(number, ev.NoteKind.DELIVERED, 0.5, server)] * 2
+    return steps_of(lambda: [driven.do(one) for one in notes])
+
+
+EVENTS = (list_change, replaced_servers, set_up, refusal, release, report, failure, note, period)
 
 
 @pytest.mark.parametrize("event", EVENTS, ids=lambda event: event.__name__)
@@ -82,3 +90,24 @@
         driven.run_until(driven.now + SECOND)
         steps[count] = event(driven)
     assert max(steps.values()) <= GROWTH * steps[COUNTS[0]], steps
+
+
+def set_ups(driven: DrivenFront) -> int:
+    """Ten sessions begin, one after another."""
+    everywhere = driven.site.plant.cells
+    return steps_of(lambda: [driven.set_up(7, span=everywhere) for _ in range(10)])
+
+
+@pytest.mark.parametrize("event", [list_change, replaced_servers, set_ups, release, report, note, period],
+                         ids=lambda event: event.__name__)  # fmt: skip
+@pytest.mark.parametrize("racks", [1, 8, None], ids=["one rack", "few racks", "racks of five"])
+def test_work_does_not_grow_where_every_server_holds_the_title(
+    event: Callable[[DrivenFront], int], racks: int | None
+) -> None:
+    steps = {}
+    for count in COUNTS[1:]:  # of 200 servers many are drawn twice
+        driven = DrivenFront(facts(count, racks=racks), count)
+        driven.run_until(driven.now + SECOND)
+        driven.set_up(3, span=driven.site.plant.cells)  # the sums of large racks are kept from now on
+        steps[count] = event(driven)
+    assert max(steps.values()) <= GROWTH * steps[COUNTS[1]], steps
