Descriptors: the state line, reload and the list need none; the log never ends a node

Seen by callers: a node that has no descriptor left, or whose log's reader is gone, ends with status 1; its viewers' connections end with set-ups unanswered. Cause: the state line opened /proc/self/statm each time, and a write to the log that failed was raised in the node's loop. Connections to servers that were all needed had no bound. Why it works: the file stays open; two descriptors are reserved for reload and the list; needed connections exceed their limit by 32 at most (no-room: the set-up goes elsewhere); a log that can't be written drops lines. A look writes 50 lines of mechanisms at most, so thousands of cold servers are no thousands of lines in one turn.

--- a/ponddoor/front/acting.py
+++ b/ponddoor/front/acting.py
@@ -10,6 +10,7 @@
 from ponddoor.fleet.presence import Hears, Presence
 from ponddoor.interface.events import ServerState
 
+MOST_LINES = 50  # of one look
 log = structlog.get_logger("mechanisms")
 
 
@@ -63,10 +64,12 @@
     def look(self, front: Front, now: int) -> None:
         with looking(front, now):
             acting = self._acting(front, now)
-        for word in sorted(acting - self.now_acting):
-            self._say(front, now, "acts", word)
-        for word in sorted(self.now_acting - acting):
-            self._say(front, now, "stops", word)
+        said = [("acts", word) for word in sorted(acting - self.now_acting)]
+        said += [("stops", word) for word in sorted(self.now_acting - acting)]
+        for event, word in said[:MOST_LINES]:
+            self._say(front, now, event, word)
+        if len(said) > MOST_LINES:
+            log.info("mechanisms-more", count=len(said) - MOST_LINES)
         self.now_acting = acting
 
     def _acting(self, front: Front, now: int) -> set[str]:
--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
 from ponddoor.front.roster import GapError, ListChange, Roster
 from ponddoor.interface import events as ev
 from ponddoor.node import board_codec
+from ponddoor.node.descriptors import DescriptorReserve, is_local
 from ponddoor.node.lines import Lines, UnreadableError
 from ponddoor.node.start import Address, Place
 from ponddoor.web.connecting import connect_within
@@ -37,6 +39,7 @@
     learned: Callable[[ListChange], None]
     asked: Callable[[], None]
     schedule: ReconnectSchedule
+    reserve: DescriptorReserve
     address: Address = ("", 0)
     breaks: int = 0
     _following: asyncio.Task[None] | None = None
@@ -82,7 +85,7 @@
     async def _watch(self, address: Address) -> tuple[Loss, str]:
         """Follow until it ends: how, and in words."""
         try:
-            opened = await connect_within(CONNECT, *address)
+            opened = await self._connect(address)
             reader, writer = await asyncio.open_connection(sock=opened)
         except TimeoutError:
             return Loss.LATE, f"no connection in {CONNECT:g} s"
@@ -109,6 +112,15 @@
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
+    async def _connect(self, address: Address) -> socket.socket:
+        """A connection; where no descriptor is left, by one of those reserved."""
+        try:
+            return await connect_within(CONNECT, *address)
+        except OSError as problem:
+            if not is_local(problem) or not self.reserve.release():
+                raise
+        return await connect_within(CONNECT, *address)
+
     def _take(self, line: bytes) -> None:
         change = self.roster.take(board_codec.read(line))
         if change is not None:
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -21,6 +21,7 @@
 from ponddoor.front.reconnect import ReconnectSchedule
 from ponddoor.front.roster import ListChange, Roster
 from ponddoor.node.board import Board
+from ponddoor.node.descriptors import DescriptorReserve, MemoryGauge
 from ponddoor.node.early import EarlySignal
 from ponddoor.node.servers import Servers
 from ponddoor.node.start import Place, StartError, read
@@ -67,9 +68,13 @@
         self.viewers = Viewers(self.engine, apply, self.servers.attend, groups, 0)
         roster = Roster(place.zones, place.kinds, facts.plant.cells, now - time.time_ns() // 1000)
         schedule = ReconnectSchedule(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
-        self.board = Board(roster, self.engine, apply, self._learned, self.servers.inform, schedule)
+        self.reserve = DescriptorReserve()
+        self.board = Board(
+            roster, self.engine, apply, self._learned, self.servers.inform, schedule, self.reserve
+        )
         self.words = Words(place, lambda peer, data: apply(lambda at: self.engine.word(at, peer, data)))
         self.acting = Acting()
+        self.memory = MemoryGauge()
         self.drain: DrainSchedule | None = None
         self._told_to_end = asyncio.Event()
         self._most_lag = 0
@@ -97,11 +102,14 @@
 
     def reload(self, path: Path) -> None:
         """Follow the board that the file names now. A file that can't be used changes nothing."""
+        self.reserve.release()
         try:
             board = read(path).board
         except StartError as problem:
             log.error("reload-refused", why=str(problem))
             return
+        finally:
+            self.reserve.refill()
         log.info("reloaded", board=board)
         if board != self.board.address:
             self.board.follow(board)
@@ -146,7 +154,9 @@
         await self.viewers.start(*self.place.listen)
         self.viewers.ready = True
         log.debug("facts", facts=self.place.facts, limits=self.place.sockets)
-        log.info("node-started", name=self.place.name, me=self.place.facts.me, memory_kb=_memory())
+        self.reserve.refill()
+        memory_kb = self.memory.kilobytes()
+        log.info("node-started", name=self.place.name, me=self.place.facts.me, memory_kb=memory_kb)
         due, say = clock() + LOOK, clock() + STATE_EVERY
         while self.drain is None:
             await self._wait_until(due)
@@ -169,6 +179,7 @@
     def _look(self, now: int) -> None:
         self.servers.look(now, min(IDLE_LIMIT, 2 * self.place.server_idle // 3))
         self.viewers.look(now)
+        self.reserve.refill()
 
     async def _end_by(self, drain: DrainSchedule) -> None:
         """The shutdown: forward, refuse, close, each from its time in the schedule on."""
@@ -196,7 +207,7 @@
             "state", in_hand=self.engine.in_hand, held=self.engine.held, viewers=len(viewers.connections),
             servers=len(servers.links), releases_pending=len(viewers.sessions.pending),
             sessions=viewers.sessions.counts, violations=viewers.sessions.violations.counts,
-            lag_us=self._most_lag, memory_kb=_memory(),
+            lag_us=self._most_lag, memory_kb=self.memory.kilobytes(),
             faults=counts.faults, answers=counts.answers, setups=counts.setups, stray=counts.stray,
             viewers_seen=viewers.counts, servers_seen=servers.counts, words=self.words.told,
             words_lost=self.words.lost, board_breaks=self.board.breaks,
@@ -213,10 +224,7 @@
         self.board.close()
         self.words.close()
         self.pump.close()
+        self.reserve.close()
         self._say()
         log.info("node-ended")
 
-
-def _memory() -> int:
-    """What of the process is in memory, in kB."""
-    return int(Path("/proc/self/statm").read_bytes().split()[1]) * 4
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -4,7 +4,6 @@
 broken, its SETUPs are lost and no session that plays; silent for long, the machine is taken to be gone."""
 
 import asyncio
-import errno
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,7 @@
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.node import server_codec as codec
+from ponddoor.node.descriptors import is_local
 from ponddoor.node.lines import Lines, UnreadableError
 from ponddoor.web.connecting import connect_within
 from ponddoor.web.unread import has_unread
@@ -38,7 +38,6 @@
 OF_USE_AFTER = SECOND  # a connection that ends sooner, and on which nothing was heard, has failed
 RELEASE_SETTLED = SECOND  # a release on a connection that is open so long after has been read
 WRITE_BUFFER_LIMIT = 1 << 18  # bytes that a server may leave unread
-LOCAL_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 log = structlog.get_logger("servers")
 Item = fx.SendSetup | fx.SendTeardown | fx.SendRung | fx.SendProbe
 
@@ -163,9 +162,12 @@
             self._fail_waiting(ev.Result.CONNECT_FAILED)
             if self.pending_releases:
                 self.connect_in_turn()
+            return
+        self._no_later()
+        if not self.servers.make_room():
+            self.servers.count("no-room")
+            self._fail_waiting(ev.Result.MOOT)
         else:
-            self._no_later()
-            self.servers.make_room()
             self.connecting = asyncio.create_task(self._connect())
             self.servers.connected[self] = None
             self.servers.used(self)
@@ -196,7 +198,7 @@
         except (OSError, TimeoutError) as problem:
             self.connecting = None
             self.servers.connected.pop(self, None)
-            if isinstance(problem, OSError) and problem.errno in LOCAL_ERRORS:
+            if isinstance(problem, OSError) and is_local(problem):
                 self._no_descriptor(problem)
             else:
                 self.backoff.failed(clock())
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -18,6 +18,7 @@
 
 UNLISTED_FOR = 13 * SECOND // 2  # a session is handed over at a server that the list may name so much later
 UNLISTED_SERVERS = 4096
+NEEDED_OVER_LIMIT = 32  # connections over the limit where every one is needed
 GONE_SERVERS = 16_384  # whose numbers are kept
 FLUSH_CHECK_S = 0.01  # between two looks at what was written last
 log = structlog.get_logger("servers")
@@ -69,16 +70,17 @@
             del self.connected[link]
             self.connected[link] = None
 
-    def make_room(self) -> None:
-        """Where all connections that the descriptors allow are open, close the one that was of no use for
-        longest. Where every connection is needed none is closed, and there is one too many."""
+    def make_room(self) -> bool:
+        """Whether one more may be opened. Where all connections that the descriptors allow are open, the one
+        that was of no use for longest is closed; where every one is needed, a few more are allowed."""
         if len(self.connected) < self.most:
-            return
+            return True
         free = (link for link in self.connected if link.connection is not None and not link.needed)
         oldest = next(free, None)
         if oldest is not None:
             assert oldest.connection is not None
             oldest.close_connection(oldest.connection, "made room")
+        return oldest is not None or len(self.connected) < self.most + NEEDED_OVER_LIMIT
 
     def turn(self) -> int:
         """How long this front waits before it connects where many do: its part of a connect timeout (us)."""
--- a/ponddoor/node/serving.py
+++ b/ponddoor/node/serving.py
@@ -4,9 +4,11 @@
 import gc
 import sys
 from collections.abc import Mapping
+from typing import TextIO, cast
 
 import structlog
 
+from ponddoor.node.descriptors import LogStream
 from ponddoor.node.early import EarlySignal
 from ponddoor.node.process import Node
 from ponddoor.node.start import StartError, told
@@ -19,7 +21,7 @@
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.format_exc_info, structlog.processors.JSONRenderer(default=repr)],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(cast(TextIO, LogStream(sys.stderr))),
     )  # fmt: skip
     try:
         path, place = told(environment)
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -1,7 +1,9 @@
 """The node: every scenario in `scenarios/`, and its start as a process."""
 
+import itertools
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -136,3 +138,51 @@
         process.send_signal(signal.SIGTERM)
         assert process.wait(10) == 0
     process.stderr.close()
+
+
+def is_served(environment: dict[str, str]) -> bool:
+    """Whether a node answers a viewer's test."""
+    host, _, port = environment["BALANCER_LISTEN"].partition(":")
+    with socket.create_connection((host, int(port)), 5) as viewer:
+        viewer.settimeout(5)
+        viewer.sendall(message(52, "0", parameter(143, b"\0")))
+        return viewer.recv(100)[2:3] == b"\x35"
+
+
+SOME_LINES = 30  # of the log, within which what is waited for has to come
+QUICK_STATE = "import sys; from ponddoor.node import process; process.STATE_EVERY = 100_000; " \
+    "from ponddoor.node.__main__ import main; sys.exit(main())"  # fmt: skip
+
+
+def test_a_node_without_a_free_descriptor_goes_on(tmp_path: Path) -> None:
+    environment = told(tmp_path)
+    process = start(environment, "-c", QUICK_STATE)
+    assert process.stderr is not None
+    said = iter(process.stderr.readline, "")
+    assert any("node-started" in line for line in said)
+    used = [int(name) for name in os.listdir(f"/proc/{process.pid}/fd")]
+    limits = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (max(used) + 1, limits[1]))
+    for _ in range(3):
+        assert any('"event": "state"' in line for line in itertools.islice(said, SOME_LINES))
+    process.send_signal(signal.SIGHUP)
+    assert any('"reloaded"' in line for line in itertools.islice(said, SOME_LINES))
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+    assert is_served(environment)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0
+    process.stderr.close()
+
+
+def test_a_node_whose_log_can_not_be_written_goes_on(tmp_path: Path) -> None:
+    environment = told(tmp_path)
+    process = start(environment, "-c", QUICK_STATE)
+    assert process.stderr is not None
+    assert any("node-started" in line for line in iter(process.stderr.readline, ""))
+    process.stderr.close()
+    process.send_signal(signal.SIGHUP)
+    with pytest.raises(subprocess.TimeoutExpired):
+        process.wait(1)
+    assert is_served(environment)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0
--- a/tests/node/test_work_per_turn.py
+++ b/tests/node/test_work_per_turn.py
@@ -10,7 +10,7 @@
 from ponddoor.front.limits import Gate, LagMeter
 from ponddoor.front.pump import Pump, clock
 from ponddoor.front.roster import Entry, ListMessage, Roster
-from ponddoor.node.servers import Servers
+from ponddoor.node.servers import NEEDED_OVER_LIMIT, Servers
 from ponddoor.settings.site import loads
 from tests.front.conftest import site_text
 from tests.many_servers.fleet import SECOND, DrivenFront, facts, steps_of
@@ -42,6 +42,18 @@
     return Entry(number, f"127.0.0.1:{1 + number % 60_000}", "north", "box", number % cells, state, 1.0)
 
 
+def test_connections_to_servers_that_are_all_needed_are_bounded() -> None:
+    async def run() -> None:
+        shell = Shell(200)
+        shell.servers.most = 20
+        for link in shell.servers.links.values():
+            link.connect()
+        assert len(shell.servers.connected) == 20 + NEEDED_OVER_LIMIT
+        assert shell.servers.counts["no-room"] == 200 - 20 - NEEDED_OVER_LIMIT
+
+    asyncio.run(run())
+
+
 def list_change(shell: Shell) -> int:
     """Twenty rows of the list change their state."""
     changed = [entry(number, shell.roster.cells, "draining") for number in range(1, CHANGED_ROWS + 1)]
