Soak: servers whose process, connections and speech fail each for itself; failing tests

The oracle has two rules more. "cut": a node may end a session that stands only after a silence of its server (5 s at least). "release" is stricter: what a server first says over 8 s after the end is due by the 8 s, where it was due a second after that word before.

--- a/ponddoor/soak/commands.py
+++ b/ponddoor/soak/commands.py
@@ -25,6 +25,7 @@
     draw,
     draw_crossings,
     draw_many_servers,
+    draw_server_conditions,
     draw_shutdown,
     load,
 )
@@ -39,11 +40,12 @@
 @click.option("--seconds", default=20.0, show_default=True, help="How long a run lasts.")
 @click.option(
     "--kind",
-    type=click.Choice(["mixed", "shutdown", "crossings", "many-servers"]),
+    type=click.Choice(["mixed", "shutdown", "crossings", "many-servers", "server-conditions"]),
     default="mixed",
     show_default=True,
     help="All faults; terminations alone; ends of connections in the instant of a release; all faults with "
-    "hundreds or thousands of servers, and changes of the list.",
+    "hundreds or thousands of servers, and changes of the list; all faults with servers whose process, "
+    "connections and speech fail each for itself.",
 )
 @click.option("--nodes", default=0, help="How many nodes; 0: drawn from the seed.")
 @click.option("--servers", default=0, help="How many servers of many-servers; 0: drawn from the seed.")
@@ -89,6 +91,8 @@
         return draw_many_servers(seed, seconds, nodes, servers)
     if kind == "shutdown":
         return draw_shutdown(seed)
+    if kind == "server-conditions":
+        return draw_server_conditions(seed, seconds, nodes)
     if kind == "crossings":
         return draw_crossings(seed, seconds)
     return draw(seed, seconds, nodes)
@@ -162,7 +166,7 @@
     only = f" --only {kept}" if len(smaller.faults) < len(plan.faults) and kept else ""
     drawn = f"--seed {plan.seed} --seconds {plan.seconds:g}"
     drawn += f" --kind {plan.kind}" if plan.kind != "mixed" else ""
-    drawn += f" --nodes {smaller.nodes}" if plan.kind in ("mixed", "many-servers") else ""
+    drawn += f" --nodes {smaller.nodes}" if plan.kind not in ("shutdown", "crossings") else ""
     drawn += f" --servers {smaller.servers}" if plan.racks else ""
     return f"ponddoor soak {drawn}{only}"
 
--- a/ponddoor/soak/discovery.py
+++ b/ponddoor/soak/discovery.py
@@ -76,6 +76,7 @@
     def publish(self, members: list[Member], whole: bool = False) -> None:
         """A change of the list; the first one is all of it, as a `whole` one is."""
         self.events.append((members, whole or not self.events))
+        self.oracle.removed.update(one.id for one in members if one.phase == "terminated")
         self.oracle.events.append((time.monotonic(), len(self.events)))
         self._wake()
 
--- a/ponddoor/soak/oracle.py
+++ b/ponddoor/soak/oracle.py
@@ -24,6 +24,8 @@
 RELEASE_S = 1.0
 RELEASE_WITHOUT_CONNECTION_S = 8.0
 GONE_CLIENT_S = 0.1
+MUTE_AT_LEAST_S = 5.0  # a server that was heard sooner before a session's end was not given up by right
+CUT_AFTER_MUTE_S = 1.5  # a connect and a release that were under way as it was heard again
 LIST_S = 6.0  # after a failed call a change counts as told so long after it could be had
 READY_S = 10.0
 START_FAILED_S = 30.0
@@ -41,13 +43,27 @@
     attempts: dict[str, list[Attempt]] = field(default_factory=dict)
     sessions: dict[str, Session] = field(default_factory=dict)
     server_troubles: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    mute_spans: dict[tuple[str, int], list[tuple[float, float]]] = field(default_factory=dict)
     discovery_troubles: list[tuple[float, float]] = field(default_factory=list)
     events: list[tuple[float, int]] = field(default_factory=list)  # of the list: when published, its number
     known_at: dict[tuple[int, int], float] = field(default_factory=dict)  # (life, event): when it was told
+    removed: set[str] = field(default_factory=set)  # servers that the list has told gone
     lags: list[tuple[float, float]] = field(default_factory=list)  # in order: when noted, how late
     violations: list[Violation] = field(default_factory=list)
     _longest_lag: float = 0.0
 
+    def note_mute(self, server: str, node: int, at: float) -> None:
+        """From now on no proof that a server is alive can reach a node."""
+        spans = self.mute_spans.setdefault((server, node), [])
+        if not spans or spans[-1][1] < FOREVER:
+            spans.append((at, FOREVER))
+
+    def note_heard_again(self, server: str, node: int, at: float) -> None:
+        """From now on it can."""
+        spans = self.mute_spans.get((server, node), [])
+        if spans and spans[-1][1] == FOREVER:
+            spans[-1] = (spans[-1][0], at)
+
     def broken(self, rule: str, at: float, what: str) -> None:
         """Note a violation."""
         self.violations.append(Violation(rule, at, what))
@@ -180,6 +196,7 @@
         viewer_has_it = request is None or any(kind is AnswerKind.STANDS for _, kind in request.answers)
         if viewer_has_it:
             self._judge_release_to_viewer(session, ended_at)
+            self._judge_cut(session)
         self._judge_release_to_server(session, request, viewer_has_it, ended_at)
 
     def _judge_release_to_viewer(self, session: Session, ended_at: float) -> None:
@@ -187,7 +204,7 @@
         if session.end is SessionEnd.NODE:
             return
         since, bound = told, RELEASE_S
-        if told == FOREVER:
+        if told > session.ended_at + RELEASE_WITHOUT_CONNECTION_S:  # by then it is due without it
             since, bound = session.ended_at, RELEASE_WITHOUT_CONNECTION_S
         limit = since + bound + SLACK_S
         limit = _in_running_time(session.life, since, limit)
@@ -204,6 +221,25 @@
                 f"({how}); its viewer had not heard in {bound:g} s: {_heard(session, since)}",
             )
 
+    def _judge_cut(self, session: Session) -> None:
+        """A session that stands may be ended by its node only after a long silence of its server."""
+        at, life = session.ended_at, session.life
+        if session.end is not SessionEnd.NODE or session.viewer_ends_at < FOREVER:
+            return
+        if min(life.sigterm_at, life.over_at) <= at or session.server in self.removed:
+            return
+        late = SLACK_S + self.lateness(at - MUTE_AT_LEAST_S, at)
+        for begin, end in self.mute_spans.get((session.server, life.node), []):
+            long = min(end, at) - begin >= MUTE_AT_LEAST_S - late
+            if begin <= at and long and end >= at - CUT_AFTER_MUTE_S - late:
+                return
+        self.broken(
+            "cut",
+            at,
+            f"session {session.request} of node {life.node} at {session.server} was ended by the node "
+            "while it stood, and its server could be heard",
+        )
+
     def _judge_release_to_server(
         self, session: Session, request: Request | None, viewer_has_it: bool, ended_at: float
     ) -> None:
--- a/ponddoor/soak/plan.py
+++ b/ponddoor/soak/plan.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ponddoor.soak.conditions import CONNECTIONS, PROCESSES, SOUND, SPEECHES, Condition
+
 MIN_KILL_DEADLINE_S = 0.7  # the protocol page: SIGKILL comes the longest deadline and this after SIGTERM
 MAX_KILL_DEADLINE_S = 3.0  # a longer deadline is counted as this
 MAX_PROCESSES = 48
@@ -67,6 +69,16 @@
     target: int
 
 
+class ServerFault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A server is in some condition towards one node, or with `node` -1 towards all. Times in seconds."""
+
+    condition: Condition
+    at: float
+    seconds: float
+    target: int
+    node: int = -1
+
+
 class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A whole run."""
 
@@ -84,6 +96,7 @@
     faults: tuple[Fault, ...]
     kind: str = "mixed"  # of the draw
     racks: int = 0  # of servers that one process stands in for, two to a title; 0: each server holds all
+    server_faults: tuple[ServerFault, ...] = ()
 
     @property
     def kill_delay_s(self) -> float:
@@ -181,6 +194,39 @@
     )
 
 
+def draw_server_conditions(seed: int, seconds: float, nodes: int = 0) -> Plan:
+    """Servers whose process, connections and speech fail each for itself, with the faults of `draw` beside
+    them. Every second seed has no other fault of servers, so that sessions stay long enough at those."""
+    rng = Random(seed)
+    mixed = draw(seed, seconds, nodes or rng.randint(3, 5))
+    faults = tuple(
+        one for one in mixed.faults if seed % 2 or not one.kind.startswith(("server_", "pause", "starve"))
+    )
+    server_faults = tuple(_server_fault(rng, seconds) for _ in range(rng.randint(3, 8)))
+    return msgspec.structs.replace(
+        mixed,
+        kind="server-conditions",
+        servers=max(mixed.servers, 4),
+        connections=max(mixed.connections, 4),
+        faults=faults,
+        server_faults=server_faults,
+    )
+
+
+def _server_fault(rng: Random, seconds: float) -> ServerFault:
+    drawn = SOUND
+    while drawn == SOUND:
+        process: Any = rng.choice(PROCESSES)
+        connections: Any = rng.choice(CONNECTIONS)
+        speech: Any = rng.choice(SPEECHES)
+        after_s = round(rng.choice((0.0, 0.2, 1.0, 2.0, 4.0, 6.0)), 3)
+        drawn = Condition(process, connections, speech, after_s)
+    at = rng.uniform(0.05, 0.4) * seconds
+    lasts = rng.choice((1.0, 3.0, 10.0, 10.0, 30.0))
+    node = rng.choice((-1, -1, rng.randrange(8)))
+    return ServerFault(drawn, round(at, 3), min(lasts, seconds - at), rng.randrange(1000), node)
+
+
 def _fault(rng: Random, seconds: float) -> Fault:
     kind: Any = rng.choice(FAULT_KINDS)
     at = rng.uniform(0.1, 0.75) * seconds
--- a/ponddoor/soak/records.py
+++ b/ponddoor/soak/records.py
@@ -93,7 +93,8 @@
     end: SessionEnd | None = None
     told_node_at: float = FOREVER  # when the node had its server's release
     heard_at: float = FOREVER  # when its viewer heard that it is over
-    viewer_released_at: float = FOREVER
+    viewer_ends_at: float = FOREVER  # when its viewer first wrote that it ends it
+    viewer_released_at: float = FOREVER  # likewise, on a connection that outlived the message
     handed_over_at: float = FOREVER
 
 
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -15,9 +15,10 @@
 import msgspec
 
 from ponddoor.rehearse.run import free_ports
+from ponddoor.soak.conditions import SOUND
 from ponddoor.soak.discovery import ANY_HOST, ANY_NETWORK, FIRST_NETWORK, Discovery, Member, State
 from ponddoor.soak.oracle import Oracle
-from ponddoor.soak.plan import Fault, Plan
+from ponddoor.soak.plan import Fault, Plan, ServerFault
 from ponddoor.soak.processes import NODE, NodeProcess
 from ponddoor.soak.records import FOREVER, AnswerKind, NodeLife, Session, Violation
 from ponddoor.soak.servers import MediaServer, Mode, SharedListener
@@ -94,6 +95,7 @@
         try:
             await self._set_up()
             faults = [asyncio.create_task(self._strike(fault)) for fault in self.plan.faults]
+            faults += [asyncio.create_task(self._put_in_condition(one)) for one in self.plan.server_faults]
             await asyncio.sleep(self.plan.seconds)
             await asyncio.gather(*faults)
             await asyncio.sleep(SETTLE_S)
@@ -174,7 +176,7 @@
         )
         self._by_number[number] = server
         if self._shared is None:
-            await server.start()
+            server.start()
         return server
 
     def _server_at(self, host: str) -> MediaServer | None:
@@ -364,6 +366,18 @@
         if server.mode is mode:
             server.set_mode(Mode.WELL)
 
+    async def _put_in_condition(self, fault: ServerFault) -> None:
+        """A later fault of the same server and node takes the place of an earlier one."""
+        await asyncio.sleep(fault.at)
+        server = self.servers[fault.target % len(self.servers)]
+        nodes = range(self.plan.nodes) if fault.node < 0 else (fault.node % self.plan.nodes,)
+        for node in nodes:
+            server.set_condition(node, fault.condition)
+        await asyncio.sleep(fault.seconds)
+        for node in nodes:
+            if server.condition(node) is fault.condition:
+                server.set_condition(node, SOUND)
+
     async def _server_dies(self, fault: Fault) -> None:
         """Another server takes its place once the list has told both."""
         place = fault.target % len(self.servers)
--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -12,14 +12,17 @@
 from random import Random
 from typing import Any
 
+from ponddoor.soak.conditions import SOUND, Condition
 from ponddoor.soak.oracle import Oracle
 from ponddoor.soak.records import FOREVER, Attempt, AttemptEnd, NodeLife, Session, SessionEnd
+from ponddoor.soak.stallable_listener import StallableListener
 from ponddoor.soak.wire import MAX_MESSAGE_BYTES, Cause, server_line
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER
 ANSWER_S = (0.0, 0.05)  # from a set-up to its answer
 UNREAD_S = 0.5  # a release that was written so long before a reset may not have been read
 SESSION_S = (0.1, 3.0)  # how long a session stands
+RUBBISH, PIECE = b"\x00\xff{noise\n", b"{"
 
 
 class Mode(Enum):
@@ -34,6 +37,9 @@
     RESETS = "resets"  # whatever connects; only behind a shared listener
 
 
+MUTE_MODES = (Mode.HANGS, Mode.SILENT, Mode.RESETS)  # no proof of life reaches a node
+
+
 @dataclass(slots=True)
 class MediaServer:
     """One server. Each node has an address of its own for it; `life_of` tells the process behind one."""
@@ -52,14 +58,48 @@
     release_again: dict[int, list[str]] = field(default_factory=dict)  # by node, for its next connection
     in_service: bool = True
     connects: list[float] = field(default_factory=list)  # behind a shared listener: when nodes connected
-    _listener: asyncio.Server | None = None
+    _conditions: dict[int, Condition] = field(default_factory=dict)  # by node, where it is not sound
+    _listeners: list[StallableListener] = field(default_factory=list)  # by node
 
-    async def start(self) -> None:
+    def start(self) -> None:
         """Listen. Raises OSError where the port is taken."""
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: _Connection(self), self.hosts, self.port, backlog=1024
-        )
+        for host in self.hosts:
+            listener = StallableListener(lambda: _Connection(self))
+            listener.start(host, self.port)
+            self._listeners.append(listener)
+
+    def condition(self, node: int) -> Condition:
+        """How it behaves towards a node, beside its mode."""
+        return self._conditions.get(node, SOUND)
+
+    def set_condition(self, node: int, condition: Condition) -> None:
+        """Behave like this towards one node from now on."""
+        now, was = time.monotonic(), self.condition(node)
+        if was.mute and not condition.mute:
+            self.oracle.note_heard_again(self.id, node, now)
+        elif condition.mute and not was.mute:
+            self.oracle.note_mute(self.id, node, now)
+        if condition != SOUND:
+            self._trouble_begins(now)
+        elif was != SOUND:
+            self._trouble_ends(now)
+        self._conditions[node] = condition
+        if node < len(self._listeners):
+            listener = self._listeners[node]
+            if condition.connections == "never":
+                listener.stall()
+            else:
+                listener.resume()
+        for connection in list(self.connections):
+            if connection.node == node:
+                connection.condition_changed()
+
+    def _trouble_begins(self, now: float) -> None:
+        self.oracle.server_troubles.setdefault(self.id, []).append((now, FOREVER))
+
+    def _trouble_ends(self, now: float) -> None:
+        begin, _ = self.oracle.server_troubles[self.id][-1]
+        self.oracle.server_troubles[self.id][-1] = (begin, now + 1.0)
 
     def end_session(self, session: Session, how: SessionEnd) -> None:
         """A session is over here."""
@@ -74,7 +114,7 @@
         node = session.life.node
         self.release_again.setdefault(node, []).append(session.request)
         for connection in self.connections:
-            if connection.node == node and connection.open and self.mode is not Mode.SILENT:
+            if connection.node == node and connection.open and connection.speaks:
                 self.on_session_end(session)
                 connection.say("down", session.request, Cause.ENDED)
                 session.told_node_at = min(session.told_node_at, time.monotonic())
@@ -85,10 +125,14 @@
         now = time.monotonic()
         unreachable = (Mode.SILENT, Mode.RESETS)
         if self.mode in unreachable and mode not in unreachable:
-            begin, _ = self.oracle.server_troubles[self.id][-1]
-            self.oracle.server_troubles[self.id][-1] = (begin, now + 1.0)
+            self._trouble_ends(now)
         elif mode in unreachable and self.mode not in unreachable:
-            self.oracle.server_troubles.setdefault(self.id, []).append((now, FOREVER))
+            self._trouble_begins(now)
+        for node in range(len(self.hosts)):
+            if mode in MUTE_MODES and self.mode not in MUTE_MODES:
+                self.oracle.note_mute(self.id, node, now)
+            elif self.mode in MUTE_MODES and mode not in MUTE_MODES:
+                self.oracle.note_heard_again(self.id, node, now)
         was, self.mode = self.mode, mode
         if was is Mode.SILENT:
             for connection in list(self.connections):
@@ -114,9 +158,8 @@
     async def die(self) -> None:
         """The process ends: connections are reset, sessions are cut, new connections are refused."""
         self.in_service = False
-        if self._listener is not None:
-            self._listener.close()
-        self.oracle.server_troubles.setdefault(self.id, []).append((time.monotonic(), FOREVER))
+        self._close_listeners()
+        self._trouble_begins(time.monotonic())
         for session in list(self.standing.values()):
             self.end_session(session, SessionEnd.SERVER_DIED)
         self.release_again.clear()
@@ -124,11 +167,14 @@
 
     def close(self) -> None:
         """The end of the run."""
-        if self._listener is not None:
-            self._listener.close()
+        self._close_listeners()
         for connection in list(self.connections):
             connection.reset()
 
+    def _close_listeners(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+
 
 class SharedListener:
     """One listener for any number of servers: each has an address of its own in each node's network."""
@@ -191,11 +237,54 @@
         self.out: dict[str, Attempt] = {}
         self.life: NodeLife | None = None
         self.spoilt = False  # something unreadable was sent: the node reads nothing after it
+        self.timers: list[asyncio.TimerHandle] = []
 
     @property
     def open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing() and not self.spoilt
 
+    @property
+    def condition(self) -> Condition:
+        return self.server.condition(self.node)
+
+    @property
+    def reads(self) -> bool:
+        return self.server.mode is not Mode.SILENT and self.condition.reads
+
+    @property
+    def speaks(self) -> bool:
+        return self.server.mode is not Mode.SILENT and self.condition.speaks
+
+    def condition_changed(self) -> None:
+        """Ends, rubbish and pieces come by timers of their own; what was unread is read once it may be."""
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
+        condition, loop = self.condition, asyncio.get_running_loop()
+        if condition.ends_connections:
+            self.timers.append(loop.call_later(condition.after_s, self._end_by_condition))
+        if condition.speech in ("rubbish", "pieces") and condition.reads:
+            self._say_no_message()
+        if condition.speaks:
+            self.read_on()
+
+    def _end_by_condition(self) -> None:
+        if self.transport is None:
+            return
+        if self.condition.connections == "reset":
+            self.reset()
+        else:
+            self._end_all(AttemptEnd.RESET)
+            self.transport.close()
+
+    def _say_no_message(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        rubbish = self.condition.speech == "rubbish"
+        self.transport.write(RUBBISH if rubbish else PIECE)
+        self.spoilt = True
+        self.timers.append(asyncio.get_running_loop().call_later(1.0, self._say_no_message))
+
     @property
     def node(self) -> int:
         return -1 if self.life is None else self.life.node
@@ -205,8 +294,11 @@
         self.transport = transport
         self.life = self.server.life_of(transport.get_extra_info("sockname")[0])
         self.server.connections.add(self)
-        if self.server.mode is not Mode.SILENT:
-            self.say_releases()
+        if self.condition == SOUND:
+            if self.speaks:
+                self.say_releases()
+        else:
+            self.condition_changed()
 
     def say_releases(self) -> None:
         for request in self.server.release_again.pop(self.node, []):
@@ -215,6 +307,8 @@
             session.told_node_at = min(session.told_node_at, time.monotonic())
 
     def connection_lost(self, exc: Exception | None) -> None:
+        for timer in self.timers:
+            timer.cancel()
         self.server.connections.discard(self)
         self._end_all(AttemptEnd.RESET)
 
@@ -234,7 +328,7 @@
             self.transport.write(server_line(kind, session, cause, **fields))
 
     def data_received(self, data: bytes) -> None:
-        if self.server.mode is Mode.SILENT:
+        if not self.reads:
             self.unread += data
             return
         self.buffer += data
@@ -263,7 +357,7 @@
                 self.release(session)
             case "hb":
                 fields = {"load": "x0:0.1;x1:0.1;busy:0.1"} if got.get("c") else {}
-                if self.server.mode is not Mode.HANGS:
+                if self.server.mode is not Mode.HANGS and self.speaks:
                     self.say("hb_ok", session, 1, **fields)
 
     def set_up(self, request: str, description: str) -> None:
@@ -283,7 +377,7 @@
         if self.out.get(request) is not attempt or not self.open:
             return
         server = self.server
-        if server.mode in (Mode.HANGS, Mode.SILENT):
+        if server.mode in (Mode.HANGS, Mode.SILENT) or not self.speaks:
             return
         if server.mode in (Mode.FULL, Mode.ERRORS):
             full = server.mode is Mode.FULL
@@ -315,6 +409,6 @@
         session = self.server.standing.get(request)
         if session is not None:
             self.server.end_session(session, SessionEnd.NODE)
-        if self.server.acknowledges:
+        if self.server.acknowledges and self.speaks:
             with contextlib.suppress(OSError):
                 self.say("ack", request)
--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -170,6 +170,7 @@
         if session.heard_at < FOREVER or not usable or session.request not in self.playing:
             return
         connection = self.rng.choice(usable)
+        session.viewer_ends_at = min(session.viewer_ends_at, time.monotonic())
         connection.write(wire.release(session.request, wire.Cause.ENDED_BY_VIEWER))
         del self.playing[session.request]
         asyncio.get_running_loop().call_later(CROSSING_S, self._note_viewer_release, connection, session)
