Node: the lease of sessions at a server is a core of its own; connection and link in two modules

What keeps sessions alive was a field (`ServerLink.heard_at`) that any code moved. It is `ponddoor/obligations/lease.py` now, free of I/O: states, signs, what renews, when a sign of life is due and when the sessions are given up.

Two things change with it. A sign of life is asked for after 4 s of silence in place of 5.5, and each second after that: a server that stands for 3 s, or that hung and dropped the wish, is not given up (found by the model that comes with the tests of the lease). test_a_sign_is_asked_for_while_connect_timeouts_are_left has the new moments. A lease on which nothing depended begins anew with the first session.

--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -130,6 +130,10 @@
         """Whether a session plays at a server."""
         return bool(self._at_server.get(server))
 
+    def servers_in_use(self) -> list[int]:
+        """Servers at which sessions play."""
+        return [server for server, held in self._at_server.items() if held]
+
     # What happens
 
     def new_terms(self, now: int, facts: SiteFacts) -> list[Effect]:
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -209,8 +209,9 @@
             sessions=viewers.sessions.counts, violations=viewers.sessions.violations.counts,
             lag_us=self._most_lag, memory_kb=self.memory.kilobytes(),
             faults=counts.faults, answers=counts.answers, setups=counts.setups, stray=counts.stray,
-            viewers_seen=viewers.counts, servers_seen=servers.counts, words=self.words.told,
-            words_lost=self.words.lost, board_breaks=self.board.breaks,
+            viewers_seen=viewers.counts, servers_seen=servers.counts,
+            leases=servers.leases(clock()), words=self.words.told, words_lost=self.words.lost,
+            board_breaks=self.board.breaks,
             board_losses=self.board.schedule.losses, board_age_ms=self.board.schedule.age(clock()) // 1000,
         )  # fmt: skip
         self._most_lag = 0
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -20,6 +20,7 @@
 UNLISTED_SERVERS = 4096
 NEEDED_OVER_LIMIT = 32  # connections over the limit where every one is needed
 GONE_SERVERS = 16_384  # whose numbers are kept
+MOST_IDS_LOGGED = 20  # sessions that one line of the log names
 FLUSH_CHECK_S = 0.01  # between two looks at what was written last
 log = structlog.get_logger("servers")
 
@@ -97,13 +98,13 @@
             link = self.links.get(number)
             place = entry.address, entry.started_us
             if link is None:
-                self.links[number] = ServerLink(self, number, entry, heard_at=clock())
+                self.links[number] = ServerLink(self, number, entry)
                 self._listed(self.links[number])
             elif (link.entry.address, link.entry.started_us) == place:
                 link.entry = entry
             else:  # another process: what played there is over
-                self.links[number] = ServerLink(self, number, entry, heard_at=clock())
-                self.lose(link)
+                self.links[number] = ServerLink(self, number, entry)
+                self.lose(link, "another process at its address")
                 self._discard(link)
         for number in change.gone:
             if (link := self.links.get(number)) is None:
@@ -111,7 +112,7 @@
             link.entry = msgspec.structs.replace(link.entry, state="gone")
             self._note_gone(number)
             if link.connection is None:
-                self.lose(link)
+                self.lose(link, "gone")
             self._watched[link] = None
             self._let_go(link)
 
@@ -183,13 +184,17 @@
     def probed(self, server: int, lag: int, result: ev.Result, report: dict[str, float]) -> None:
         self.apply(lambda now: self.engine.probed(now, server, lag, result, report))
 
-    def lose(self, link: ServerLink) -> None:
+    def lose(self, link: ServerLink, why: str) -> None:
         """What plays at a server is over."""
-        if self.engine.plays_at(link.number):
+        held = self.engine.playing_at(link.number)
+        if held:
             log.info(
                 "sessions-lost",
                 server=f"{link.number:08x}",
-                sessions=len(self.engine.playing_at(link.number)),
+                why=why,
+                sessions=len(held),
+                ids=[one.sess for one in held[:MOST_IDS_LOGGED]],
+                signs=link.lease.chain(clock()),
             )
             self.apply(lambda now: self.engine.server_lost(now, link.number))
 
@@ -246,6 +251,15 @@
                 self._watched.pop(link, None)
         self._look_unlisted(now)
 
+    def leases(self, now: int) -> dict[str, int]:
+        """Servers with sessions by the state of their lease, and the oldest proof of any (ms)."""
+        told, oldest = dict[str, int](), 0
+        for number in self.engine.servers_in_use():
+            if (link := self.links.get(number)) is not None:
+                told[link.lease.state.value] = told.get(link.lease.state.value, 0) + 1
+                oldest = max(oldest, now - (link.lease.proven_at or now))
+        return told | {"oldest_proof_ms": oldest // 1000}
+
     async def close(self, until: int) -> None:
         """End every connection once what was written to it has left, `until` at the latest."""
         while any(link.unsent for link in self._watched if link.connection) and clock() < until:
--- /dev/null
+++ b/ponddoor/obligations/lease.py
@@ -0,0 +1,146 @@
+"""Until when the sessions at one server are taken to stand. Free of I/O; times are microseconds.
+
+A lease is renewed by what the server itself says in the protocol, and by nothing else:
+
+    event                            renews   what it does
+    granted: a session is new here   yes      a lease that nothing depended on begins anew
+    a message that could be read     yes      the server runs, reads and speaks
+    connect accepted                 yes      its kernel accepts, also for a process that stands
+    bytes                            yes
+    connect refused                  no       the process is dead: the lease is over
+    reset, closed, late, not read    no       sessions belong to no connection
+
+Source of the limit: the platform's protocol page ("if no release could be sent, within 8 s of its end")."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+SECOND = 1_000_000
+RELEASE_LIMIT = 8 * SECOND  # what could not be released sooner must be, so long after its end
+# What the limit leaves is shared: a quarter of a second for the look that sees the silence, a half for the
+# release.
+SILENT_LIMIT = RELEASE_LIMIT - 3 * SECOND // 4
+PAUSE = 3 * SECOND  # a server that stands so long is not given up
+SIGN_OF_LIFE_AFTER = SILENT_LIMIT - PAUSE - SECOND // 4  # of silence, a sign of life is asked for
+LEAST_TRIES = 3  # connect timeouts that are left at least, where the settings have longer ones
+ASKED_AGAIN_AFTER = SECOND  # a sign of life: a server that hung may have dropped the wish for one
+HISTORY = 12  # signs kept
+
+
+class Sign(Enum):
+    """What there was to see of a server."""
+
+    GRANTED = "granted"
+    MESSAGE = "message"
+    CONNECTED = "connected"
+    NO_MESSAGE = "no-message"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    ASKED = "sign-asked"
+
+
+class LeaseState(Enum):
+    """What is believed of a server."""
+
+    UNKNOWN = "unknown"  # never heard of, or nothing depends on it
+    ALIVE = "alive"
+    SUSPECT = "suspect"  # a sign of life is due
+    DEAD = "dead"  # its sessions are over
+
+
+class Due(Enum):
+    """What a look at a lease calls for."""
+
+    NOTHING = "nothing"
+    ASK = "ask"  # for a sign of life
+    GIVE_UP = "give-up"  # what plays there is over
+
+
+@dataclass(slots=True)
+class Lease:
+    """The lease of all sessions at one server. `connect_timeout` is that of the settings."""
+
+    connect_timeout: int
+    state: LeaseState = LeaseState.UNKNOWN
+    proven_at: int | None = None  # the last message
+    ask_at: int = 0
+    expires_at: int = 0
+    signs: "deque[tuple[int, Sign, str]]" = field(default_factory=lambda: deque(maxlen=HISTORY))
+    _asked_at: int | None = None  # on this connection, since the last message
+
+    @property
+    def quiet_limit(self) -> int:
+        """Of silence, after which a sign of life is asked for."""
+        for_tries = SILENT_LIMIT - LEAST_TRIES * self.connect_timeout
+        return min(SIGN_OF_LIFE_AFTER, max(SILENT_LIMIT // 2, for_tries))
+
+    def grant(self, now: int) -> None:
+        """A session is new at a server on which nothing depended: it is believed until heard of otherwise."""
+        self.note(now, Sign.GRANTED)
+        self._renew(now)
+
+    def heard(self, now: int) -> None:
+        """A message of the protocol came."""
+        if not self.signs or self.signs[-1][1] is not Sign.MESSAGE:
+            self.note(now, Sign.MESSAGE)
+        else:
+            self.signs[-1] = (now, Sign.MESSAGE, "")
+        self.proven_at = now
+        self._renew(now)
+
+    def _renew(self, now: int) -> None:
+        self.state, self._asked_at = LeaseState.ALIVE, None
+        self.ask_at, self.expires_at = now + self.quiet_limit, now + SILENT_LIMIT
+
+    def connected(self, now: int) -> bool:
+        """A connect was accepted; whether a sign of life is to be asked for on it."""
+        self.note(now, Sign.CONNECTED)
+        self._renew(now)
+        return False
+
+    def asked(self, now: int) -> None:
+        """A sign of life was asked for."""
+        self.note(now, Sign.ASKED)
+        self._asked_at = now
+
+    def refused(self, now: int) -> None:
+        """A connect was refused: no process is there."""
+        self.note(now, Sign.REFUSED)
+        self.state, self.expires_at = LeaseState.DEAD, min(self.expires_at, now)
+
+    def received(self, now: int) -> None:
+        """Bytes came."""
+        self._renew(now)
+
+    def note(self, now: int, sign: Sign, detail: str = "") -> None:
+        """Keep a sign that renews nothing, for the log."""
+        self.signs.append((now, sign, detail))
+
+    def look(self, now: int, connected: bool) -> Due:
+        """What time has brought, while sessions depend on it. `connected`: a sign could be asked for."""
+        if self.state is LeaseState.UNKNOWN:
+            self.grant(now)
+        if now > self.expires_at:
+            self.state = LeaseState.DEAD
+            return Due.GIVE_UP
+        if now <= self.ask_at:
+            return Due.NOTHING
+        self.state = LeaseState.SUSPECT
+        asked_of_late = self._asked_at is not None and now - self._asked_at < ASKED_AGAIN_AFTER
+        return Due.ASK if connected and not asked_of_late else Due.NOTHING
+
+    def unused(self, now: int) -> None:
+        """Nothing depends on it now."""
+        self.state = LeaseState.UNKNOWN
+
+    def is_overdue(self, now: int, slack: int) -> bool:
+        """Whether a lease in use ended so long ago, and nothing was done about it."""
+        return self.state is not LeaseState.UNKNOWN and now > self.expires_at + slack
+
+    def chain(self, now: int) -> list[str]:
+        """The signs kept, oldest first, each with its age in milliseconds."""
+        return [
+            f"{(now - at) // 1000} ms ago {sign.value}{' ' + detail if detail else ''}"
+            for at, sign, detail in self.signs
+        ]
--- a/ponddoor/soak/oracle.py
+++ b/ponddoor/soak/oracle.py
@@ -50,6 +50,7 @@
     removed: set[str] = field(default_factory=set)  # servers that the list has told gone
     lags: list[tuple[float, float]] = field(default_factory=list)  # in order: when noted, how late
     violations: list[Violation] = field(default_factory=list)
+    ended_at: float = 0.0  # the end of the run
     _longest_lag: float = 0.0
 
     def note_mute(self, server: str, node: int, at: float) -> None:
@@ -87,6 +88,7 @@
 
     def verdict(self, ended_at: float) -> list[Violation]:
         """All violations, in order of time."""
+        self.ended_at = ended_at
         for request in self.requests.values():
             self._judge_request(request, ended_at)
             self._judge_attempts(request)
--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -57,17 +57,21 @@
     connections: "set[_Connection]" = field(default_factory=set)
     release_again: dict[int, list[str]] = field(default_factory=dict)  # by node, for its next connection
     in_service: bool = True
-    connects: list[float] = field(default_factory=list)  # behind a shared listener: when nodes connected
+    connects: list[float] = field(default_factory=list)  # when nodes connected
     _conditions: dict[int, Condition] = field(default_factory=dict)  # by node, where it is not sound
     _listeners: list[StallableListener] = field(default_factory=list)  # by node
 
     def start(self) -> None:
         """Listen. Raises OSError where the port is taken."""
         for host in self.hosts:
-            listener = StallableListener(lambda: _Connection(self))
+            listener = StallableListener(self._accepted)
             listener.start(host, self.port)
             self._listeners.append(listener)
 
+    def _accepted(self) -> "_Connection":
+        self.connects.append(time.monotonic())
+        return _Connection(self)
+
     def condition(self, node: int) -> Condition:
         """How it behaves towards a node, beside its mode."""
         return self._conditions.get(node, SOUND)
