Lease: an accepted connect renews no session; a sign of life is asked for on it

What callers saw: clients were left waiting for ever for the end of sessions at a mute server whose connections are reset or closed from time to time. Cause: a connect that the kernel accepted renewed the lease of all sessions there. A kernel accepts also for a process that stands, hangs or is overrun; each new connection began the 7.25 s anew. Evidence: test_sessions_at_a_mute_server_end_whatever_its_connections_do failed before: 80 of 80 sessions at servers whose connections are reset at once or after 2, 4, 6 s or closed after 2, 4 s were not released within 8 s, those at mute servers with lasting connections were (4.6 to 7.5 s). Why it works: the lease runs from the last message on, whatever connections do; where the last message is over a second old, a new connection is asked for a sign of life at once, so that a server that lives proves it on each.

--- a/ponddoor/obligations/lease.py
+++ b/ponddoor/obligations/lease.py
@@ -5,7 +5,8 @@
     event                            renews   what it does
     granted: a session is new here   yes      a lease that nothing depended on begins anew
     a message that could be read     yes      the server runs, reads and speaks
-    connect accepted                 yes      its kernel accepts, also for a process that stands
+    connect accepted                 no       its kernel accepts, also for a process that stands; if the last
+                                              message is over UNPROVEN_AFTER old, a sign of life is asked for
     bytes                            yes
     connect refused                  no       the process is dead: the lease is over
     reset, closed, late, not read    no       sessions belong to no connection
@@ -24,6 +25,7 @@
 PAUSE = 3 * SECOND  # a server that stands so long is not given up
 SIGN_OF_LIFE_AFTER = SILENT_LIMIT - PAUSE - SECOND // 4  # of silence, a sign of life is asked for
 LEAST_TRIES = 3  # connect timeouts that are left at least, where the settings have longer ones
+UNPROVEN_AFTER = SECOND  # a new connection is asked for a sign of life if the last message is older
 ASKED_AGAIN_AFTER = SECOND  # a sign of life: a server that hung may have dropped the wish for one
 HISTORY = 12  # signs kept
 
@@ -96,8 +98,10 @@
     def connected(self, now: int) -> bool:
         """A connect was accepted; whether a sign of life is to be asked for on it."""
         self.note(now, Sign.CONNECTED)
-        self._renew(now)
-        return False
+        self._asked_at = None
+        if self.state is LeaseState.DEAD:
+            self.state = LeaseState.UNKNOWN
+        return self.proven_at is None or now - self.proven_at > UNPROVEN_AFTER
 
     def asked(self, now: int) -> None:
         """A sign of life was asked for."""
