Lease: bytes that are no message renew no session

Cause: any byte renewed the lease before it was known to belong to a message. Why it works: a lease is renewed where a line was read as a message, nowhere else.

--- a/ponddoor/node/server_connection.py
+++ b/ponddoor/node/server_connection.py
@@ -16,9 +16,6 @@
 class ConnectionOwner(Protocol):
     """Who is told what happens on a connection."""
 
-    def received(self, now: int) -> None:
-        """Bytes came."""
-
     def take(self, connection: "ServerConnection", line: bytes) -> None:
         """A line has come. Raises UnreadableError for one that is no message."""
 
@@ -50,7 +47,6 @@
 
     def data_received(self, data: bytes) -> None:
         now = clock()
-        self.owner.received(now)
         try:
             lines = self.lines.feed(data)
             if lines:  # what is left has begun only now
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -332,10 +332,6 @@
             began, _ = self.tests.pop(sess)
             self.servers.probed(self.number, clock() - began, ev.Result.TIMEOUT, {})
 
-    def received(self, now: int) -> None:
-        """Bytes came."""
-        self.lease.received(now)
-
     def unreadable(self, connection: ServerConnection, why: str) -> None:
         """What came is no message: nothing on this connection can be believed any more."""
         if self.connection is connection:
--- a/ponddoor/obligations/lease.py
+++ b/ponddoor/obligations/lease.py
@@ -7,7 +7,7 @@
     a message that could be read     yes      the server runs, reads and speaks
     connect accepted                 no       its kernel accepts, also for a process that stands; if the last
                                               message is over UNPROVEN_AFTER old, a sign of life is asked for
-    bytes                            yes
+    bytes that are no message        no       anybody may send them
     connect refused                  no       the process is dead: the lease is over
     reset, closed, late, not read    no       sessions belong to no connection
 
@@ -113,10 +113,6 @@
         self.note(now, Sign.REFUSED)
         self.state, self.expires_at = LeaseState.DEAD, min(self.expires_at, now)
 
-    def received(self, now: int) -> None:
-        """Bytes came."""
-        self._renew(now)
-
     def note(self, now: int, sign: Sign, detail: str = "") -> None:
         """Keep a sign that renews nothing, for the log."""
         self.signs.append((now, sign, detail))
