Backoff: a server that sends rubbish is connected to by the backoff

What was seen: hundreds of connects a second to each server that sends lines that can't be read. Cause: a byte that came, and a line before it was read, ended the backoff; so each connect began anew at once. Evidence: test_a_server_that_sends_rubbish_is_not_connected_to_without_pause fails before this commit and passes with it. Why it works: the backoff ends with a connection on which a message was read and which lasted a second; rubbish counts as a failure, an end of our own does not.

--- a/ponddoor/node/server_connection.py
+++ b/ponddoor/node/server_connection.py
@@ -77,6 +77,10 @@
         """Bytes that have not left yet."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
+    def was_of_use(self, now: int) -> bool:
+        """Whether the server said something on it, and it lasted."""
+        return self.heard and now - self.opened_at >= OF_USE_AFTER
+
     def ended_at_once(self, now: int) -> bool:
         """Whether it ends before it was of any use."""
         return not self.heard and now - self.opened_at < OF_USE_AFTER
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -289,10 +289,11 @@
         Raises UnreadableError for one that is no message."""
         if self.connection is not connection:
             return
-        now, connection.heard = clock(), True
-        self.backoff.succeeded()
         said = codec.read(line)
+        now, connection.heard = clock(), True
         self.lease.heard(now)
+        if connection.was_of_use(now):
+            self.backoff.succeeded()
         log.debug("server-says", server=self.number, said=said)
         match said:
             case codec.Stands(sess, passed):
@@ -336,6 +337,7 @@
         """What came is no message: nothing on this connection can be believed any more."""
         if self.connection is connection:
             self.servers.count("spoilt")
+            self.backoff.failed(clock())
             self.lease.note(clock(), Sign.NO_MESSAGE, why[:80])
         self._end_connection(connection, f"spoilt: {why}")
 
@@ -348,8 +350,11 @@
     def connection_failed(self, connection: ServerConnection, why: str) -> None:
         """The connection is of no use any more: its SETUPs are lost, sessions that play are not."""
         now = clock()
-        if self.connection is connection and connection.ended_at_once(now):
-            self.backoff.failed(now)
+        if self.connection is connection:
+            if connection.ended_at_once(now):
+                self.backoff.failed(now)
+            elif connection.was_of_use(now):
+                self.backoff.succeeded()
         self._end_connection(connection, why)
 
     def _end_connection(self, connection: ServerConnection, why: str) -> None:
--- a/tests/soak/test_server_conditions.py
+++ b/tests/soak/test_server_conditions.py
@@ -7,11 +7,12 @@
 
 from ponddoor.soak.conditions import Condition
 from ponddoor.soak.plan import Plan, ServerFault, ServiceClass, draw_server_conditions
-from ponddoor.soak.run import SoakRun
+from ponddoor.soak.run import SETTLE_S, SoakRun
 
 STRUCK_AT_S = 3.0
 SECONDS = 15.0  # what stood as the servers were struck is over 3 s later, and is due 8 s after that
 SOUND_SERVERS = 2
+MOST_CONNECTS_A_SECOND = 1.0
 ENDED_WHILE_MUTE = 3  # sessions at each struck server, at least
 
 
@@ -85,6 +86,14 @@
     )
 
 
+def test_a_server_that_sends_rubbish_is_not_connected_to_without_pause(tmp_path: Path) -> None:
+    run = play(struck_plan(Condition("runs", "stay", "rubbish")), tmp_path)
+    until = run.oracle.ended_at - SETTLE_S
+    since = until - (SECONDS - STRUCK_AT_S) + 1.0
+    connects = sum(since <= at < until for at in run.servers[SOUND_SERVERS].connects)
+    assert 0 < connects <= MOST_CONNECTS_A_SECOND * (until - since)
+
+
 def test_sessions_at_a_server_that_can_be_heard_are_left_alone(tmp_path: Path) -> None:
     play(
         struck_plan(
