Lease: no server is given up for a silence in which this process stood; model of the lease

What callers would see: sessions at sound servers cut after the node itself had no processor for seconds, and sessions handed over at a server that this node had not used for 7 s cut before its connect came up. Cause: silence was counted from the last word by the clock alone. After five seconds without processor a look found it too long and left a quarter of a second for an answer; at a server unused for long it was too long from the start. Why it works: where more than a second lies between two looks, what a sign of life takes is left of the lease at least; a hand-over grants it.

A state machine of hypothesis holds the exact moment of the end.

--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -204,6 +204,7 @@
         A server that the list does not name yet is waited for; one that it has removed is gone."""
         link = self.links.get(server)
         if link is not None:
+            link.lease.grant(clock())
             link.connect_in_turn()
             return
         self.count("handed-over-unlisted")
--- a/ponddoor/obligations/lease.py
+++ b/ponddoor/obligations/lease.py
@@ -10,6 +10,7 @@
     bytes that are no message        no       anybody may send them
     connect refused                  no       the process is dead: the lease is over
     reset, closed, late, not read    no       sessions belong to no connection
+    this process stood               no       at least what a sign of life takes is left of the lease
 
 Source of the limit: the platform's protocol page ("if no release could be sent, within 8 s of its end")."""
 
@@ -27,6 +28,7 @@
 LEAST_TRIES = 3  # connect timeouts that are left at least, where the settings have longer ones
 UNPROVEN_AFTER = SECOND  # a new connection is asked for a sign of life if the last message is older
 ASKED_AGAIN_AFTER = SECOND  # a sign of life: a server that hung may have dropped the wish for one
+STOOD_FOR = SECOND  # between two looks, which come every quarter of a second: this process stood
 HISTORY = 12  # signs kept
 
 
@@ -40,6 +42,7 @@
     REFUSED = "refused"
     BROKEN = "broken"
     ASKED = "sign-asked"
+    STOOD = "we-stood"
 
 
 class LeaseState(Enum):
@@ -70,6 +73,7 @@
     expires_at: int = 0
     signs: "deque[tuple[int, Sign, str]]" = field(default_factory=lambda: deque(maxlen=HISTORY))
     _asked_at: int | None = None  # on this connection, since the last message
+    _looked_at: int | None = None
 
     @property
     def quiet_limit(self) -> int:
@@ -119,6 +123,7 @@
 
     def look(self, now: int, connected: bool) -> Due:
         """What time has brought, while sessions depend on it. `connected`: a sign could be asked for."""
+        self._excuse(now)
         if self.state is LeaseState.UNKNOWN:
             self.grant(now)
         if now > self.expires_at:
@@ -132,7 +137,16 @@
 
     def unused(self, now: int) -> None:
         """Nothing depends on it now."""
-        self.state = LeaseState.UNKNOWN
+        self._looked_at, self.state = None, LeaseState.UNKNOWN
+
+    def _excuse(self, now: int) -> None:
+        """No server is given up for a silence in which this process did not look."""
+        last, self._looked_at = self._looked_at, now
+        if last is None or now - last <= STOOD_FOR:
+            return
+        self.note(now, Sign.STOOD, f"{(now - last) // 1000} ms")
+        if self.state is not LeaseState.DEAD:
+            self.expires_at = max(self.expires_at, now + SILENT_LIMIT - self.quiet_limit)
 
     def is_overdue(self, now: int, slack: int) -> bool:
         """Whether a lease in use ended so long ago, and nothing was done about it."""
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -915,6 +915,36 @@
     run(world, course)
 
 
+def test_a_session_handed_over_at_a_server_unused_for_long_is_not_given_up_at_once(world: World) -> None:
+    async def course(world: World) -> None:
+        gate, original = asyncio.Event(), connect_within
+
+        async def held_back(seconds: float, host: str, port: int) -> socket.socket:
+            await gate.wait()
+            return await original(seconds, host, port)
+
+        await begun(world, "gone=400000", "quiet=200000", "look=10000")
+        viewer = await proven(world)
+        unused_until = clock() + 500_000
+        while clock() < unused_until:
+            await asyncio.sleep(0.01)
+        world.patch.setattr(node_server_link, "connect_within", held_back)
+        looks = list[int]()
+        before(world.patch, node_servers.Servers, "look", lambda *_: looks.append(0))
+        viewer.send(set_up("1", at="s-00000001"))
+        while not world.node.engine.held:
+            await asyncio.sleep(0)
+        seen = len(looks)
+        while len(looks) < seen + 3:
+            await asyncio.sleep(0)
+        assert world.node.engine.held
+        gate.set()
+        await world.step("s1", "gives-signs", "2")
+        assert world.node.engine.held
+
+    run(world, course)
+
+
 @pytest.mark.parametrize("last", [False, True])
 def test_a_cut_in_an_answer_before_and_after_its_last_byte(world: World, last: bool) -> None:
     async def course(world: World) -> None:
--- /dev/null
+++ b/tests/obligations/test_lease.py
@@ -0,0 +1,163 @@
+"""The lease of sessions at a server: what renews it, and until when it runs."""
+
+from itertools import product
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from ponddoor.obligations.lease import SECOND, SILENT_LIMIT, Due, Lease, LeaseState, Sign
+from tests.obligations.lease_schedules import RELEASED_WITHIN, Step, verdict
+
+CONNECT_TIMEOUT = SECOND // 4
+EXHAUSTIVE_LENGTH = 5
+LONG_SCHEDULES, LONG_LENGTH = 2000, 12
+
+
+def lease() -> Lease:
+    return Lease(CONNECT_TIMEOUT)
+
+
+class RenewsOnConnect(Lease):
+    def connected(self, now: int) -> bool:
+        asks = super().connected(now)
+        self._renew(now)
+        return asks
+
+
+class RenewsOnBytes(Lease):
+    def note(self, now: int, sign: Sign, detail: str = "") -> None:
+        super().note(now, sign, detail)
+        if sign is Sign.NO_MESSAGE:
+            self._renew(now)
+
+
+class AsksNothingOnNewConnections(Lease):
+    def connected(self, now: int) -> bool:
+        super().connected(now)
+        self._asked_at = 1 << 60
+        return False
+
+
+class JudgesItsOwnStanding(Lease):
+    def _excuse(self, now: int) -> None:
+        pass
+
+
+class ExcusesEachLook(Lease):
+    def _excuse(self, now: int) -> None:
+        self.expires_at = max(self.expires_at, now + SILENT_LIMIT - self.quiet_limit)
+
+
+class RenewsOnAsking(Lease):
+    def asked(self, now: int) -> None:
+        super().asked(now)
+        self.expires_at = now + SILENT_LIMIT
+
+
+class IgnoresMessages(Lease):
+    def heard(self, now: int) -> None:
+        self.proven_at = now
+
+
+class GivesUpOnReset(Lease):
+    def note(self, now: int, sign: Sign, detail: str = "") -> None:
+        super().note(now, sign, detail)
+        if sign is Sign.BROKEN:
+            self.expires_at = now
+
+
+GUARDS_TAKEN_OUT = (
+    RenewsOnConnect, RenewsOnBytes, AsksNothingOnNewConnections, JudgesItsOwnStanding,
+    ExcusesEachLook, RenewsOnAsking, IgnoresMessages, GivesUpOnReset,
+)  # fmt: skip
+
+
+def test_every_short_schedule_releases_what_is_over_and_keeps_what_is_proven() -> None:
+    for schedule in product(Step, repeat=EXHAUSTIVE_LENGTH):
+        assert not (wrong := verdict(schedule, lease)), f"{wrong}: {[step.value for step in schedule]}"
+
+
+def test_long_drawn_schedules_release_what_is_over_and_keep_what_is_proven() -> None:
+    for seed in range(LONG_SCHEDULES):
+        schedule = tuple(Random(seed).choices(list(Step), k=LONG_LENGTH))
+        wrong = verdict(schedule, lease)
+        assert not wrong, f"seed {seed}: {wrong}: {[step.value for step in schedule]}"
+
+
+@pytest.mark.parametrize("without", GUARDS_TAKEN_OUT, ids=lambda one: str(one.__name__))
+def test_each_guard_taken_out_is_found(without: type[Lease]) -> None:
+    for seed in range(LONG_SCHEDULES):
+        schedule = tuple(Random(seed).choices(list(Step), k=LONG_LENGTH))
+        if verdict(schedule, lambda: without(CONNECT_TIMEOUT)):
+            return
+    raise AssertionError(f"not found in {LONG_SCHEDULES} schedules")
+
+
+def test_a_refused_connect_ends_the_lease_at_once() -> None:
+    held = lease()
+    held.grant(0)
+    held.refused(SECOND)
+    assert held.state is LeaseState.DEAD and held.look(SECOND + 1, False) is Due.GIVE_UP
+
+
+def test_a_lease_on_which_nothing_depended_for_long_begins_anew() -> None:
+    held = lease()
+    held.heard(0)
+    held.unused(SECOND)
+    assert held.look(100 * SECOND, True) is Due.NOTHING
+    assert held.look(100 * SECOND + SILENT_LIMIT, True) is not Due.GIVE_UP
+
+
+def test_the_chain_of_signs_is_bounded_and_tells_ages() -> None:
+    held = lease()
+    for number in range(100):
+        held.note(number * SECOND, Sign.BROKEN, "reset")
+    assert held.chain(100 * SECOND)[-1] == "1000 ms ago broken reset" and len(held.chain(0)) < 20
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Any order of signs and looks: the lease runs out after the last message, neither sooner nor later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lease, self.now, self.renewed_at = lease(), 0, 0
+        self.given_up = False
+        self.lease.grant(0)
+
+    @rule()
+    def message(self) -> None:
+        self.lease.heard(self.now)
+        self.renewed_at, self.given_up = self.now, False
+
+    @rule()
+    def accepted(self) -> None:
+        if not self.given_up and self.lease.connected(self.now):
+            self.lease.asked(self.now)
+
+    @rule(sign=st.sampled_from((Sign.BROKEN, Sign.NO_MESSAGE)))
+    def ended_or_bytes(self, sign: Sign) -> None:
+        self.lease.note(self.now, sign)
+
+    @precondition(lambda self: not self.given_up)
+    @rule(wait=st.integers(1, SECOND), connected=st.booleans())
+    def look(self, wait: int, connected: bool) -> None:
+        self.now += wait
+        due = self.lease.look(self.now, connected)
+        self.given_up = due is Due.GIVE_UP
+        assert self.given_up == (self.now > self.renewed_at + SILENT_LIMIT)
+        if due is Due.ASK:
+            assert connected
+            self.lease.asked(self.now)
+
+    @invariant()
+    def is_overdue_only_past_the_limit(self) -> None:
+        if self.lease.is_overdue(self.now, 0):
+            assert self.now > self.renewed_at + SILENT_LIMIT
+        assert SILENT_LIMIT <= RELEASED_WITHIN
+
+
+TestLeaseMachine = LeaseMachine.TestCase
+TestLeaseMachine.settings = settings(max_examples=200, stateful_step_count=40, deadline=None)
