Lease: one that is over is carried out at run time whatever a look left undone, and counted

What callers would see: a client left waiting where the node's own book-keeping of links misses a server. Cause: sessions ended by silence only if their link was among those looked at. Evidence: test_a_lease_that_no_look_ends_is_carried_out_and_counted takes the links out of that table: without the check the viewer is never told; with it, it is, and `lease-in-time` counts one violation with its chain of signs.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -66,6 +66,7 @@
         self.servers = Servers(self.engine, apply, groups, connect, facts.me, facts.fronts)
         self.servers.random.seed(facts.seed)
         self.viewers = Viewers(self.engine, apply, self.servers.attend, groups, 0)
+        self.servers.violations = self.viewers.sessions.violations
         roster = Roster(place.zones, place.kinds, facts.plant.cells, now - time.time_ns() // 1000)
         schedule = ReconnectSchedule(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
         self.reserve = DescriptorReserve()
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -15,12 +15,14 @@
 from ponddoor.front.roster import ListChange
 from ponddoor.interface import events as ev
 from ponddoor.node.server_link import MOST_PENDING_RELEASES, Item, ServerLink
+from ponddoor.obligations.violations import Invariant, Violations
 
 UNLISTED_FOR = 13 * SECOND // 2  # a session is handed over at a server that the list may name so much later
 UNLISTED_SERVERS = 4096
 NEEDED_OVER_LIMIT = 32  # connections over the limit where every one is needed
 GONE_SERVERS = 16_384  # whose numbers are kept
 MOST_IDS_LOGGED = 20  # sessions that one line of the log names
+OVERDUE_AFTER = SECOND // 2  # past its end a lease is carried out by the check, which is a fault of ours
 FLUSH_CHECK_S = 0.01  # between two looks at what was written last
 log = structlog.get_logger("servers")
 
@@ -40,6 +42,7 @@
     random: Random = field(default_factory=Random)  # of the backoff's jitter
     most: int = 1 << 30  # connections at once
     informed: bool = False
+    violations: Violations = field(default_factory=Violations)
     connected: dict[ServerLink, None] = field(default_factory=dict)  # or connecting, the longest unused first
     _watched: dict[ServerLink, None] = field(default_factory=dict)  # that a look may find something at
     _unlisted: dict[int, int] = field(default_factory=dict)  # servers of hand-overs, since when
@@ -251,6 +254,21 @@
             if not link.active:
                 self._watched.pop(link, None)
         self._look_unlisted(now)
+        self._check_leases(now)
+
+    def _check_leases(self, now: int) -> None:
+        """No session stands at a server past its lease, whatever a look has left undone."""
+        for number in self.engine.servers_in_use():
+            link = self.links.get(number)
+            if link is None and number not in self._unlisted:
+                self._overdue(number, "no link", ())
+                self._lose_sessions(number)
+            elif link is not None and link.lease.is_overdue(now, OVERDUE_AFTER):
+                self._overdue(number, "lease over", tuple(link.lease.chain(now)))
+                link.give_up(now, "overdue")
+
+    def _overdue(self, number: int, why: str, signs: tuple[str, ...]) -> None:
+        self.violations.add(Invariant.LEASE_IN_TIME, f"{number:08x}", why, signs)
 
     def leases(self, now: int) -> dict[str, int]:
         """Servers with sessions by the state of their lease, and the oldest proof of any (ms)."""
--- a/ponddoor/obligations/violations.py
+++ b/ponddoor/obligations/violations.py
@@ -6,11 +6,12 @@
 
 
 class Invariant(Enum):
-    """What must hold of every request, session and release."""
+    """What must hold of every request, session, lease and release."""
 
     LEGAL_TRANSITION = "legal-transition"
     ONE_ANSWER = "one-answer"
     ANSWERED_IN_TIME = "answered-in-time"
+    LEASE_IN_TIME = "lease-in-time"  # no session stands at a server past its lease
     CLOSED_WITHOUT_WAITING = "closed-without-waiting"  # no connection is closed with a set-up open on it
 
 
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -945,6 +945,25 @@
     run(world, course)
 
 
+def test_a_lease_that_no_look_ends_is_carried_out_and_counted(world: World) -> None:
+    async def course(world: World) -> None:
+        await begun(world, "gone=200000", "quiet=100000", "look=10000")
+        viewer = await proven(world)
+        viewer.send(set_up("1"))
+        await world.step("S", "gets", "new", "1")
+        await world.step("S", "answers", "1")
+        assert (await viewer.hears())[0] == 9
+        world.named["S"].dumb = True
+        world.node.servers._watched.clear()
+        got = await viewer.hears()
+        assert (got[0], got[1:9].hex()) == (12, sess("1"))
+        counts = world.node.viewers.sessions.violations.counts
+        assert counts == {"lease-in-time": 1}
+        counts.clear()
+
+    run(world, course)
+
+
 @pytest.mark.parametrize("last", [False, True])
 def test_a_cut_in_an_answer_before_and_after_its_last_byte(world: World, last: bool) -> None:
     async def course(world: World) -> None:
