Node: a release sent again does not end a session that was set up anew

What callers saw: a session that stood was ended by the node in the instant in which a connection to its server ended, and its viewer was never told. Cause: an attempt that was reset is released on the next connection. If that one ends within a second too, the release was sent again on a third, though the session had been set up anew at that server meanwhile. The scenario set_up_again_after_its_release fails before this commit (the server gets the release again) and passes with it. Why it works: with the new set-up the old release is no longer pending; messages on one connection keep their order.

--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -253,6 +253,8 @@
                     return
                 # An end is not to be taken for that of an attempt given up here before
                 connection.given_up.pop(sess, None)
+                # Nor may a release of that attempt, sent again, end what is set up now
+                connection.released.pop(sess, None)
                 connection.setups[sess] = attempt
                 connection.write(line)
             case fx.SendTeardown(sess, attempt):
