--- a/ponddoor/soak/discovery.py
+++ b/ponddoor/soak/discovery.py
@@ -11,6 +11,7 @@
 
 from ponddoor.soak.oracle import Oracle
 from ponddoor.soak.records import FOREVER, NodeLife
+from ponddoor.soak.sockets import has_ended
 
 HEARTBEAT_S = 1.0
 SLOW_S = 0.4  # how long a slow service takes to begin to answer
@@ -62,6 +63,7 @@
     ports: tuple[int, ...]
     life_of: Callable[[str], NodeLife | None]
     events: list[tuple[list[Member], bool]] = field(default_factory=list)  # and whether it is the whole list
+    _texts: list[str] = field(default_factory=list)  # of each event
     state: State = State.WELL
     _listeners: list[asyncio.Server] = field(default_factory=list)
     _open: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -75,19 +77,22 @@
 
     def publish(self, members: list[Member], whole: bool = False) -> None:
         """A change of the list; the first one is all of it, as a `whole` one is."""
-        self.events.append((members, whole or not self.events))
+        whole = whole or not self.events
+        self.events.append((members, whole))
+        self._texts.append(self._text(len(self.events), members, whole))
         self.oracle.removed.update(one.id for one in members if one.phase == "terminated")
         self.oracle.events.append((time.monotonic(), len(self.events)))
         self._wake()
 
-    def known(self) -> dict[str, Any]:
-        """What a configuration tells of the list."""
-        return {"rev": len(self.events), "notices": [self._event(n) for n in range(1, len(self.events) + 1)]}
+    def known(self) -> str:
+        """What a configuration tells of the list, as JSON."""
+        notices = ",".join(self._texts)
+        return f'{{"rev":{len(self._texts)},"notices":[{notices}]}}'
 
-    def _event(self, number: int) -> dict[str, Any]:
-        members, whole = self.events[number - 1]
+    @staticmethod
+    def _text(number: int, members: list[Member], whole: bool) -> str:
         rows = [member.as_row() for member in members]
-        return {"rev": number, "pool": {"revision": number, "complete": whole, "members": rows}}
+        return json.dumps({"rev": number, "pool": {"revision": number, "complete": whole, "members": rows}})
 
     def for_node(self, text: str, node: int) -> str:
         """Events as a node gets them, with its own addresses of the servers."""
@@ -128,24 +133,24 @@
             if self.state is State.SLOW:
                 await asyncio.sleep(SLOW_S)
             if life is not None:
-                await self._tell(life, int(first.split()[1]), reader, writer)
+                await self._tell(life, int(first.split()[1]), writer)
         except (OSError, ValueError, IndexError, asyncio.CancelledError):
             return
         finally:
             self._open.discard(writer)
             writer.transport.abort()
 
-    async def _tell(
-        self, life: NodeLife, last: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _tell(self, life: NodeLife, last: int, writer: asyncio.StreamWriter) -> None:
         number = self.oracle.lives.index(life)
-        while not writer.is_closing() and not reader.at_eof():
+        writer.transport.set_write_buffer_limits(0)  # what the kernel has taken is told
+        while not writer.is_closing() and not has_ended(writer.transport):
             news = self._news
             if self.state is not State.HANGS:
-                while last < len(self.events):
+                while last < len(self.events) and not has_ended(writer.transport):
                     last += 1
-                    line = self.for_node(json.dumps(self._event(last)), life.node)
+                    line = self.for_node(self._texts[last - 1], life.node)
                     writer.write(line.encode() + b"\n")
+                    await writer.drain()
                     self._note_told(number, life, last)
                 writer.write(b"%d\n" % last)
                 await writer.drain()
--- a/ponddoor/soak/processes.py
+++ b/ponddoor/soak/processes.py
@@ -132,19 +132,15 @@
             "seed": f"{self.plan.seed * 1009 + self.starts:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.plan.sockets},
             "board": f"{host}:{self.discovery.ports[self.board]}",
-            "known": self.known(),
             "settings": settings(self.plan, self.number),
         }
         if self.peers:
             told |= {"peer_listen": self.peers[self.number], "peers": list(self.peers)}
         beside = self.path.with_suffix(".new")
-        beside.write_text(json.dumps(told))
+        known = self.discovery.for_node(self.discovery.known(), self.number)
+        beside.write_text(f'{json.dumps(told)[:-1]}, "known": {known}}}')
         beside.replace(self.path)
 
-    def known(self) -> dict[str, Any]:
-        """The list of the start, with this node's addresses of the servers."""
-        return dict(json.loads(self.discovery.for_node(json.dumps(self.discovery.known()), self.number)))
-
     async def start(self, is_ready: Callable[[], Any]) -> NodeLife:
         """A new process; returns once it passes a test, or its time for that is over."""
         self.starts += 1
--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -305,6 +305,9 @@
             self.condition_changed()
 
     def say_releases(self) -> None:
+        """What ended while the node could not be told. What follows rubbish is not read: it waits."""
+        if not self.open:
+            return
         for request in self.server.release_again.pop(self.node, []):
             session = self.server.oracle.sessions[request]
             self.say("down", request, Cause.ENDED)
--- a/ponddoor/soak/stallable_listener.py
+++ b/ponddoor/soak/stallable_listener.py
@@ -17,6 +17,7 @@
     make: Callable[[], asyncio.Protocol]
     _socket: socket.socket | None = None
     _fillers: list[socket.socket] = field(default_factory=list)
+    _filler_addresses: set[tuple[str, int]] = field(default_factory=set)
     _tasks: set[asyncio.Task[object]] = field(default_factory=set)
 
     def start(self, host: str, port: int) -> None:
@@ -32,9 +33,12 @@
         loop = asyncio.get_running_loop()
         while self._socket is not None:
             try:
-                opened, _ = self._socket.accept()
+                opened, peer = self._socket.accept()
             except OSError:
                 return
+            if peer in self._filler_addresses:
+                opened.close()
+                continue
             opened.setblocking(False)
             task: asyncio.Task[object] = loop.create_task(loop.connect_accepted_socket(self.make, opened))
             self._tasks.add(task)
@@ -52,6 +56,7 @@
             filler.setblocking(False)
             with contextlib.suppress(BlockingIOError):
                 filler.connect(self._socket.getsockname())
+            self._filler_addresses.add(filler.getsockname())
             self._fillers.append(filler)
 
     def resume(self) -> None:
--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -15,12 +15,12 @@
 from ponddoor.soak.oracle import CROSSING_S, Oracle
 from ponddoor.soak.plan import Plan, ServiceClass
 from ponddoor.soak.records import FOREVER, AnswerKind, NodeLife, Request, Session
+from ponddoor.soak.sockets import has_ended
 
 NEW_CONNECTIONS_AFTER_SIGTERM_S = 0.4  # the protocol page: so long new connections may come
 RECONNECT_S = 0.05
 RACKS_OF_A_TITLE = 2
 VIEWER_ENDS = 0.3  # the share of sessions that their viewers end
-RESEND_LIMIT_S = 1.0  # past this a set-up is not sent again; what may cross a close, the oracle judges
 GIVE_UP_GRACE_S = 0.5  # a viewer waits so long over its time
 HALF_CLOSED_S = 0.1  # how long a viewer reads on after it has ended its side
 ENDS_A_WAIT = (wire.MessageType.ANSWER, wire.MessageType.RELEASE, wire.MessageType.MOVE)
@@ -304,8 +304,8 @@
                 request.given_up_at = min(request.given_up_at, now)
                 continue
             request.connection_ended_at = now
-            may_resend = not request.is_resent and self.life.killed_at > now and not self.pool.stopping
-            if may_resend and crossing_s <= RESEND_LIMIT_S:
+            # What may cross a close, the oracle judges
+            if not request.is_resent and self.life.killed_at > now and not self.pool.stopping:
                 request.resent, request.crossing_s = True, crossing_s
                 self.pool.spawn(self._send_again(request))
 
@@ -327,7 +327,7 @@
     def ask(self, service_class: ServiceClass, is_resent: bool = False) -> None:
         """Send a set-up."""
         pool, now = self.pool, time.monotonic()
-        if not self.open or self.pieces:
+        if not self.open or self.pieces or has_ended(self.transport):
             return
         wait = service_class.deadline_ms / 1000
         if pool.rng.random() < 0.1:
