Node: sessions of lost servers end in slices, a hundred in a turn of the loop

Cause: each lost server ended all its sessions in the turn of the look that found it. Why it works: what stood at the time of the loss is queued by session and attempt, so that nothing newer ends with it, and a hundred end in each turn; a server whose sessions are ending is neither looked at as overdue nor queued twice.

--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 
@@ -21,6 +22,7 @@
 UNLISTED_SERVERS = 4096
 NEEDED_OVER_LIMIT = 32  # connections over the limit where every one is needed
 GONE_SERVERS = 16_384  # whose numbers are kept
+LOST_A_TURN = 100  # sessions of lost servers that end in one turn of the loop
 MOST_IDS_LOGGED = 20  # sessions that one line of the log names
 OVERDUE_AFTER = SECOND // 2  # past its end a lease is carried out by the check, which is a fault of ours
 FLUSH_CHECK_S = 0.01  # between two looks at what was written last
@@ -47,6 +49,8 @@
     _watched: dict[ServerLink, None] = field(default_factory=dict)  # that a look may find something at
     _unlisted: dict[int, int] = field(default_factory=dict)  # servers of hand-overs, since when
     _unlisted_releases: dict[int, dict[str, None]] = field(default_factory=dict)
+    _losing: dict[int, deque[tuple[str, int]]] = field(default_factory=dict)  # sessions that end, by server
+    _loses: bool = False
     _gone: dict[int, None] = field(default_factory=dict)  # servers that the list has named and removed
     _ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
@@ -188,18 +192,39 @@
         self.apply(lambda now: self.engine.probed(now, server, lag, result, report))
 
     def lose(self, link: ServerLink, why: str) -> None:
-        """What plays at a server is over."""
+        """What plays at a server now is over; many sessions end in slices, a turn of the loop each."""
         held = self.engine.playing_at(link.number)
-        if held:
-            log.info(
-                "sessions-lost",
-                server=f"{link.number:08x}",
-                why=why,
-                sessions=len(held),
-                ids=[one.sess for one in held[:MOST_IDS_LOGGED]],
-                signs=link.lease.chain(clock()),
-            )
-            self.apply(lambda now: self.engine.server_lost(now, link.number))
+        if not held or link.number in self._losing:
+            return
+        log.info(
+            "sessions-lost",
+            server=f"{link.number:08x}",
+            why=why,
+            sessions=len(held),
+            ids=[one.sess for one in held[:MOST_IDS_LOGGED]],
+            signs=link.lease.chain(clock()),
+        )
+        self._losing[link.number] = deque((one.sess, one.attempt) for one in held)
+        if not self._loses:
+            self._loses = True
+            asyncio.get_running_loop().call_soon(self._lose_some)
+
+    def _lose_some(self) -> None:
+        left = LOST_A_TURN
+        while self._losing and left:
+            number, sessions = next(iter(self._losing.items()))
+            while sessions and left:
+                sess, attempt = sessions.popleft()
+                left -= 1
+                self._lose_session(sess, attempt)
+            if not sessions:
+                del self._losing[number]
+        self._loses = bool(self._losing)
+        if self._loses:
+            asyncio.get_running_loop().call_soon(self._lose_some)
+
+    def _lose_session(self, sess: str, attempt: int) -> None:
+        self.apply(lambda now: self.engine.stream_ended(now, sess, attempt, "lost"))
 
     def attend(self, server: int) -> None:
         """Sessions play there from before our start: what the server says of them needs a connection.
@@ -263,6 +288,8 @@
             if link is None and number not in self._unlisted:
                 self._overdue(number, "no link", ())
                 self._lose_sessions(number)
+            elif number in self._losing:
+                continue  # it is being carried out
             elif link is not None and link.lease.is_overdue(now, OVERDUE_AFTER):
                 self._overdue(number, "lease over", tuple(link.lease.chain(now)))
                 link.give_up(now, "overdue")
--- a/tests/node/test_work_per_turn.py
+++ b/tests/node/test_work_per_turn.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from ponddoor.front.effects import Ask
 from ponddoor.front.engine import Engine
 from ponddoor.front.limits import Gate, LagMeter
 from ponddoor.front.pump import Pump, clock
 from ponddoor.front.roster import Entry, ListMessage, Roster
-from ponddoor.node.servers import NEEDED_OVER_LIMIT, Servers
+from ponddoor.node.servers import LOST_A_TURN, NEEDED_OVER_LIMIT, Servers
+from ponddoor.obligations.lease import SILENT_LIMIT
 from ponddoor.settings.site import loads
 from tests.front.conftest import site_text
 from tests.many_servers.fleet import SECOND, DrivenFront, facts, steps_of
@@ -54,6 +56,33 @@
     asyncio.run(run())
 
 
+def test_sessions_at_many_servers_that_fall_silent_together_end_in_bounded_turns() -> None:
+    async def run() -> None:
+        shell, sessions, began_at = Shell(200), 2000, clock()
+        engine = shell.servers.engine
+        for number in range(sessions):
+            server = 1 + number % 200
+            shell.servers.apply(
+                lambda now, number=number, server=server: engine.handed_over(  # type: ignore[misc]
+                    now, f"{number:016x}", Ask("t", 0, 0, 0, 8, 9, 3 * SECOND), server
+                )
+            )
+            shell.servers.used(shell.servers.links[server])
+        for look in range(0, SILENT_LIMIT + SECOND // 4, SECOND // 4):
+            shell.servers.look(began_at + look, 60 * SECOND)
+        assert engine.held == sessions
+        shell.servers.look(began_at + SILENT_LIMIT + SECOND // 2, 60 * SECOND)
+        assert engine.held >= sessions - LOST_A_TURN
+        while engine.held:
+            before = engine.held
+            await asyncio.sleep(0)
+            assert before - LOST_A_TURN <= engine.held < before
+        for link in shell.servers.links.values():
+            link.close()
+
+    asyncio.run(run())
+
+
 def list_change(shell: Shell) -> int:
     """Twenty rows of the list change their state."""
     changed = [entry(number, shell.roster.cells, "draining") for number in range(1, CHANGED_ROWS + 1)]
