HTTP client: a stream that drips bytes without a whole line is silent

What callers would see: sessions at a media server whose stream of notes stopped in a line, or drips, are never ended by an HTTP front; likewise a follower of the configuration or of the list waits for ever on such an instance. Why it works: only a whole line moves the time at which the stream counts as silent.

--- a/ponddoor/web/client.py
+++ b/ponddoor/web/client.py
@@ -193,7 +193,7 @@
         self, path: str, silence: float, most_line: int = 1_000_000
     ) -> AsyncGenerator[bytes, None]:
         """The lines of an endless answer, on a connection of its own. Ends only by raising: NotSentError,
-        BrokenError, or LateError after `silence` seconds without a byte."""
+        BrokenError, or LateError after `silence` seconds without a whole line."""
         wire = await self._open()
         try:
             async with asyncio.timeout(silence):
@@ -204,9 +204,10 @@
                 told = headers.get("retry-after", "")
                 away = min(int(told), MOST_AWAY) if told.isdigit() else 0.0
                 raise TurnedAwayError(head.status_code, away, headers)
-            text = b""
+            text, loop = b"", asyncio.get_running_loop()
+            due = loop.time() + silence
             while True:
-                async with asyncio.timeout(silence):
+                async with asyncio.timeout_at(due):
                     event = await wire.event()
                 if not isinstance(event, h11.Data):
                     raise BrokenError("the stream ended")
@@ -216,6 +217,8 @@
                     raise OversizeError(f"a line of more than {most_line} bytes")
                 for line in whole:
                     yield line
+                if whole:  # who stopped in a line, or drips, says nothing
+                    due = loop.time() + silence
         except TimeoutError:
             raise LateError(f"silent for {silence:g} s") from None
         except (OSError, h11.RemoteProtocolError) as problem:
