--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from ponddoor.soak.conditions import Condition
 from ponddoor.soak.oracle import Oracle
 from ponddoor.soak.plan import Fault, Plan, draw
 from ponddoor.soak.records import (
@@ -22,6 +23,7 @@
 from ponddoor.soak.run import Outcome, SoakRun
 from tests.soak.mutants import MUTANTS
 from tests.soak.test_regressions import plan
+from tests.soak.test_server_conditions import struck_plan
 
 AT_ONCE = 4
 TERMINATED = (
@@ -38,6 +40,10 @@
     crowded = mutant == "keeps_connections_until_the_kill"
     changes = {"nodes": 2, "servers": 2, "connections": 40 if crowded else 6}
     match mutant:
+        case "connects_renew_sessions":
+            return struck_plan(Condition("hangs", "reset", after_s=2.0))
+        case "rubbish_renews_sessions":
+            return struck_plan(Condition("runs", "stay", "rubbish"))
         case "writes_a_release_once":
             faults = (Fault("release_crossings", 0.0, 7.0, 0), Fault("release_crossings", 0.0, 7.0, 1))
         case "ignores_drains":
@@ -165,3 +171,43 @@
     assert outcome.requests > 100 and outcome.served == 0
     broken = [one.what for one in outcome.violations]
     assert not broken, "\n".join(broken)
+
+
+def cut_session(mute: tuple[float, float] | None, viewer_ends_at: float = FOREVER) -> Oracle:
+    """A session that its node ended at 20; its server was mute in the span `mute`."""
+    oracle = Oracle(0.5)
+    request = Request("1", NodeLife(0, 0.0), "gold", False, 10.0, 11.0)
+    request.answers.append((10.1, AnswerKind.STANDS))
+    oracle.requests["1"] = request
+    session = Session("1", "s", request.life, 10.1, 20.0, SessionEnd.NODE)
+    session.viewer_ends_at = viewer_ends_at
+    oracle.sessions["1"] = session
+    if mute is not None:
+        oracle.mute_spans["s", 0] = [mute]
+    return oracle
+
+
+@pytest.mark.parametrize(
+    ("mute", "viewer_ends_at", "cut"),
+    [
+        (None, FOREVER, True),
+        (None, 19.9, False),
+        ((12.0, FOREVER), FOREVER, False),
+        ((17.5, FOREVER), FOREVER, True),
+        ((12.0, 19.0), FOREVER, False),
+        ((12.0, 18.0), FOREVER, True),
+    ],
+)
+def test_a_session_is_cut_by_right_only_after_a_silence_of_its_server(
+    mute: tuple[float, float] | None, viewer_ends_at: float, cut: bool
+) -> None:
+    broken = {one.rule for one in cut_session(mute, viewer_ends_at).verdict(40.0)}
+    assert ("cut" in broken) is cut
+
+
+def test_a_release_that_its_server_says_after_eight_seconds_is_due_by_then() -> None:
+    oracle = cut_session(None)
+    session = oracle.sessions["1"]
+    session.end, session.told_node_at, session.heard_at = SessionEnd.SERVER, 32.0, 32.1
+    session.life.connected.append((0.0, FOREVER))
+    assert [one.rule for one in oracle.verdict(40.0)] == ["release"]
