Backoff: a server that spoils an answer now and then is connected to again soon

What callers would see: a release towards such a server went out over a second after its viewer was done. Why it works: a line that can't be read after a message holds the next connect back by a quarter of a second and counts no failure; without a message the waits begin at that quarter.

--- a/ponddoor/front/backoff.py
+++ b/ponddoor/front/backoff.py
@@ -7,6 +7,7 @@
 from random import Random
 
 FIRST_WAIT = 1_000_000
+SPOILT_WAIT = 250_000  # after a line that can't be read, which a server that is well may say now and then
 LONGEST_WAIT = 2_000_000
 
 
@@ -18,13 +19,18 @@
     failures: int = 0
     not_before: int = 0
 
-    def failed(self, now: int) -> None:
-        """A connection did not come up, or ended before it was of any use."""
+    def failed(self, now: int, first_wait: int = FIRST_WAIT) -> None:
+        """A connection did not come up, or ended before it was of any use. `first_wait` is that after the
+        second failure in a row."""
         self.failures += 1
         if self.failures > 1:
-            wait = min(FIRST_WAIT << min(self.failures - 2, 8), LONGEST_WAIT)
+            wait = min(first_wait << min(self.failures - 2, 8), LONGEST_WAIT)
             self.not_before = now + wait + self.random.randrange(wait // 2)
 
+    def hold(self, now: int, wait: int) -> None:
+        """The next try waits so long; nothing has failed."""
+        self.not_before = max(self.not_before, now + wait)
+
     def succeeded(self) -> None:
         """A connection was of use."""
         self.failures, self.not_before = 0, 0
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -12,7 +12,7 @@
 import structlog
 
 from ponddoor.front import effects as fx
-from ponddoor.front.backoff import ConnectBackoff
+from ponddoor.front.backoff import SPOILT_WAIT, ConnectBackoff
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, Apply, clock, once_read
 from ponddoor.front.roster import Entry
@@ -339,10 +339,17 @@
         """What came is no message: nothing on this connection can be believed any more."""
         if self.connection is connection:
             self.servers.count("spoilt")
-            self.backoff.failed(clock())
+            self._spoilt(connection)
             self.lease.note(clock(), Sign.NO_MESSAGE, why[:80])
         self._end_connection(connection, f"spoilt: {why}")
 
+    def _spoilt(self, connection: ServerConnection) -> None:
+        now = clock()
+        if connection.heard:
+            self.backoff.hold(now, SPOILT_WAIT)
+        else:
+            self.backoff.failed(now, SPOILT_WAIT)
+
     def close_connection(self, connection: ServerConnection, why: str) -> None:
         """The connection is sound and not needed: what was written to it still leaves."""
         if connection.transport is not None:
--- a/tests/front/test_backoff.py
+++ b/tests/front/test_backoff.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ponddoor.front.backoff import FIRST_WAIT, LONGEST_WAIT, ConnectBackoff
+from ponddoor.front.backoff import FIRST_WAIT, LONGEST_WAIT, SPOILT_WAIT, ConnectBackoff
 
 SECOND = 1_000_000
 MOST_IN_A_SECOND = 2.5
@@ -37,3 +37,24 @@
     assert backoff.wait(0) >= FIRST_WAIT
     backoff.succeeded()
     assert backoff.wait(0) == 0
+
+
+def test_an_answer_spoilt_now_and_then_leaves_a_release_time_to_go_out_within_a_second() -> None:
+    for seed in range(20):
+        backoff = ConnectBackoff(Random(seed))
+        backoff.failed(0, SPOILT_WAIT)
+        assert backoff.wait(0) == 0
+        backoff.failed(0, SPOILT_WAIT)
+        again = backoff.wait(0)
+        backoff.failed(again, SPOILT_WAIT)
+        assert again + backoff.wait(again) <= FIRST_WAIT * 9 // 8
+
+
+def test_a_hold_shortens_no_wait_and_counts_no_failure() -> None:
+    backoff = ConnectBackoff(Random(1))
+    backoff.hold(0, SPOILT_WAIT)
+    assert backoff.wait(0) == SPOILT_WAIT and backoff.failures == 0
+    backoff.failed(0)
+    backoff.failed(0)
+    backoff.hold(0, SPOILT_WAIT)
+    assert backoff.wait(0) >= FIRST_WAIT
