--- a/ponddoor/obligations/lease.py
+++ b/ponddoor/obligations/lease.py
@@ -21,10 +21,9 @@
 SECOND = 1_000_000
 RELEASE_LIMIT = 8 * SECOND  # what could not be released sooner must be, so long after its end
 # What the limit leaves is shared: a quarter of a second for the look that sees the silence, a half for the
-# release.
+# release, and before that time for seven connects of a quarter of a second.
 SILENT_LIMIT = RELEASE_LIMIT - 3 * SECOND // 4
-PAUSE = 3 * SECOND  # a server that stands so long is not given up
-SIGN_OF_LIFE_AFTER = SILENT_LIMIT - PAUSE - SECOND // 4  # of silence, a sign of life is asked for
+SIGN_OF_LIFE_AFTER = SILENT_LIMIT - 7 * SECOND // 4  # of silence, a sign of life is asked for
 LEAST_TRIES = 3  # connect timeouts that are left at least, where the settings have longer ones
 UNPROVEN_AFTER = SECOND  # a new connection is asked for a sign of life if the last message is older
 ASKED_AGAIN_AFTER = SECOND  # a sign of life: a server that hung may have dropped the wish for one
