Lease: sessions handed over at a start ask for no sign of life at once

Cause: a lease without any message counted as unproven, so that each node asked every server with sessions handed over for a sign as it connected: 15 tests in the first seconds of each node (logs of 24 nodes), by all nodes together. Change: the age that counts is that of the lease, which a hand-over grants, and it is half of the silence after which a sign is asked for anyway. Evidence: the model holds, and its guard AsksNothingOnNewConnections is still found.

--- a/ponddoor/obligations/lease.py
+++ b/ponddoor/obligations/lease.py
@@ -5,8 +5,8 @@
     event                            renews   what it does
     granted: a session is new here   yes      a lease that nothing depended on begins anew
     a message that could be read     yes      the server runs, reads and speaks
-    connect accepted                 no       its kernel accepts, also for a process that stands; if the last
-                                              message is over UNPROVEN_AFTER old, a sign of life is asked for
+    connect accepted                 no       its kernel accepts, also for a process that stands; a lease that was
+                                              renewed over UNPROVEN_AFTER ago asks for a sign of life
     bytes that are no message        no       anybody may send them
     connect refused                  no       the process is dead: the lease is over
     reset, closed, late, not read    no       sessions belong to no connection
@@ -25,7 +25,7 @@
 SILENT_LIMIT = RELEASE_LIMIT - 3 * SECOND // 4
 SIGN_OF_LIFE_AFTER = SILENT_LIMIT - 7 * SECOND // 4  # of silence, a sign of life is asked for
 LEAST_TRIES = 3  # connect timeouts that are left at least, where the settings have longer ones
-UNPROVEN_AFTER = SECOND  # a new connection is asked for a sign of life if the last message is older
+UNPROVEN_AFTER = SIGN_OF_LIFE_AFTER // 2  # from this age of a lease a new connection is asked for a sign
 ASKED_AGAIN_AFTER = SECOND  # a sign of life: a server that hung may have dropped the wish for one
 STOOD_FOR = SECOND  # between two looks, which come every quarter of a second: this process stood
 HISTORY = 12  # signs kept
@@ -72,6 +72,7 @@
     expires_at: int = 0
     signs: "deque[tuple[int, Sign, str]]" = field(default_factory=lambda: deque(maxlen=HISTORY))
     _asked_at: int | None = None  # on this connection, since the last message
+    _renewed_at: int = 0
     _looked_at: int | None = None
 
     @property
@@ -95,7 +96,7 @@
         self._renew(now)
 
     def _renew(self, now: int) -> None:
-        self.state, self._asked_at = LeaseState.ALIVE, None
+        self.state, self._asked_at, self._renewed_at = LeaseState.ALIVE, None, now
         self.ask_at, self.expires_at = now + self.quiet_limit, now + SILENT_LIMIT
 
     def connected(self, now: int) -> bool:
@@ -104,7 +105,7 @@
         self._asked_at = None
         if self.state is LeaseState.DEAD:
             self.state = LeaseState.UNKNOWN
-        return self.proven_at is None or now - self.proven_at > UNPROVEN_AFTER
+        return now - self._renewed_at > UNPROVEN_AFTER
 
     def asked(self, now: int) -> None:
         """A sign of life was asked for."""
