--- a/ponddoor/obligations/lease.py
+++ b/ponddoor/obligations/lease.py
@@ -5,8 +5,8 @@
     event                            renews   what it does
     granted: a session is new here   yes      a lease that nothing depended on begins anew
     a message that could be read     yes      the server runs, reads and speaks
-    connect accepted                 no       its kernel accepts, also for a process that stands; a lease renewed
-                                              over UNPROVEN_AFTER ago asks for a sign of life
+    connect accepted                 no       its kernel accepts, also for a process that stands; a lease
+                                              renewed over UNPROVEN_AFTER ago asks for a sign
     bytes that are no message        no       anybody may send them
     connect refused                  no       the process is dead: the lease is over
     reset, closed, late, not read    no       sessions belong to no connection
