Soak: a server's trouble ends with its last cause

Found by reading the change once more. The stand-in noted a trouble for each node that a condition concerned, and ended only the last of them: the server counted as troubled to the end of the run, and "drain", "client gone", "no set-up twice" and "left standing" were judged less there. A trouble lasts from its first cause to the end of its last now: the oracle is asked more, no bound is moved.

--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -58,6 +58,7 @@
     release_again: dict[int, list[str]] = field(default_factory=dict)  # by node, for its next connection
     in_service: bool = True
     connects: list[float] = field(default_factory=list)  # when nodes connected
+    _troubles: set[str] = field(default_factory=set)  # why it can't be judged by what reaches it
     _conditions: dict[int, Condition] = field(default_factory=dict)  # by node, where it is not sound
     _listeners: list[StallableListener] = field(default_factory=list)  # by node
 
@@ -84,9 +85,9 @@
         elif condition.mute and not was.mute:
             self.oracle.note_mute(self.id, node, now)
         if condition != SOUND:
-            self._trouble_begins(now)
-        elif was != SOUND:
-            self._trouble_ends(now)
+            self._trouble_begins(now, f"node {node}")
+        else:
+            self._trouble_ends(now, f"node {node}")
         self._conditions[node] = condition
         if node < len(self._listeners):
             listener = self._listeners[node]
@@ -98,12 +99,19 @@
             if connection.node == node:
                 connection.condition_changed()
 
-    def _trouble_begins(self, now: float) -> None:
-        self.oracle.server_troubles.setdefault(self.id, []).append((now, FOREVER))
+    def _trouble_begins(self, now: float, cause: str) -> None:
+        """A trouble of a server lasts from its first cause to the end of its last."""
+        if not self._troubles:
+            self.oracle.server_troubles.setdefault(self.id, []).append((now, FOREVER))
+        self._troubles.add(cause)
 
-    def _trouble_ends(self, now: float) -> None:
-        begin, _ = self.oracle.server_troubles[self.id][-1]
-        self.oracle.server_troubles[self.id][-1] = (begin, now + 1.0)
+    def _trouble_ends(self, now: float, cause: str) -> None:
+        if cause not in self._troubles:
+            return
+        self._troubles.remove(cause)
+        if not self._troubles:
+            begin, _ = self.oracle.server_troubles[self.id][-1]
+            self.oracle.server_troubles[self.id][-1] = (begin, now + 1.0)
 
     def end_session(self, session: Session, how: SessionEnd) -> None:
         """A session is over here."""
@@ -129,9 +137,9 @@
         now = time.monotonic()
         unreachable = (Mode.SILENT, Mode.RESETS)
         if self.mode in unreachable and mode not in unreachable:
-            self._trouble_ends(now)
+            self._trouble_ends(now, "mode")
         elif mode in unreachable and self.mode not in unreachable:
-            self._trouble_begins(now)
+            self._trouble_begins(now, "mode")
         for node in range(len(self.hosts)):
             if mode in MUTE_MODES and self.mode not in MUTE_MODES:
                 self.oracle.note_mute(self.id, node, now)
@@ -163,7 +171,7 @@
         """The process ends: connections are reset, sessions are cut, new connections are refused."""
         self.in_service = False
         self._close_listeners()
-        self._trouble_begins(time.monotonic())
+        self._trouble_begins(time.monotonic(), "dead")
         for session in list(self.standing.values()):
             self.end_session(session, SessionEnd.SERVER_DIED)
         self.release_again.clear()
