--- a/ponddoor/soak/oracle.py
+++ b/ponddoor/soak/oracle.py
@@ -206,7 +206,8 @@
         if session.end is SessionEnd.NODE:
             return
         since, bound = told, RELEASE_S
-        if told > session.ended_at + RELEASE_WITHOUT_CONNECTION_S:  # by then it is due without it
+        # By then it is due, whatever was written where
+        if told + RELEASE_S > session.ended_at + RELEASE_WITHOUT_CONNECTION_S:
             since, bound = session.ended_at, RELEASE_WITHOUT_CONNECTION_S
         limit = since + bound + SLACK_S
         limit = _in_running_time(session.life, since, limit)
--- a/ponddoor/soak/plan.py
+++ b/ponddoor/soak/plan.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ponddoor.soak.conditions import CONNECTIONS, PROCESSES, SOUND, SPEECHES, Condition
+from ponddoor.soak.conditions import CONNECTIONS, LOSSES, PROCESSES, SOUND, SPEECHES, Condition
 
 MIN_KILL_DEADLINE_S = 0.7  # the protocol page: SIGKILL comes the longest deadline and this after SIGTERM
 MAX_KILL_DEADLINE_S = 3.0  # a longer deadline is counted as this
@@ -14,6 +14,8 @@
 MAX_SERVERS_OF_ONE_PROCESS = 12_800  # of a plan with racks
 MAX_SECONDS = 120.0
 SERVERS_OF_A_RACK = 5
+SHORT_SESSIONS_S, LONG_SESSIONS_S = (0.1, 3.0), (0.1, 12.0)
+UNSEEN_LOSS_S = 1.0  # releases alone, which leaves no sign: a connection made each few seconds finds so much
 
 FaultKind = Literal[
     "terminate",  # SIGTERM, then SIGKILL at the earliest moment that the page allows, then a new process
@@ -97,6 +99,7 @@
     kind: str = "mixed"  # of the draw
     racks: int = 0  # of servers that one process stands in for, two to a title; 0: each server holds all
     server_faults: tuple[ServerFault, ...] = ()
+    session_s: tuple[float, float] = SHORT_SESSIONS_S  # how long a session stands
 
     @property
     def kill_delay_s(self) -> float:
@@ -210,6 +213,7 @@
         connections=max(mixed.connections, 4),
         faults=faults,
         server_faults=server_faults,
+        session_s=rng.choice((SHORT_SESSIONS_S, SHORT_SESSIONS_S, LONG_SESSIONS_S)),
     )
 
 
@@ -220,9 +224,16 @@
         connections: Any = rng.choice(CONNECTIONS)
         speech: Any = rng.choice(SPEECHES)
         after_s = round(rng.choice((0.0, 0.2, 1.0, 2.0, 4.0, 6.0)), 3)
-        drawn = Condition(process, connections, speech, after_s)
+        loss: Any = rng.choice(LOSSES)
+        # Half of the losses come alone: nothing else at the server tells of them
+        if rng.random() < 0.5:
+            drawn = Condition(loss=loss)
+        else:
+            drawn = Condition(process, connections, speech, after_s)
     at = rng.uniform(0.05, 0.4) * seconds
-    lasts = rng.choice((1.0, 3.0, 10.0, 10.0, 30.0))
+    lasts = rng.choice((0.2, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 10.0, 10.0, 30.0))
+    if drawn.loss == "releases":
+        lasts = min(lasts, UNSEEN_LOSS_S)
     node = rng.choice((-1, -1, rng.randrange(8)))
     return ServerFault(drawn, round(at, 3), min(lasts, seconds - at), rng.randrange(1000), node)
 
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -173,6 +173,7 @@
             self._life_of,
             self._session_ends,
             self._shared_port if self._shared is not None else free_ports(1)[0],
+            self.plan.session_s,
         )
         self._by_number[number] = server
         if self._shared is None:
--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Any
 
-from ponddoor.soak.conditions import SOUND, Condition
+from ponddoor.soak.conditions import SOUND, Condition, Message
 from ponddoor.soak.oracle import Oracle
 from ponddoor.soak.records import FOREVER, Attempt, AttemptEnd, NodeLife, Session, SessionEnd
 from ponddoor.soak.stallable_listener import StallableListener
@@ -21,7 +21,6 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER
 ANSWER_S = (0.0, 0.05)  # from a set-up to its answer
 UNREAD_S = 0.5  # a release that was written so long before a reset may not have been read
-SESSION_S = (0.1, 3.0)  # how long a session stands
 RUBBISH, PIECE = b"\x00\xff{noise\n", b"{"
 
 
@@ -52,6 +51,7 @@
     life_of: Callable[[str], NodeLife | None]
     on_session_end: Callable[[Session], None]
     port: int
+    session_s: tuple[float, float]  # how long a session stands
     mode: Mode = Mode.WELL
     standing: dict[str, Session] = field(default_factory=dict)
     connections: "set[_Connection]" = field(default_factory=set)
@@ -97,6 +97,8 @@
                 listener.resume()
         for connection in list(self.connections):
             if connection.node == node:
+                if condition.connections == "forgotten":
+                    connection.forget()
                 connection.condition_changed()
 
     def _trouble_begins(self, now: float, cause: str) -> None:
@@ -122,14 +124,15 @@
             self._release(session)
 
     def _release(self, session: Session) -> None:
-        """On any connection of the node, and on the next one that it opens as well."""
+        """On the connection of its set-up, else on any of the node, and on the next one that it opens: on no
+        other. What could not be written, or was lost on its way, is not said again on one that was open."""
         node = session.life.node
         self.release_again.setdefault(node, []).append(session.request)
-        for connection in self.connections:
+        for connection in sorted(self.connections, key=lambda one: session.request not in one.brought):
             if connection.node == node and connection.open and connection.speaks:
-                self.on_session_end(session)
-                connection.say("down", session.request, Cause.ENDED)
-                session.told_node_at = min(session.told_node_at, time.monotonic())
+                if connection.say("down", session.request, Cause.ENDED, message="release"):
+                    self.on_session_end(session)
+                    session.told_node_at = min(session.told_node_at, time.monotonic())
                 return
 
     def set_mode(self, mode: Mode) -> None:
@@ -247,13 +250,16 @@
         self.buffer = b""
         self.unread = bytearray()  # what came while the server was silent
         self.out: dict[str, Attempt] = {}
+        self.brought: set[str] = set()  # sessions whose set-up came on it
         self.life: NodeLife | None = None
         self.spoilt = False  # something unreadable was sent: the node reads nothing after it
+        self.forgotten = False  # the server takes it for gone: nothing is read or written any more
         self.timers: list[asyncio.TimerHandle] = []
 
     @property
     def open(self) -> bool:
-        return self.transport is not None and not self.transport.is_closing() and not self.spoilt
+        usable = self.transport is not None and not self.transport.is_closing()
+        return usable and not self.spoilt and not self.forgotten
 
     @property
     def condition(self) -> Condition:
@@ -306,21 +312,25 @@
         self.transport = transport
         self.life = self.server.life_of(transport.get_extra_info("sockname")[0])
         self.server.connections.add(self)
-        if self.condition == SOUND:
-            if self.speaks:
-                self.say_releases()
-        else:
+        if self.condition != SOUND:
             self.condition_changed()
+        if self.speaks and self.condition.carries_owed_releases:
+            self.say_owed_releases()
 
-    def say_releases(self) -> None:
-        """What ended while the node could not be told. What follows rubbish is not read: it waits."""
+    def say_owed_releases(self) -> None:
+        """As a connection opens, and never later. What follows rubbish is not read: it stays owed."""
         if not self.open:
             return
         for request in self.server.release_again.pop(self.node, []):
             session = self.server.oracle.sessions[request]
-            self.say("down", request, Cause.ENDED)
+            self.say("down", request, Cause.ENDED, message="other")
             session.told_node_at = min(session.told_node_at, time.monotonic())
 
+    def forget(self) -> None:
+        """The server takes the connection for gone, without a word: set-ups open on it are given up."""
+        self.forgotten = True
+        self._end_all(AttemptEnd.GIVEN_UP)
+
     def connection_lost(self, exc: Exception | None) -> None:
         for timer in self.timers:
             timer.cancel()
@@ -338,11 +348,18 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def say(self, kind: str, session: str, cause: int | None = None, **fields: Any) -> None:
-        if self.open and self.transport is not None:
-            self.transport.write(server_line(kind, session, cause, **fields))
+    def say(
+        self, kind: str, session: str, cause: int | None = None, message: Message = "other", **fields: Any
+    ) -> bool:
+        """Whether it was written and not lost on its way."""
+        if not self.open or self.transport is None or self.condition.loses(message):
+            return False
+        self.transport.write(server_line(kind, session, cause, **fields))
+        return True
 
     def data_received(self, data: bytes) -> None:
+        if self.forgotten:
+            return
         if not self.reads:
             self.unread += data
             return
@@ -355,13 +372,13 @@
                 )
                 self.reset()
                 return
-            self.take(json.loads(line))
+            if not self.condition.loses_all_to_server:
+                self.take(json.loads(line))
 
     def read_on(self) -> None:
         data, self.unread = bytes(self.unread), bytearray()
         if data:
             self.data_received(data)
-        self.say_releases()
 
     def take(self, got: dict[str, Any]) -> None:
         session = str(got["ref"])
@@ -371,7 +388,7 @@
             case "down":
                 self.release(session)
             case "hb":
-                fields = {"load": "x0:0.1;x1:0.1;busy:0.1"} if got.get("c") else {}
+                fields: dict[str, Any] = {"load": "x0:0.1;x1:0.1;busy:0.1"} if got.get("c") else {}
                 if self.server.mode is not Mode.HANGS and self.speaks:
                     self.say("hb_ok", session, 1, **fields)
 
@@ -397,7 +414,7 @@
         if server.mode in (Mode.FULL, Mode.ERRORS):
             full = server.mode is Mode.FULL
             self._ended(request, AttemptEnd.REFUSED if full else AttemptEnd.ERROR)
-            self.say("down", request, Cause.REFUSED if full else Cause.ERROR)
+            self.say("down", request, Cause.REFUSED if full else Cause.ERROR, message="answer")
             return
         if server.mode is Mode.SPOILS and server.rng.random() < 0.3 and self.transport is not None:
             self.transport.write(server.rng.choice((b"\x00\xff{noise\n", b"x" * 20_000, b'{"t":"up"}\n')))
@@ -408,9 +425,10 @@
         life = self.life or server.oracle.requests[request].life
         session = Session(request, server.id, life, time.monotonic())
         server.oracle.sessions[request] = server.standing[request] = session
+        self.brought.add(request)
         for _ in range(2 if server.mode is Mode.SPOILS else 1):
-            self.say("up", request, description=f"for {request}")
-        lasts = server.rng.uniform(*SESSION_S)
+            self.say("up", request, message="answer", description=f"for {request}")
+        lasts = server.rng.uniform(*server.session_s)
         asyncio.get_running_loop().call_later(lasts, server.end_session, session, SessionEnd.SERVER)
 
     def _ended(self, request: str, end: AttemptEnd) -> None:
--- a/tests/soak/test_server_conditions.py
+++ b/tests/soak/test_server_conditions.py
@@ -16,11 +16,13 @@
 ENDED_WHILE_MUTE = 3  # sessions at each struck server, at least
 
 
-def struck_plan(*conditions: Condition) -> Plan:
-    """One node. Some servers are sound, each of the others is in one of these conditions to the end."""
+def struck_plan(*conditions: Condition, lasting: tuple[float, ...] = ()) -> Plan:
+    """One node. Some servers are sound, each of the others is in one of these conditions, for `lasting`
+    seconds or to the end."""
+    times = lasting or (SECONDS - STRUCK_AT_S,) * len(conditions)
     faults = tuple(
-        ServerFault(condition, STRUCK_AT_S, SECONDS - STRUCK_AT_S, SOUND_SERVERS + number)
-        for number, condition in enumerate(conditions)
+        ServerFault(condition, STRUCK_AT_S, seconds, SOUND_SERVERS + number)
+        for number, (condition, seconds) in enumerate(zip(conditions, times, strict=True))
     )
     return Plan(
         seed=1,
