Node: what a server may have said in vain is fetched by a connection made anew

Cause: ServerLink took a connection that works for one on which nothing was lost. Likewise a server that took the connection for gone had its living sessions cut as the lease ran out. The connection is opened beside the one in use, asked for a sign of life, and takes its place as the server speaks there; the old one ends once nothing is out on it, our side first, so that nothing under way is lost.

--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -54,6 +54,11 @@
     rung: int = 0
     end: str = ""
 
+    @property
+    def standing_since(self) -> int:
+        """When it was set up; a session that was handed over, when that was."""
+        return self.sent_at or self.asked_at
+
     @property
     def rate_kb(self) -> float:
         """What its rung takes, kB a second."""
@@ -126,6 +131,12 @@
     def playing_at(self, server: int) -> list[Held]:
         return list(self._at_server.get(server, {}).values())
 
+    def standing_since(self, server: int) -> int | None:
+        """When the session that has stood longest at a server was set up; None where none stands."""
+        for held in self._at_server.get(server, {}).values():
+            return held.standing_since
+        return None
+
     def plays_at(self, server: int) -> bool:
         """Whether a session plays at a server."""
         return bool(self._at_server.get(server))
--- a/ponddoor/node/server_connection.py
+++ b/ponddoor/node/server_connection.py
@@ -1,6 +1,8 @@
 """One connection to a server on the platform: bytes to lines, and what is out on it."""
 
 import asyncio
+import itertools
+from dataclasses import dataclass
 from typing import Protocol
 
 from ponddoor.front.pump import SECOND, clock
@@ -8,9 +10,11 @@
 from ponddoor.node.lines import Lines, UnreadableError
 
 OF_USE_AFTER = SECOND  # a connection that ends sooner, and on which nothing was heard, has failed
-RELEASE_SETTLED = SECOND  # a release on a connection that is open so long after has been read
+RELEASE_SETTLED = SECOND  # a release on a connection that is open so long after has been read, if it is sound
+RELEASE_KEPT = 8 * SECOND  # for a connection that turns out not to be
 MOST_UNHEARD_RELEASES = 1000
 MOST_GIVEN_UP = 1000
+_numbers = itertools.count(1)
 
 
 class ConnectionOwner(Protocol):
@@ -26,24 +30,35 @@
         """The connection is of no use any more."""
 
 
+@dataclass(frozen=True, slots=True)
+class SetupOut:
+    """A SETUP without an answer."""
+
+    attempt: int
+    sent_at: int
+    timeout: int
+
+
 class ServerConnection(asyncio.Protocol):
     """`setups` are out on it, `given_up` those an answer may still cross, `released` when sessions were
     released on it that the server has not acknowledged."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner, self.lines = owner, Lines(codec.MOST)
+        self.number = next(_numbers)  # of this process, for the log
         self.transport: asyncio.Transport | None = None
-        self.setups: dict[str, int] = {}
+        self.setups: dict[str, SetupOut] = {}
         self.given_up: dict[str, int] = {}
         self.released: dict[str, int] = {}
         self.partial_since: int | None = None
         self.opened_at = clock()
+        self.established_at: int | None = None
         self.heard = False  # the server has said a message on it
         self.ended = False  # nothing that comes is read any more
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        self.transport, self.established_at = transport, clock()
 
     def data_received(self, data: bytes) -> None:
         now = clock()
@@ -72,6 +87,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def finish(self) -> None:
+        """End our side: what was written leaves, and what the server has written still comes."""
+        if self.transport is not None and self.transport.can_write_eof() and not self.transport.is_closing():
+            self.transport.write_eof()
+
     @property
     def unsent(self) -> int:
         """Bytes that have not left yet."""
@@ -85,10 +105,13 @@
         """Whether it ends before it was of any use."""
         return not self.heard and now - self.opened_at < OF_USE_AFTER
 
-    def give_up(self, sess: str, attempt: int) -> None:
+    def age(self, now: int) -> int:
+        """Since it came up (us); 0 before."""
+        return 0 if self.established_at is None else now - self.established_at
+
+    def give_up(self, sess: str) -> None:
         """A SETUP that is out is waited for no longer."""
-        del self.setups[sess]
-        self.given_up[sess] = attempt
+        self.given_up[sess] = self.setups.pop(sess).attempt
         if len(self.given_up) > MOST_GIVEN_UP:
             del self.given_up[next(iter(self.given_up))]
         self.write(codec.give_up(sess))
@@ -98,12 +121,13 @@
         while self.released:
             oldest = next(iter(self.released))
             full = len(self.released) >= MOST_UNHEARD_RELEASES
-            if not full and now - self.released[oldest] < RELEASE_SETTLED:
+            if not full and now - self.released[oldest] < RELEASE_KEPT:
                 break
             del self.released[oldest]
         self.released[sess] = now
         self.write(codec.release(sess))
 
-    def unheard_releases(self, now: int) -> list[str]:
-        """Releases that the server may not have read."""
-        return [sess for sess, at in self.released.items() if now - at < RELEASE_SETTLED]
+    def unheard_releases(self, now: int, doubted_from: int | None) -> list[str]:
+        """Releases that the server may not have read; where it is doubted, all from then on."""
+        since = now - RELEASE_SETTLED if doubted_from is None else min(doubted_from, now - RELEASE_SETTLED)
+        return [sess for sess, at in self.released.items() if at > since]
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -1,8 +1,9 @@
-"""One server on the platform: what waits for it, the connection to it, and the lease of the sessions there.
+"""One server on the platform: what waits for it, the connection in use, and the lease of the sessions there.
 
 What a connection's end means is told to the engine: refused, nothing ran and no session is left there;
 broken, its SETUPs are lost and no session that plays. `ponddoor.obligations.lease` has what a server must
-say for its sessions to stand."""
+say for its sessions to stand, `completeness` when a connection is opened beside the one in use to hear what
+may have been missed; `connection_refresh` keeps such connections."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -18,8 +19,10 @@
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.node import server_codec as codec
+from ponddoor.node.connection_refresh import ConnectionRefresh
 from ponddoor.node.descriptors import is_local
-from ponddoor.node.server_connection import ServerConnection
+from ponddoor.node.server_connection import ServerConnection, SetupOut
+from ponddoor.obligations.completeness import SILENCE, Completeness
 from ponddoor.obligations.lease import Due, Lease, Sign
 from ponddoor.web.connecting import connect_within
 from ponddoor.web.unread import has_unread
@@ -31,6 +34,13 @@
 MOST_PENDING_RELEASES = 1000  # for a server out of reach, or unread on a connection that may end
 WRITE_BUFFER_LIMIT = 1 << 18  # bytes that a server may leave unread
 log = structlog.get_logger("servers")
+
+
+def server_id(number: int) -> str:
+    """A server as the list names it."""
+    return f"s-{number:08x}"
+
+
 Item = fx.SendSetup | fx.SendTeardown | fx.SendRung | fx.SendProbe
 
 
@@ -43,6 +53,7 @@
     random: Random
     informed: bool
     connected: "dict[ServerLink, None]"
+    beside: dict[ServerConnection, None]  # connections other than the one in use of each link
 
     @property
     def apply(self) -> Apply: ...
@@ -55,7 +66,7 @@
     def answered(self, sess: str, attempt: int, server: int, result: ev.Result | None,
                  report: dict[str, float], passed: str = "") -> None: ...  # fmt: skip
     def probed(self, server: int, lag: int, result: ev.Result, report: dict[str, float]) -> None: ...
-    def lose(self, link: "ServerLink", why: str) -> None: ...
+    def lose(self, link: "ServerLink", why: str, standing_since: int | None = None) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -75,10 +86,12 @@
     later: asyncio.TimerHandle | None = None
     backoff: ConnectBackoff = field(init=False)
     lease: Lease = field(init=False)
+    refresh: ConnectionRefresh = field(init=False)
 
     def __post_init__(self) -> None:
         self.backoff = ConnectBackoff(self.servers.random)
         self.lease = Lease(self.servers.connect_timeout)
+        self.refresh = ConnectionRefresh(Completeness(self.servers.turn()))
 
     def say(self, item: Item) -> None:
         """Write a message, or keep it until the connection is there; a SETUP, until all is read."""
@@ -99,14 +112,21 @@
     @property
     def needed(self) -> bool:
         """Whether the connection carries something, or sessions play there."""
-        busy = self.waiting or self.tests or (self.connection is not None and self.connection.setups)
-        return bool(busy or self.servers.engine.plays_at(self.number))
+        return bool(
+            self.waiting or self.tests or self.has_setups or self.servers.engine.plays_at(self.number)
+        )
+
+    @property
+    def has_setups(self) -> bool:
+        """Whether a SETUP is out on a connection."""
+        in_use = self.connection is not None and self.connection.setups
+        return bool(in_use or self.refresh.has_setups)
 
     @property
     def active(self) -> bool:
         """Whether time alone can bring something here."""
         connects = self.connection is not None or self.connecting is not None or self.later is not None
-        return bool(connects or self.pending_releases or self.needed)
+        return bool(connects or self.pending_releases or self.refresh.retiring or self.needed)
 
     def send_waiting(self) -> None:
         """What waits may go out, each message for itself."""
@@ -171,23 +191,32 @@
             await asyncio.get_running_loop().create_connection(lambda: connection, sock=opened)
         except (OSError, TimeoutError) as problem:
             self.connecting = None
-            self.servers.connected.pop(self, None)
-            if isinstance(problem, OSError) and is_local(problem):
-                self._no_descriptor(problem)
-            else:
-                self._unreached(problem)
+            self._not_connected(connection, problem)
             return
         self.connecting = None
         if connection.transport is None or connection.transport.is_closing():
-            self.servers.connected.pop(self, None)
-            self._unreached(ConnectionResetError())
+            self._not_connected(connection, ConnectionResetError())
+        elif self.connection is None:
+            self._connected(connection)
+        else:
+            self._candidate_opened(connection)
+
+    def _not_connected(self, connection: ServerConnection, problem: Exception) -> None:
+        if self.connection is not None:
+            self._refresh_failed(connection, f"no connection: {problem!r}")
             return
-        self._connected(connection)
+        self.servers.connected.pop(self, None)
+        if isinstance(problem, OSError) and is_local(problem):
+            self._no_descriptor(problem)
+        else:
+            self._unreached(problem)
 
     def _connected(self, connection: ServerConnection) -> None:
         self.connection = connection
         self.servers.count("connected")
-        asks = self.lease.connected(clock()) and self.servers.engine.plays_at(self.number)
+        self._log_connection("connection-opened", connection)
+        unproven = self.lease.connected(clock()) or self.refresh.completeness.doubted_from is not None
+        asks = unproven and self.servers.engine.plays_at(self.number)
         pending, self.pending_releases = self.pending_releases, {}
         for sess in pending:
             connection.release(clock(), sess)
@@ -200,10 +229,115 @@
         self.servers.count("sign-asked")
         connection.write(codec.test(self.servers.new_id(), False))
 
+    def _log_connection(self, event: str, connection: ServerConnection, **more: object) -> None:
+        log.info(event, server=server_id(self.number), connection=connection.number, **more)
+
+    # Connections beside the one in use
+
+    def _begin_refresh(self, now: int) -> bool:
+        """Open a connection to hear what may have been missed. False where there is no room for it."""
+        if self.connection is None or self.connecting is not None or self.entry.state == "gone":
+            return False
+        if not self.refresh.may_begin():
+            return False
+        if not self.servers.make_room():
+            self.servers.count("no-room")
+            return False
+        self.refresh.completeness.refresh_began(now)
+        self.servers.count("refreshes")
+        self.connecting = asyncio.create_task(self._connect())
+        return True
+
+    def _candidate_opened(self, connection: ServerConnection) -> None:
+        self.refresh.candidate = connection
+        self.servers.beside[connection] = None
+        doubted_from = self.refresh.completeness.doubted_from
+        doubted_ms = None if doubted_from is None else (clock() - doubted_from) // 1000
+        self._log_connection("connection-opened", connection, beside=True, doubted_ms=doubted_ms)
+        self._ask_for_sign(connection)
+
+    def _refresh_failed(self, connection: ServerConnection, why: str) -> None:
+        """It has proven nothing."""
+        now, heard_at = clock(), self.lease.proven_at or 0
+        self.servers.count("refreshes-failed")
+        self._log_connection("refresh-failed", connection, why=why)
+        self.refresh.completeness.refresh_failed(now, connection.opened_at, heard_at)
+
+    def _drop_candidate(self) -> None:
+        candidate, self.refresh.candidate = self.refresh.candidate, None
+        if candidate is not None:
+            self.servers.beside.pop(candidate, None)
+            candidate.abort()
+
+    def _replace_connection(self, now: int, candidate: ServerConnection) -> None:
+        """The server speaks on a connection that was opened beside the one in use: it takes its place."""
+        old, self.connection, self.refresh.candidate = self.connection, candidate, None
+        self.servers.beside.pop(candidate, None)
+        self.servers.count("connections-replaced")
+        self._log_connection("connection-in-use", candidate, age_ms=candidate.age(now) // 1000)
+        if old is None:
+            return
+        self.servers.beside[old] = None
+        self.refresh.retire(now, old)
+        if self.refresh.completeness.doubted_from is not None:
+            for sess in old.unheard_releases(now, self.refresh.completeness.doubted_from):
+                old.released.pop(sess)
+                self.servers.count("releases-repeated")
+                candidate.release(now, sess)
+
+    def _end_beside(self, connection: ServerConnection, why: str) -> None:
+        """A connection that is not in use has ended."""
+        if connection is self.refresh.candidate:
+            self._drop_candidate()
+            self._refresh_failed(connection, why)
+        elif self.refresh.retiring.pop(connection, None) is not None:
+            self._log_connection("connection-ended", connection, why=why, setups=len(connection.setups))
+            self.servers.beside.pop(connection, None)
+            now = clock()
+            self._fail_setups(connection)
+            for sess in connection.unheard_releases(now, None):
+                self._release(now, sess)
+        connection.abort()
+
+    def _release(self, now: int, sess: str) -> None:
+        """A release that may not have been read is sent on the connection in use, or on the next."""
+        self.servers.count("releases-repeated")
+        if self.connection is not None:
+            self.connection.release(now, sess)
+        else:
+            self.keep_release(sess)
+
+    def _look_at_completeness(self, now: int, plays: bool) -> None:
+        completeness = self.refresh.completeness
+        for overdue in self.refresh.look(now, self.servers.connect_timeout):
+            self._end_beside(overdue, "does not end")
+        if not plays and not self.has_setups:
+            completeness.unused(now)
+            return
+        completeness.looks(now)
+        candidate = self.refresh.candidate
+        if candidate is not None and self.refresh.candidate_failed(now, self.lease.proven_at or 0):
+            if has_unread(candidate.transport):
+                return
+            self._end_beside(candidate, "no answer on it")
+        since = self.servers.engine.standing_since(self.number)
+        if completeness.refresh_due(now, since):
+            self._begin_refresh(now)
+        over_since = completeness.over_if_standing_since(now)
+        if over_since is not None and since is not None and since <= over_since:
+            self._give_up_unproven(now, over_since)
+
+    def _give_up_unproven(self, now: int, standing_since: int) -> None:
+        """What these sessions may have missed is overdue: they are over, and owed a release at the server."""
+        for held in self.servers.engine.playing_at(self.number):
+            if held.standing_since <= standing_since:
+                self._release(now, held.sess)
+        self.servers.lose(self, "unproven", standing_since)
+
     def _no_descriptor(self, problem: OSError) -> None:
         """The machine gives us no connection: nothing ran, and the server is not to blame."""
         self.servers.count("no-descriptor")
-        log.warning("no-descriptor", server=f"{self.number:08x}", why=str(problem))
+        log.warning("no-descriptor", server=server_id(self.number), why=str(problem))
         self._fail_waiting(ev.Result.MOOT)
 
     def _unreached(self, problem: Exception) -> None:
@@ -240,7 +374,7 @@
             self.servers.count("too-many-pending-releases")
 
     def _write(self, connection: ServerConnection, item: Item) -> None:
-        log.debug("to-server", server=self.number, item=item)
+        log.debug("to-server", server=server_id(self.number), item=item)
         match item:
             case fx.SendSetup(sess, attempt, _, ask, rung, timeout):
                 if self.entry.state != "ready":  # it was when this was decided
@@ -255,13 +389,11 @@
                 connection.given_up.pop(sess, None)
                 # Nor may a release of that attempt, sent again, end what is set up now
                 connection.released.pop(sess, None)
-                connection.setups[sess] = attempt
+                self.refresh.forget_release(sess)
+                connection.setups[sess] = SetupOut(attempt, clock(), timeout)
                 connection.write(line)
             case fx.SendTeardown(sess, attempt):
-                if connection.setups.get(sess) == attempt:
-                    connection.give_up(sess, attempt)
-                else:
-                    connection.release(clock(), sess)
+                self._tear_down(connection, sess, attempt)
             case fx.SendRung(sess, _, _, rung):
                 connection.write(codec.rung(sess, rung))
             case fx.SendProbe():
@@ -274,6 +406,26 @@
         if connection.unsent > WRITE_BUFFER_LIMIT:
             self.connection_failed(connection, "does not read")
 
+    def _tear_down(self, connection: ServerConnection, sess: str, attempt: int) -> None:
+        """Give up a SETUP that is out, or release a session that stands."""
+        now, out = clock(), connection.setups.get(sess)
+        if out is None or out.attempt != attempt:
+            retired = self.refresh.connection_of_setup(sess, attempt)
+            if retired is None:
+                connection.release(now, sess)
+            else:
+                retired.give_up(sess)
+            return
+        connection.give_up(sess)
+        if now >= out.sent_at + out.timeout:
+            self._unanswered(now, out.sent_at)
+
+    def _unanswered(self, now: int, since: int) -> None:
+        """Something had no answer in its time. Doubt, if nothing at all has come since."""
+        heard_at = self.lease.proven_at or 0
+        if heard_at <= since:
+            self.refresh.completeness.doubt(now, heard_at)
+
     def withdraw(self, sess: str, attempt: int) -> bool:
         """Take back a SETUP that has not gone out yet."""
         kept = [
@@ -289,26 +441,22 @@
         """A line has come. What it says of sessions we do not know, or twice, is of no interest.
 
         Raises UnreadableError for one that is no message."""
-        if self.connection is not connection:
+        if self.connection is not connection and not self.refresh.holds(connection):
             return
         said = codec.read(line)
-        now, connection.heard = clock(), True
-        self.lease.heard(now)
-        if connection.was_of_use(now):
-            self.backoff.succeeded()
-        log.debug("server-says", server=self.number, said=said)
+        self._heard(clock(), connection)
+        log.debug("server-says", server=server_id(self.number), said=said)
         match said:
             case codec.Stands(sess, passed):
-                attempt = connection.setups.pop(sess, None)
-                if attempt is None:
-                    attempt = connection.given_up.pop(sess, None)
+                out = connection.setups.pop(sess, None)
+                attempt = connection.given_up.pop(sess, None) if out is None else out.attempt
                 if attempt is not None:
                     self.servers.answered(sess, attempt, self.number, None, {}, passed)
             case codec.Ended(sess, before, after, report):
-                attempt = connection.setups.pop(sess, None)
+                out = connection.setups.pop(sess, None)
                 held = self.servers.engine.find(sess)
-                if attempt is not None:
-                    self.servers.answered(sess, attempt, self.number, before, report)
+                if out is not None:
+                    self.servers.answered(sess, out.attempt, self.number, before, report)
                 elif (
                     connection.given_up.pop(sess, None) is None
                     and held is not None
@@ -330,10 +478,26 @@
                 if held is not None and held.server == self.number:
                     self.servers.apply(lambda now: self.servers.engine.note_on(now, sess, kind, value))
 
+    def _heard(self, now: int, connection: ServerConnection) -> None:
+        """A message came: the server lives, and what it had to say may be proven heard."""
+        silent_for = now - (self.lease.proven_at or now)
+        connection.heard = True
+        self.lease.heard(now)
+        if connection.was_of_use(now):
+            self.backoff.succeeded()
+        completeness = self.refresh.completeness
+        on_refresh = connection is self.refresh.candidate
+        if on_refresh:
+            self._replace_connection(now, connection)
+        if silent_for > SILENCE:
+            completeness.speaks_again(now)
+        completeness.answered(now, connection.opened_at, connection.age(now), on_refresh)
+
     def _test_late(self, sess: str) -> None:
         if sess in self.tests:
-            began, _ = self.tests.pop(sess)
-            self.servers.probed(self.number, clock() - began, ev.Result.TIMEOUT, {})
+            now, (began, _) = clock(), self.tests.pop(sess)
+            self._unanswered(now, began)
+            self.servers.probed(self.number, now - began, ev.Result.TIMEOUT, {})
 
     def unreadable(self, connection: ServerConnection, why: str) -> None:
         """What came is no message: nothing on this connection can be believed any more."""
@@ -341,7 +505,9 @@
             self.servers.count("spoilt")
             self._spoilt(connection)
             self.lease.note(clock(), Sign.NO_MESSAGE, why[:80])
-        self._end_connection(connection, f"spoilt: {why}")
+            self._end_connection(connection, f"spoilt: {why}")
+        else:
+            self._end_beside(connection, f"spoilt: {why}")
 
     def _spoilt(self, connection: ServerConnection) -> None:
         now = clock()
@@ -350,8 +516,17 @@
         else:
             self.backoff.failed(now, SPOILT_WAIT)
 
+    def fail_connections(self, why: str) -> None:
+        """No connection to the server is of any use any more."""
+        self._drop_candidate()
+        for retired in list(self.refresh.retiring):
+            self._end_beside(retired, why)
+        if self.connection is not None:
+            self.connection_failed(self.connection, why)
+
     def close_connection(self, connection: ServerConnection, why: str) -> None:
         """The connection is sound and not needed: what was written to it still leaves."""
+        self._drop_candidate()
         if connection.transport is not None:
             connection.transport.close()
         self._end_connection(connection, why)
@@ -359,11 +534,13 @@
     def connection_failed(self, connection: ServerConnection, why: str) -> None:
         """The connection is of no use any more: its SETUPs are lost, sessions that play are not."""
         now = clock()
-        if self.connection is connection:
-            if connection.ended_at_once(now):
-                self.backoff.failed(now)
-            elif connection.was_of_use(now):
-                self.backoff.succeeded()
+        if self.connection is not connection:
+            self._end_beside(connection, why)
+            return
+        if connection.ended_at_once(now):
+            self.backoff.failed(now)
+        elif connection.was_of_use(now):
+            self.backoff.succeeded()
         self._end_connection(connection, why)
 
     def _end_connection(self, connection: ServerConnection, why: str) -> None:
@@ -375,21 +552,24 @@
         self.servers.connected.pop(self, None)
         self.servers.count("connection-ended")
         self.lease.note(now, Sign.BROKEN, why[:80])
-        setups, connection.setups = connection.setups, {}
         tests, self.tests = self.tests, {}
-        unheard = connection.unheard_releases(now)
+        unheard = connection.unheard_releases(now, self.refresh.completeness.doubted_from)
         for sess in unheard:
             self.servers.count("releases-repeated")
             self.keep_release(sess)
-        log.info(
-            "connection-broke", server=f"{self.number:08x}", why=why, setups=len(setups), tests=len(tests)
+        self._log_connection(
+            "connection-broke", connection, why=why, setups=len(connection.setups), tests=len(tests)
         )
-        for sess, attempt in setups.items():
-            self.servers.answered(sess, attempt, self.number, ev.Result.RESET, {})
+        if (candidate := self.refresh.candidate) is not None:
+            self.refresh.candidate = None
+            self.servers.beside.pop(candidate, None)
+            self.servers.connected[self] = None
+            self._connected(candidate)
+        self._fail_setups(connection)
         for began, limit in tests.values():
             limit.cancel()
             self.servers.probed(self.number, now - began, ev.Result.RESET, {})
-        if self.waiting:
+        if self.waiting and self.connection is None:
             self.connect()
         elif unheard:
             self.connect_in_turn()
@@ -399,6 +579,12 @@
             else:
                 self.connect_in_turn()
 
+    def _fail_setups(self, connection: ServerConnection) -> None:
+        """The SETUPs that are out on a connection have ended with it."""
+        setups, connection.setups = connection.setups, {}
+        for sess, out in setups.items():
+            self.servers.answered(sess, out.attempt, self.number, ev.Result.RESET, {})
+
     def look(self, now: int, idle: int) -> None:
         """What time alone brings: a lease that ends, partial lines, idle connections, connections wanted."""
         connection, plays = self.connection, self.servers.engine.plays_at(self.number)
@@ -410,20 +596,24 @@
             if now - self.gone_since > ADDRESS_REUSED_AFTER:
                 self.connection_failed(connection, "gone, and something answers there")
                 return
+        self._look_at_completeness(now, plays)
         self._look_at_lease(now, plays)
         if connection is not None and self.connection is connection and not has_unread(connection.transport):
             self._look_at_connection(connection, now, plays, idle)
 
     def _look_at_lease(self, now: int, plays: bool) -> None:
         connection = self.connection
-        if not plays and not (connection is not None and connection.setups):
+        if not plays and not self.has_setups:
             self.lease.unused(now)
             return
         due = self.lease.look(now, connection is not None)
         # What has come is read first: this process may have stood meanwhile
         unread = connection is not None and has_unread(connection.transport)
         if due is Due.ASK and connection is not None and not unread:
-            self._ask_for_sign(connection)
+            if self._begin_refresh(now):
+                self.lease.asked(now)  # on the new connection, as it comes up
+            else:
+                self._ask_for_sign(connection)
         elif due is Due.GIVE_UP and not (unread and now <= self.lease.expires_at + UNREAD_GRACE):
             self.give_up(now, "silent")
 
@@ -432,13 +622,12 @@
             self.servers.count("partial-line")
             self.lease.note(now, Sign.NO_MESSAGE, "partial line")
             self.connection_failed(connection, "partial line")
-        elif not plays and not connection.setups and not self.tests and now - self.used_at > idle:
+        elif not plays and not self.has_setups and not self.tests and now - self.used_at > idle:
             self.close_connection(connection, "idle")
 
     def give_up(self, now: int, why: str) -> None:
         """Nothing proves that the sessions there stand: they are over, and owed a release at the server."""
-        if self.connection is not None:
-            self.connection_failed(self.connection, why)
+        self.fail_connections(why)
         for held in self.servers.engine.playing_at(self.number):
             self.keep_release(held.sess)
         self.servers.lose(self, why)
@@ -448,7 +637,8 @@
         """Whether something is still to be written here."""
         if self.waiting or self.pending_releases:
             return True
-        return self.connection is not None and self.connection.unsent > 0
+        connections = (self.connection, *self.refresh.retiring)
+        return any(one is not None and one.unsent > 0 for one in connections)
 
     def close(self) -> None:
         """What has been written still leaves."""
@@ -458,6 +648,10 @@
             connection.transport.close()
         if self.connecting is not None:
             self.connecting.cancel()
+        for beside in (self.refresh.candidate, *self.refresh.retiring):
+            if beside is not None:
+                self.servers.beside.pop(beside, None)
+        self.refresh.close()
         self.servers.connected.pop(self, None)
         for _, limit in self.tests.values():
             limit.cancel()
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -15,7 +15,8 @@
 from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.front.roster import ListChange
 from ponddoor.interface import events as ev
-from ponddoor.node.server_link import MOST_PENDING_RELEASES, Item, ServerLink
+from ponddoor.node.server_connection import ServerConnection
+from ponddoor.node.server_link import MOST_PENDING_RELEASES, Item, ServerLink, server_id
 from ponddoor.obligations.violations import Invariant, Violations
 
 UNLISTED_FOR = 13 * SECOND // 2  # a session is handed over at a server that the list may name so much later
@@ -46,6 +47,7 @@
     informed: bool = False
     violations: Violations = field(default_factory=Violations)
     connected: dict[ServerLink, None] = field(default_factory=dict)  # or connecting, the longest unused first
+    beside: dict[ServerConnection, None] = field(default_factory=dict)  # further connections of links
     _watched: dict[ServerLink, None] = field(default_factory=dict)  # that a look may find something at
     _unlisted: dict[int, int] = field(default_factory=dict)  # servers of hand-overs, since when
     _unlisted_releases: dict[int, dict[str, None]] = field(default_factory=dict)
@@ -81,14 +83,15 @@
     def make_room(self) -> bool:
         """Whether one more may be opened. Where all connections that the descriptors allow are open, the one
         that was of no use for longest is closed; where every one is needed, a few more are allowed."""
-        if len(self.connected) < self.most:
+        if len(self.connected) + len(self.beside) < self.most:
             return True
         free = (link for link in self.connected if link.connection is not None and not link.needed)
         oldest = next(free, None)
         if oldest is not None:
             assert oldest.connection is not None
             oldest.close_connection(oldest.connection, "made room")
-        return oldest is not None or len(self.connected) < self.most + NEEDED_OVER_LIMIT
+        count = len(self.connected) + len(self.beside)
+        return oldest is not None or count < self.most + NEEDED_OVER_LIMIT
 
     def turn(self) -> int:
         """How long this front waits before it connects where many do: its part of a connect timeout (us)."""
@@ -128,7 +131,7 @@
         busy = (
             self.engine.plays_at(link.number)
             or link.waiting
-            or (link.connection is not None and link.connection.setups)
+            or link.has_setups
         )
         if link.entry.state == "gone" and not busy:
             if self.links.get(link.number) is link:
@@ -147,8 +150,7 @@
         waiting, link.waiting = link.waiting, []
         for item in waiting:
             asyncio.get_running_loop().call_soon(self.never_sent, item, ev.Result.CONNECT_FAILED)
-        if link.connection is not None:
-            link.connection_failed(link.connection, "gone")
+        link.fail_connections("gone")
         link.close()
 
     def carry_out(self, effect: Effect) -> None:
@@ -170,7 +172,7 @@
                 if (
                     link is not None
                     and link.connection is not None
-                    and not (link.connection.setups or link.waiting)
+                    and not (link.has_setups or link.waiting)
                 ):
                     link.close_connection(link.connection, "let go")
             case _:
@@ -191,14 +193,17 @@
     def probed(self, server: int, lag: int, result: ev.Result, report: dict[str, float]) -> None:
         self.apply(lambda now: self.engine.probed(now, server, lag, result, report))
 
-    def lose(self, link: ServerLink, why: str) -> None:
-        """What plays at a server now is over; many sessions end in slices, a turn of the loop each."""
+    def lose(self, link: ServerLink, why: str, standing_since: int | None = None) -> None:
+        """What plays at a server now is over, or what has stood since then or longer; many sessions end in
+        slices, a turn of the loop each."""
         held = self.engine.playing_at(link.number)
+        if standing_since is not None:
+            held = [one for one in held if one.standing_since <= standing_since]
         if not held or link.number in self._losing:
             return
         log.info(
             "sessions-lost",
-            server=f"{link.number:08x}",
+            server=server_id(link.number),
             why=why,
             sessions=len(held),
             ids=[one.sess for one in held[:MOST_IDS_LOGGED]],
@@ -295,7 +300,7 @@
                 link.give_up(now, "overdue")
 
     def _overdue(self, number: int, why: str, signs: tuple[str, ...]) -> None:
-        self.violations.add(Invariant.LEASE_IN_TIME, f"{number:08x}", why, signs)
+        self.violations.add(Invariant.LEASE_IN_TIME, server_id(number), why, signs)
 
     def leases(self, now: int) -> dict[str, int]:
         """Servers with sessions by the state of their lease, and the oldest proof of any (ms)."""
