--- a/ponddoor/cli.py
+++ b/ponddoor/cli.py
@@ -23,6 +23,7 @@
 from ponddoor.config.commands import config as config_commands
 from ponddoor.config.commands import raft as raft_commands
 from ponddoor.interface.words import KINDS
+from ponddoor.node.timeline import command as timeline_command
 from ponddoor.settings.sexpr import SettingsError
 from ponddoor.soak.commands import soak as soak_command
 
@@ -840,6 +841,7 @@
 main.add_command(config_commands)
 main.add_command(raft_commands)
 main.add_command(soak_command)
+main.add_command(timeline_command)
 
 
 if __name__ == "__main__":
--- a/ponddoor/node/board_codec.py
+++ b/ponddoor/node/board_codec.py
@@ -48,6 +48,11 @@
     return int(named[1], 16) if named else xxhash.xxh32_intdigest(server.encode())
 
 
+def id_of(number: int) -> str:
+    """A server as the list names it, in logs; one whose id has no number is named by its hash."""
+    return f"s-{number:08x}"
+
+
 def watch(last: int) -> bytes:
     """The request for every event after the last one in hand."""
     return b"watch %d\n" % last
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -211,6 +211,7 @@
             lag_us=self._most_lag, memory_kb=self.memory.kilobytes(),
             faults=counts.faults, answers=counts.answers, setups=counts.setups, stray=counts.stray,
             viewers_seen=viewers.counts, servers_seen=servers.counts,
+            session_lines_left_out=viewers.session_log.left_out,
             leases=servers.leases(clock()), words=self.words.told, words_lost=self.words.lost,
             board_breaks=self.board.breaks,
             board_losses=self.board.schedule.losses, board_age_ms=self.board.schedule.age(clock()) // 1000,
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -19,6 +19,7 @@
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.node import server_codec as codec
+from ponddoor.node.board_codec import id_of
 from ponddoor.node.connection_refresh import ConnectionRefresh
 from ponddoor.node.descriptors import is_local
 from ponddoor.node.server_connection import ServerConnection, SetupOut
@@ -34,13 +35,6 @@
 MOST_PENDING_RELEASES = 1000  # for a server out of reach, or unread on a connection that may end
 WRITE_BUFFER_LIMIT = 1 << 18  # bytes that a server may leave unread
 log = structlog.get_logger("servers")
-
-
-def server_id(number: int) -> str:
-    """A server as the list names it."""
-    return f"s-{number:08x}"
-
-
 Item = fx.SendSetup | fx.SendTeardown | fx.SendRung | fx.SendProbe
 
 
@@ -230,7 +224,7 @@
         connection.write(codec.test(self.servers.new_id(), False))
 
     def _log_connection(self, event: str, connection: ServerConnection, **more: object) -> None:
-        log.info(event, server=server_id(self.number), connection=connection.number, **more)
+        log.info(event, server=id_of(self.number), connection=connection.number, **more)
 
     # Connections beside the one in use
 
@@ -337,7 +331,7 @@
     def _no_descriptor(self, problem: OSError) -> None:
         """The machine gives us no connection: nothing ran, and the server is not to blame."""
         self.servers.count("no-descriptor")
-        log.warning("no-descriptor", server=server_id(self.number), why=str(problem))
+        log.warning("no-descriptor", server=id_of(self.number), why=str(problem))
         self._fail_waiting(ev.Result.MOOT)
 
     def _unreached(self, problem: Exception) -> None:
@@ -374,7 +368,7 @@
             self.servers.count("too-many-pending-releases")
 
     def _write(self, connection: ServerConnection, item: Item) -> None:
-        log.debug("to-server", server=server_id(self.number), item=item)
+        log.debug("to-server", server=id_of(self.number), item=item)
         match item:
             case fx.SendSetup(sess, attempt, _, ask, rung, timeout):
                 if self.entry.state != "ready":  # it was when this was decided
@@ -445,7 +439,7 @@
             return
         said = codec.read(line)
         self._heard(clock(), connection)
-        log.debug("server-says", server=server_id(self.number), said=said)
+        log.debug("server-says", server=id_of(self.number), said=said)
         match said:
             case codec.Stands(sess, passed):
                 out = connection.setups.pop(sess, None)
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -15,8 +15,9 @@
 from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.front.roster import ListChange
 from ponddoor.interface import events as ev
+from ponddoor.node.board_codec import id_of
 from ponddoor.node.server_connection import ServerConnection
-from ponddoor.node.server_link import MOST_PENDING_RELEASES, Item, ServerLink, server_id
+from ponddoor.node.server_link import MOST_PENDING_RELEASES, Item, ServerLink
 from ponddoor.obligations.violations import Invariant, Violations
 
 UNLISTED_FOR = 13 * SECOND // 2  # a session is handed over at a server that the list may name so much later
@@ -203,7 +204,7 @@
             return
         log.info(
             "sessions-lost",
-            server=server_id(link.number),
+            server=id_of(link.number),
             why=why,
             sessions=len(held),
             ids=[one.sess for one in held[:MOST_IDS_LOGGED]],
@@ -300,7 +301,7 @@
                 link.give_up(now, "overdue")
 
     def _overdue(self, number: int, why: str, signs: tuple[str, ...]) -> None:
-        self.violations.add(Invariant.LEASE_IN_TIME, server_id(number), why, signs)
+        self.violations.add(Invariant.LEASE_IN_TIME, id_of(number), why, signs)
 
     def leases(self, now: int) -> dict[str, int]:
         """Servers with sessions by the state of their lease, and the oldest proof of any (ms)."""
--- a/ponddoor/node/viewer_connection.py
+++ b/ponddoor/node/viewer_connection.py
@@ -1,6 +1,7 @@
 """One connection of viewers, and which connections make room for others."""
 
 import asyncio
+import itertools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -16,6 +17,7 @@
 WRITE_BUFFER_LIMIT = 1 << 18  # bytes that a viewer may leave unread
 LINGER = SECOND  # a viewer may need so long to read what was written, before a close that would destroy it
 log = structlog.get_logger("viewers")
+_numbers = itertools.count(1)
 
 
 class Handler(Protocol):
@@ -43,6 +45,7 @@
 
     def __init__(self, handler: Handler) -> None:
         self.handler, self.reader = handler, codec.Reader()
+        self.number = next(_numbers)  # of this process, for the log
         self.transport: asyncio.Transport | None = None
         self.opened_at = clock()
         self.proven = self.trusted = self.finishing = False
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -15,6 +15,7 @@
 from ponddoor.node import viewer_codec as codec
 from ponddoor.node.board_codec import number_of
 from ponddoor.node.listener import Listener
+from ponddoor.node.session_log import SessionLog
 from ponddoor.node.viewer_connection import (
     LINGER,
     PARTIAL_MESSAGE_LIMIT,
@@ -50,6 +51,7 @@
     connections: ConnectionTable = field(default_factory=ConnectionTable)
     sessions: Sessions[ViewerConnection] = field(init=False)
     counts: dict[str, int] = field(default_factory=dict)
+    session_log: SessionLog = field(default_factory=SessionLog)
     _listener: Listener | None = None
     _making_room: bool = False
     _lingering: list[int] = field(default_factory=list)  # when the last were left to read
@@ -80,7 +82,7 @@
 
     def opened(self, connection: ViewerConnection) -> None:
         """A connection has been accepted."""
-        log.debug("opened", connection=id(connection), here=len(self.connections))
+        log.debug("opened", connection=connection.number, here=len(self.connections))
         self.connections.add(connection)
         self._make_room()
 
@@ -122,7 +124,7 @@
         self.sessions.closing(connection)
         log.debug(
             "closing",
-            connection=id(connection),
+            connection=connection.number,
             why=why,
             age_us=clock() - connection.opened_at,
             proven=connection.proven,
@@ -169,7 +171,7 @@
     def take(self, connection: ViewerConnection, message: codec.Message) -> None:
         """A whole message has come."""
         self._used(connection)
-        log.debug("viewer-says", connection=id(connection), said=message)
+        log.debug("viewer-says", connection=connection.number, said=message)
         match message:
             case codec.Asked():
                 self._asked(connection, message)
@@ -235,6 +237,7 @@
             return
         plays = self.sessions.hand_over(clock(), session, connection)
         self._used(connection)
+        self.session_log.stands(session, server, connection.number)
         self.apply(lambda now: self.engine.handed_over(now, session, ask, server))
         self.attend(server)
         if not plays:  # its viewer has ended it already, on another connection
@@ -308,12 +311,19 @@
             case fx.Reply(session, answer):
                 self._reply(session, answer)
             case fx.Push(session, "ended", "viewer-gone"):
+                self._log_over(session, "viewer-gone")
                 self.sessions.end_silently(clock(), session)
             case fx.Push(session, "ended", why):
+                self._log_over(session, str(why))
                 self._release(session, codec.over(session, why == "lost"))
             case fx.Push(session, "moved"):
+                self._log_over(session, "moved")
                 self._release(session, codec.moved(session), acknowledged=False)
 
+    def _log_over(self, session: str, why: str) -> None:
+        held = self.engine.find(session)
+        self.session_log.over(session, -1 if held is None else held.server, why)
+
     def _reply(self, session: str, answer: Answer) -> None:
         connection = self.sessions.answer(clock(), session, answer.kind == "playing")
         if connection is None:
@@ -323,6 +333,8 @@
             case "playing":
                 connection.trusted = True
                 self._used(connection)
+                held = self.engine.find(session)
+                self.session_log.stands(session, -1 if held is None else held.server, connection.number)
                 connection.write(codec.stands(session, answer.passed))
             case "busy":
                 connection.write(codec.busy(session, answer.come_back))
@@ -343,6 +355,8 @@
 
     def _write_release(self, connection: ViewerConnection, session: str, message: bytes) -> None:
         connection.write(message)
+        record = self.sessions.find(session)
+        self.session_log.released(session, connection.number, record is not None and bool(record.tried))
         self.sessions.sent(clock(), session, connection)
 
     def _send_releases(self) -> None:
