--- a/ponddoor/store/committer.py
+++ b/ponddoor/store/committer.py
@@ -3,9 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
+import structlog
+
 from ponddoor.store.files import DiskError
 from ponddoor.store.journal import Journal, StoppedError
 
+CLOSE_LIMIT_S = 2.0  # for a write that is under way
+log = structlog.get_logger("store")
+
 
 class Committer:
     """Commits whatever was appended, again and again, while there is something.
@@ -45,6 +50,9 @@
                 return
 
     async def close(self) -> None:
+        """Let a write that is under way end, and say what its end came to if nobody was told."""
         if self._task is not None:
-            await asyncio.wait({self._task}, timeout=2)
+            await asyncio.wait({self._task}, timeout=CLOSE_LIMIT_S)
+            if self._task.done() and not self._task.cancelled() and (problem := self._task.exception()):
+                log.error("commit-failed", exc_info=problem)
         self._journal.close()
--- a/tests/raft/test_member.py
+++ b/tests/raft/test_member.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from structlog.testing import capture_logs
 
 from ponddoor.config.machine import Change, Outcome, taken_apart
 from ponddoor.raft import member as shell
@@ -241,7 +242,9 @@
                 await within(5, leader.change(Change("me", "why", 1, limits(2)), "client", 2))
             monkeypatch.undo()
             del made.members[leader.identity.me]
-            await leader.stop()
+            with capture_logs() as lines:
+                await leader.stop()
+            assert [line["event"] for line in lines if line["log_level"] == "error"] == ["commit-failed"]
 
     asyncio.run(within(60, live()))
 
