Soak: two guards more are taken out; the oracle's limit of 8 s is tested where a release was said late

never_connects_anew and any_message_proves: a server that stands for 4 s. The verdict at 17.5 s told and 18.1 s heard was "allowed" before the limit held whatever was written where.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -8,9 +8,11 @@
 from ponddoor.interface.facts import Effect
 from ponddoor.node import __main__ as node_main
 from ponddoor.node import board_codec
+from ponddoor.node.connection_refresh import ConnectionRefresh
 from ponddoor.node.listener import Listener
 from ponddoor.node.server_connection import ServerConnection
 from ponddoor.node.viewers import Viewers
+from ponddoor.obligations.completeness import Completeness
 from ponddoor.obligations.drain import DrainSchedule
 from ponddoor.obligations.lease import Lease, Sign
 from ponddoor.obligations.sessions import ConnectionEnd, Sessions
@@ -149,6 +151,20 @@
     Lease.note = renewing  # type: ignore[method-assign]
 
 
+def never_connects_anew() -> None:
+    """A connection that works is taken for one on which nothing was lost."""
+    ConnectionRefresh.may_begin = lambda self: False  # type: ignore[method-assign]
+
+
+def any_message_proves() -> None:
+    """Whatever a server says is taken for proof that all it had to say was heard."""
+
+    def proven(self: Any, now: int, opened_at: int, age: int, on_refresh: bool) -> None:
+        self._prove(now)
+
+    Completeness.answered = proven  # type: ignore[method-assign]
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     one.__name__: one
     for one in (
@@ -156,6 +172,7 @@
         writes_a_release_once, answers_twice, ignores_drains, asks_seldom, sends_for_clients_that_left,
         repeats_what_runs_once, keeps_sessions_at_servers, gives_up_nothing_at_servers,
         closes_the_listener_at_once, connects_renew_sessions, rubbish_renews_sessions,
+        never_connects_anew, any_message_proves,
     )
 }  # fmt: skip
 
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -44,6 +44,8 @@
             return struck_plan(Condition("hangs", "reset", after_s=2.0))
         case "rubbish_renews_sessions":
             return struck_plan(Condition("runs", "stay", "rubbish"))
+        case "never_connects_anew" | "any_message_proves":
+            return struck_plan(Condition("stands"), lasting=(4.0,))
         case "writes_a_release_once":
             faults = (Fault("release_crossings", 0.0, 7.0, 0), Fault("release_crossings", 0.0, 7.0, 1))
         case "ignores_drains":
@@ -131,6 +133,8 @@
         (10.0, FOREVER, True),
         (10.0, 10.9, False),
         (10.0, 11.1, True),
+        (17.5, 18.0, False),
+        (17.5, 18.1, True),
         (FOREVER, 17.9, False),
         (FOREVER, 18.1, True),
     ],
