--- a/ponddoor/obligations/completeness.py
+++ b/ponddoor/obligations/completeness.py
@@ -18,8 +18,9 @@
 The server may have stood as its connection opened, and have lost then what it had to say: an answer that is
 not PROMPT is a proof only to a sign of life on a refresh, and only as the second in a row.
 
-A refresh is a connection that is opened beside the one in use. One is due REFRESH_AFTER the last proof, and
-at once where there is doubt. What is doubted and not proven by the limit of the lease is over.
+A refresh is a connection that is opened beside the one in use. One is due REFRESH_AFTER the last proof, with
+a probe that goes out anyway REFRESH_WITH_PROBE_AFTER it, and at once where there is doubt. What is doubted and
+not proven by the limit of the lease is over.
 
 Source: the platform's protocol page ("sends its release on the next connection to be opened as well"; "if no
 release could be sent, within 8 s of its end")."""
@@ -31,6 +32,7 @@
 PROOF_WITHIN = SECOND // 2  # of its opening a sound connection carries an answer
 PROMPT = SECOND // 10
 REFRESH_AFTER = RELEASE_LIMIT - 2 * SECOND  # leaves three refreshes and the release
+REFRESH_WITH_PROBE_AFTER = REFRESH_AFTER // 2  # a probe that goes out anyway saves a sign of life
 RETRY_AFTER = SECOND // 2
 SILENCE = SECOND  # after which a message says that a server speaks again
 
@@ -106,6 +108,12 @@
             return True
         return standing_since is not None and now - max(self.proven_at, standing_since) >= REFRESH_AFTER
 
+    def refresh_due_with_probe(self, now: int, standing_since: int | None) -> bool:
+        """Whether a probe that is to go out now is to go out on a refresh."""
+        if now < self._retry_at or standing_since is None:
+            return False
+        return now - max(self.proven_at, standing_since) >= REFRESH_WITH_PROBE_AFTER
+
     def over_if_standing_since(self, now: int) -> int | None:
         """Sessions that have stood since then or longer are over: what they may have missed is overdue."""
         overdue = self.doubted_from is not None and now > self.doubted_from + SILENT_LIMIT
