--- a/ponddoor/obligations/completeness.py
+++ b/ponddoor/obligations/completeness.py
@@ -19,8 +19,8 @@
 not PROMPT is a proof only to a sign of life on a refresh, and only as the second in a row.
 
 A refresh is a connection that is opened beside the one in use. One is due REFRESH_AFTER the last proof, with
-a probe that goes out anyway REFRESH_WITH_PROBE_AFTER it, and at once where there is doubt. What is doubted and
-not proven by the limit of the lease is over.
+a probe that goes out anyway REFRESH_WITH_PROBE_AFTER it, and at once where there is doubt. What is doubted
+and not proven by the limit of the lease is over.
 
 Source: the platform's protocol page ("sends its release on the next connection to be opened as well"; "if no
 release could be sent, within 8 s of its end")."""
