Soak: what a server owed is noted on the session of that server

Trace with ponddoor timeline: the request had stood at s- too, whose answers were lost; its owed release, said as connection 9 opened 1.064 s before, was noted on the record of the session at s-. The stand-in found the record by the request's id; it keeps the record now.

--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -55,7 +55,7 @@
     mode: Mode = Mode.WELL
     standing: dict[str, Session] = field(default_factory=dict)
     connections: "set[_Connection]" = field(default_factory=set)
-    release_again: dict[int, list[str]] = field(default_factory=dict)  # by node, for its next connection
+    release_again: dict[int, list[Session]] = field(default_factory=dict)  # by node, for its next connection
     in_service: bool = True
     connects: list[float] = field(default_factory=list)  # when nodes connected
     _troubles: set[str] = field(default_factory=set)  # why it can't be judged by what reaches it
@@ -127,7 +127,7 @@
         """On the connection of its set-up, else on any of the node, and on the next one that it opens: on no
         other. What could not be written, or was lost on its way, is not said again on one that was open."""
         node = session.life.node
-        self.release_again.setdefault(node, []).append(session.request)
+        self.release_again.setdefault(node, []).append(session)
         for connection in sorted(self.connections, key=lambda one: session.request not in one.brought):
             if connection.node == node and connection.open and connection.speaks:
                 if connection.say("down", session.request, Cause.ENDED, message="release"):
@@ -321,9 +321,8 @@
         """As a connection opens, and never later. What follows rubbish is not read: it stays owed."""
         if not self.open:
             return
-        for request in self.server.release_again.pop(self.node, []):
-            session = self.server.oracle.sessions[request]
-            self.say("down", request, Cause.ENDED, message="other")
+        for session in self.server.release_again.pop(self.node, []):
+            self.say("down", session.request, Cause.ENDED)
             session.told_node_at = min(session.told_node_at, time.monotonic())
 
     def forget(self) -> None:
