Soak: two silences of a server are one where a node could not hear what was between

The oracle allows 1.5 s for a connect and a release under way as a server is heard again; a gap shorter than that now does not part two silences. Tested at 1.4 and 1.6 s.

--- a/ponddoor/soak/oracle.py
+++ b/ponddoor/soak/oracle.py
@@ -54,9 +54,12 @@
     _longest_lag: float = 0.0
 
     def note_mute(self, server: str, node: int, at: float) -> None:
-        """From now on no proof that a server is alive can reach a node."""
+        """From now on no proof that a server is alive can reach a node. What a node may miss between two
+        silences, since it connects once a second or so, does not part them."""
         spans = self.mute_spans.setdefault((server, node), [])
-        if not spans or spans[-1][1] < FOREVER:
+        if spans and at - spans[-1][1] < CUT_AFTER_MUTE_S:
+            spans[-1] = (spans[-1][0], FOREVER)
+        elif not spans or spans[-1][1] < FOREVER:
             spans.append((at, FOREVER))
 
     def note_heard_again(self, server: str, node: int, at: float) -> None:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -209,6 +209,17 @@
     assert ("cut" in broken) is cut
 
 
+@pytest.mark.parametrize(("again_at", "parted"), [(15.4, False), (15.6, True)])
+def test_two_silences_are_one_where_a_node_may_have_missed_what_is_between(
+    again_at: float, parted: bool
+) -> None:
+    oracle = Oracle(0.5)
+    oracle.note_mute("s", 0, 10.0)
+    oracle.note_heard_again("s", 0, 14.0)
+    oracle.note_mute("s", 0, again_at)
+    assert len(oracle.mute_spans["s", 0]) == 1 + parted
+
+
 def test_a_release_that_its_server_says_after_eight_seconds_is_due_by_then() -> None:
     oracle = cut_session(None)
     session = oracle.sessions["1"]
