--- a/ponddoor/front/backoff.py
+++ b/ponddoor/front/backoff.py
@@ -18,23 +18,24 @@
     random: Random
     failures: int = 0
     not_before: int = 0
+    waits_since: int = 0
 
     def failed(self, now: int, first_wait: int = FIRST_WAIT) -> None:
         """A connection did not come up, or ended before it was of any use. `first_wait` is that after the
         second failure in a row."""
-        self.failures += 1
+        self.failures, self.waits_since = self.failures + 1, now
         if self.failures > 1:
             wait = min(first_wait << min(self.failures - 2, 8), LONGEST_WAIT)
             self.not_before = now + wait + self.random.randrange(wait // 2)
 
     def hold(self, now: int, wait: int) -> None:
         """The next try waits so long; nothing has failed."""
-        self.not_before = max(self.not_before, now + wait)
+        self.not_before, self.waits_since = max(self.not_before, now + wait), now
 
     def succeeded(self) -> None:
         """A connection was of use."""
         self.failures, self.not_before = 0, 0
 
-    def wait(self, now: int) -> int:
-        """How long from now the next try has to wait."""
-        return max(self.not_before - now, 0)
+    def wait(self, now: int, most: int = LONGEST_WAIT + LONGEST_WAIT // 2) -> int:
+        """How long from now the next try has to wait: no longer than `most` from when it began to."""
+        return max(min(self.not_before, self.waits_since + most) - now, 0)
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -31,6 +31,7 @@
 ADDRESS_REUSED_AFTER = SECOND  # a server told gone that is answered for so long: a new one has its address
 PARTIAL_LINE_LIMIT = SECOND // 4  # a line that takes longer than this to end does not end
 UNREAD_GRACE = SECOND // 4  # what has come as a lease ends is read first, for so long
+WAIT_WITH_SESSIONS = SECOND  # between two connects to a server where sessions stand, at most
 MOST_WAITING = 1000  # messages that wait for one connection
 MOST_PENDING_RELEASES = 1000  # for a server out of reach, or unread on a connection that may end
 WRITE_BUFFER_LIMIT = 1 << 18  # bytes that a server may leave unread
@@ -147,7 +148,7 @@
         """Connect now or, after failures, once the backoff allows it: what waits is answered by then."""
         if self.connection is not None or self.connecting is not None:
             return
-        if self.backoff.wait(clock()):
+        if self._held_back(clock()):
             self.servers.count("connects-held-back")
             self._fail_waiting(ev.Result.CONNECT_FAILED)
             if self.pending_releases:
@@ -162,12 +163,18 @@
             self.servers.connected[self] = None
             self.servers.used(self)
 
+    def _held_back(self, now: int) -> int:
+        """How long the next connect has to wait: where sessions stand they must be heard of in time."""
+        if self.servers.engine.plays_at(self.number):
+            return self.backoff.wait(now, WAIT_WITH_SESSIONS)
+        return self.backoff.wait(now)
+
     def connect_in_turn(self) -> None:
         """Connect after this front's part of a connect timeout: fronts that lost a server together do not
         connect to it together. No SETUP waits for it."""
         if self.connection is None and self.connecting is None and self.later is None:
             self.servers.used(self)
-            wait = max(self.servers.turn(), self.backoff.wait(clock()) + 1) / SECOND
+            wait = max(self.servers.turn(), self._held_back(clock()) + 1) / SECOND
             self.later = asyncio.get_running_loop().call_later(wait, self._connect_later)
 
     def _connect_later(self) -> None:
--- a/tests/front/test_backoff.py
+++ b/tests/front/test_backoff.py
@@ -58,3 +58,14 @@
     backoff.failed(0)
     backoff.hold(0, SPOILT_WAIT)
     assert backoff.wait(0) >= FIRST_WAIT
+
+
+def test_a_wait_is_no_longer_than_the_most_that_is_asked_for_and_begins_anew_with_each_hold() -> None:
+    backoff = ConnectBackoff(Random(1))
+    for _ in range(5):
+        backoff.failed(0)
+    assert backoff.wait(0) >= LONGEST_WAIT and backoff.wait(0, SECOND) == SECOND
+    assert backoff.wait(SECOND // 2, SECOND) == SECOND // 2 and backoff.wait(SECOND, SECOND) == 0
+    held = ConnectBackoff(Random(1))
+    held.hold(100 * SECOND, SPOILT_WAIT)
+    assert held.wait(100 * SECOND, SECOND) == SPOILT_WAIT
