--- a/ponddoor/node/session_log.py
+++ b/ponddoor/node/session_log.py
@@ -25,9 +25,9 @@
         """A set-up was answered: the session stands. `connection` is the viewer's."""
         self._write("session-stands", session, server=id_of(server), viewer_connection=connection)
 
-    def over(self, session: str, server: int, why: str) -> None:
+    def over(self, session: str, why: str) -> None:
         """A session that stood is over."""
-        self._write("session-over", session, server=id_of(server), why=why)
+        self._write("session-over", session, why=why)
 
     def released(self, session: str, connection: int, again: bool) -> None:
         """Its release was written to a viewer's connection."""
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -193,6 +193,8 @@
         phase = self.sessions.give_up(clock(), session)
         if phase is None or phase is Phase.RELEASING:
             return
+        if phase is Phase.STANDING:
+            self.session_log.over(session, "ended by its viewer")
         connection.proven = True
         if phase is Phase.RECEIVED:
             self.count("taken-back")
@@ -311,19 +313,15 @@
             case fx.Reply(session, answer):
                 self._reply(session, answer)
             case fx.Push(session, "ended", "viewer-gone"):
-                self._log_over(session, "viewer-gone")
+                self.session_log.over(session, "viewer-gone")
                 self.sessions.end_silently(clock(), session)
             case fx.Push(session, "ended", why):
-                self._log_over(session, str(why))
+                self.session_log.over(session, str(why))
                 self._release(session, codec.over(session, why == "lost"))
             case fx.Push(session, "moved"):
-                self._log_over(session, "moved")
+                self.session_log.over(session, "moved")
                 self._release(session, codec.moved(session), acknowledged=False)
 
-    def _log_over(self, session: str, why: str) -> None:
-        held = self.engine.find(session)
-        self.session_log.over(session, -1 if held is None else held.server, why)
-
     def _reply(self, session: str, answer: Answer) -> None:
         connection = self.sessions.answer(clock(), session, answer.kind == "playing")
         if connection is None:
--- a/tests/node/test_session_log.py
+++ b/tests/node/test_session_log.py
@@ -26,9 +26,9 @@
     written = SessionLog()
     with capture_logs() as lines:
         for _ in range(MOST_LINES_A_SECOND + 5):
-            written.over(SESSION, 0x2851A7E9, "over")
+            written.stands(SESSION, 0x2851A7E9, 1)
         at[0] += SECOND
-        written.over(SESSION, 0x2851A7E9, "over")
+        written.stands(SESSION, 0x2851A7E9, 1)
     assert (len(lines), written.left_out) == (MOST_LINES_A_SECOND + 1, 5)
     assert lines[0]["server"] == "s-2851a7e9" and lines[0]["session"] == SESSION
 
