Completeness: a message that comes anyway saves the sign of life of a refresh

Now a refresh begins with a message, from half of its period on: the server has just spoken, so a connection that comes up promptly behind it brings what is owed, and no sign of life is asked for. Asked is where nothing came, or in doubt.

--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -92,8 +92,6 @@
         """Write a message, or keep it until the connection is there; a SETUP, until all is read."""
         self.used_at = clock()
         self.servers.used(self)
-        if isinstance(item, fx.SendProbe) and self._probe_on_refresh(item):
-            return
         if self.connection is not None and not isinstance(item, fx.SendSetup):
             self._write(self.connection, item)
         elif len(self.waiting) < MOST_WAITING:
@@ -251,30 +249,15 @@
         self.connecting = asyncio.create_task(self._connect())
         return True
 
-    def _probe_on_refresh(self, probe: fx.SendProbe) -> bool:
-        """Whether a probe goes out on a connection that is opened with it."""
-        now, since = clock(), self.servers.engine.standing_since(self.number)
-        if not self.refresh.completeness.refresh_due_with_probe(now, since) or not self._begin_refresh(now):
-            return False
-        self.waiting.append(probe)
-        return True
-
-    def _waiting_probes(self) -> list[fx.SendProbe]:
-        """The probes that wait, which wait no longer."""
-        probes = [item for item in self.waiting if isinstance(item, fx.SendProbe)]
-        self.waiting = [item for item in self.waiting if not isinstance(item, fx.SendProbe)]
-        return probes
-
     def _candidate_opened(self, connection: ServerConnection) -> None:
         self.refresh.candidate = connection
         self.servers.beside[connection] = None
         doubted_from = self.refresh.completeness.doubted_from
         doubted_ms = None if doubted_from is None else (clock() - doubted_from) // 1000
         self._log_connection("connection-opened", connection, beside=True, doubted_ms=doubted_ms)
-        probes = self._waiting_probes()
-        for probe in probes:
-            self._write(connection, probe)
-        if not probes:
+        if self.refresh.completeness.came_up(clock(), connection.opened_at, self.lease.proven_at or 0):
+            self._replace_connection(clock(), connection)
+        else:
             self._ask_for_sign(connection)
 
     def _refresh_failed(self, connection: ServerConnection, why: str) -> None:
@@ -283,9 +266,6 @@
         self.servers.count("refreshes-failed")
         self._log_connection("refresh-failed", connection, why=why)
         self.refresh.completeness.refresh_failed(now, connection.opened_at, heard_at)
-        if self.connection is not None:
-            for probe in self._waiting_probes():
-                self._write(self.connection, probe)
 
     def _drop_candidate(self) -> None:
         candidate, self.refresh.candidate = self.refresh.candidate, None
@@ -516,6 +496,8 @@
         if silent_for > SILENCE:
             completeness.speaks_again(now)
         completeness.answered(now, connection.opened_at, connection.age(now), on_refresh)
+        if completeness.refresh_due_with_message(now, self.servers.engine.standing_since(self.number)):
+            self._begin_refresh(now)
 
     def _test_late(self, sess: str) -> None:
         if sess in self.tests:
--- a/ponddoor/obligations/completeness.py
+++ b/ponddoor/obligations/completeness.py
@@ -8,7 +8,7 @@
       opening of its connection                   (PROMPT or not, see below)
     the first message after a doubt               no proof: the connection was opened before the silence ended
     a later message, on whatever connection       no proof; after a silence a refresh may begin at once
-    a connect that is accepted                    no proof
+    a connect that is accepted                    no proof, but PROMPT behind a message and without doubt
     a set-up, test or sign of life in whose       doubt, from the last message on
       time nothing at all came
     a refresh that proves nothing                 doubt, from the last message on; from the last proof on
@@ -19,7 +19,7 @@
 not PROMPT is a proof only to a sign of life on a refresh, and only as the second in a row.
 
 A refresh is a connection that is opened beside the one in use. One is due REFRESH_AFTER the last proof, with
-a probe that goes out anyway REFRESH_WITH_PROBE_AFTER it, and at once where there is doubt. What is doubted
+a message that comes REFRESH_WITH_MESSAGE_AFTER it or later, and at once where there is doubt. What is doubted
 and not proven by the limit of the lease is over.
 
 Source: the platform's protocol page ("sends its release on the next connection to be opened as well"; "if no
@@ -32,7 +32,7 @@
 PROOF_WITHIN = SECOND // 2  # of its opening a sound connection carries an answer
 PROMPT = SECOND // 10
 REFRESH_AFTER = RELEASE_LIMIT - 2 * SECOND  # leaves three refreshes and the release
-REFRESH_WITH_PROBE_AFTER = REFRESH_AFTER // 2  # a probe that goes out anyway saves a sign of life
+REFRESH_WITH_MESSAGE_AFTER = REFRESH_AFTER // 2  # a message that came anyway saves a sign of life
 RETRY_AFTER = SECOND // 2
 SILENCE = SECOND  # after which a message says that a server speaks again
 
@@ -108,11 +108,19 @@
             return True
         return standing_since is not None and now - max(self.proven_at, standing_since) >= REFRESH_AFTER
 
-    def refresh_due_with_probe(self, now: int, standing_since: int | None) -> bool:
-        """Whether a probe that is to go out now is to go out on a refresh."""
-        if now < self._retry_at or standing_since is None:
+    def refresh_due_with_message(self, now: int, standing_since: int | None) -> bool:
+        """Whether a refresh is to begin with a message that has come now."""
+        if now < self._retry_at or standing_since is None or self.doubted_from is not None:
             return False
-        return now - max(self.proven_at, standing_since) >= REFRESH_WITH_PROBE_AFTER
+        return now - max(self.proven_at, standing_since) >= REFRESH_WITH_MESSAGE_AFTER
+
+    def came_up(self, now: int, opened_at: int, heard_at: int) -> bool:
+        """A refresh came up, and the last message came at `heard_at`. Whether that is proof enough; if not,
+        a sign of life is to be asked for on it."""
+        if self.doubted_from is not None or now - heard_at > PROMPT:
+            return False
+        self._prove(opened_at)
+        return True
 
     def over_if_standing_since(self, now: int) -> int | None:
         """Sessions that have stood since then or longer are over: what they may have missed is overdue."""
--- a/tests/obligations/completeness_schedules.py
+++ b/tests/obligations/completeness_schedules.py
@@ -150,6 +150,12 @@
             self.completeness.speaks_again(self.now)
         age = self.now - connection.opened_at
         self.completeness.answered(self.now, connection.opened_at, age, on_refresh)
+        if self.candidate is None and self.completeness.refresh_due_with_message(self.now, START):
+            self._refresh()
+            opened = self.candidate
+            if opened is not None and self.completeness.came_up(self.now, self.now, self.now):
+                opened.answer_at = None
+                self.connection, self.candidate, self.setup_out_since = opened, None, None
 
     def _look(self) -> None:
         self.completeness.looks(self.now)
