--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -14,15 +14,15 @@
 
 from ponddoor.front import effects as fx
 from ponddoor.front.backoff import SPOILT_WAIT, ConnectBackoff
-from ponddoor.front.engine import Engine
-from ponddoor.front.pump import SECOND, Apply, clock, once_read
+from ponddoor.front.pump import SECOND, clock, once_read
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
 from ponddoor.node import server_codec as codec
 from ponddoor.node.board_codec import id_of
-from ponddoor.node.connection_refresh import ConnectionRefresh
+from ponddoor.node.connection_refresh import ConnectionRefresh, Connections
 from ponddoor.node.descriptors import is_local
-from ponddoor.node.server_connection import ServerConnection, SetupOut
+from ponddoor.node.server_connection import ServerConnection
+from ponddoor.node.server_messages import Item, MessageOwner, ServerMessages
 from ponddoor.obligations.completeness import Completeness
 from ponddoor.obligations.lease import Due, Lease, Sign
 from ponddoor.web.connecting import connect_within
@@ -34,33 +34,19 @@
 WAIT_WITH_SESSIONS = SECOND  # between two connects to a server where sessions stand, at most
 MOST_WAITING = 1000  # messages that wait for one connection
 MOST_PENDING_RELEASES = 1000  # for a server out of reach, or unread on a connection that may end
-WRITE_BUFFER_LIMIT = 1 << 18  # bytes that a server may leave unread
 log = structlog.get_logger("servers")
-Item = fx.SendSetup | fx.SendTeardown | fx.SendRung | fx.SendProbe
 
 
-class LinkOwner(Protocol):
+class LinkOwner(MessageOwner, Connections, Protocol):
     """What a link needs of the shell that owns all of them."""
 
-    engine: Engine
-    groups: tuple[str, ...]
-    connect_timeout: int
     random: Random
     informed: bool
     connected: "dict[ServerLink, None]"
-    beside: dict[ServerConnection, None]  # connections other than the one in use of each link
 
-    @property
-    def apply(self) -> Apply: ...
-    def count(self, what: str) -> None: ...
     def used(self, link: "ServerLink") -> None: ...
     def make_room(self) -> bool: ...
     def turn(self) -> int: ...
-    def new_id(self) -> str: ...
-    def never_sent(self, item: Item, why: ev.Result) -> None: ...
-    def answered(self, sess: str, attempt: int, server: int, result: ev.Result | None,
-                 report: dict[str, float], passed: str = "") -> None: ...  # fmt: skip
-    def probed(self, server: int, lag: int, result: ev.Result, report: dict[str, float]) -> None: ...
     def lose(self, link: "ServerLink", why: str, standing_since: int | None = None) -> None: ...
 
 
@@ -75,25 +61,26 @@
     connecting: asyncio.Task[None] | None = None
     waiting: list[Item] = field(default_factory=list)
     pending_releases: dict[str, None] = field(default_factory=dict)  # for the next connection
-    tests: dict[str, tuple[int, asyncio.TimerHandle]] = field(default_factory=dict)
     used_at: int = 0
     gone_since: int | None = None
     later: asyncio.TimerHandle | None = None
     backoff: ConnectBackoff = field(init=False)
     lease: Lease = field(init=False)
     refresh: ConnectionRefresh = field(init=False)
+    messages: ServerMessages = field(init=False)
 
     def __post_init__(self) -> None:
         self.backoff = ConnectBackoff(self.servers.random)
         self.lease = Lease(self.servers.connect_timeout)
         self.refresh = ConnectionRefresh(self, Completeness(self.servers.turn()))
+        self.messages = ServerMessages(self)
 
     def say(self, item: Item) -> None:
         """Write a message, or keep it until the connection is there; a SETUP, until all is read."""
         self.used_at = clock()
         self.servers.used(self)
         if self.connection is not None and not isinstance(item, fx.SendSetup):
-            self._write(self.connection, item)
+            self.messages.write(self.connection, item)
         elif len(self.waiting) < MOST_WAITING:
             self.waiting.append(item)
             if self.connection is None:
@@ -107,9 +94,8 @@
     @property
     def needed(self) -> bool:
         """Whether the connection carries something, or sessions play there."""
-        return bool(
-            self.waiting or self.tests or self.has_setups or self.servers.engine.plays_at(self.number)
-        )
+        plays = self.servers.engine.plays_at(self.number)
+        return bool(self.waiting or self.messages.tests or self.has_setups or plays)
 
     @property
     def has_setups(self) -> bool:
@@ -140,7 +126,7 @@
         place = next((at for at, one in enumerate(self.waiting) if one is item), None)
         if place is not None:
             del self.waiting[place]
-            self._write(self.connection, item)
+            self.messages.write(self.connection, item)
 
     def connect(self) -> None:
         """Connect now or, after failures, once the backoff allows it: what waits is answered by then."""
@@ -309,59 +295,6 @@
         else:
             self.servers.count("too-many-pending-releases")
 
-    def _write(self, connection: ServerConnection, item: Item) -> None:
-        log.debug("to-server", server=id_of(self.number), item=item)
-        match item:
-            case fx.SendSetup(sess, attempt, _, ask, rung, timeout):
-                if self.entry.state != "ready":  # it was when this was decided
-                    self.servers.never_sent(item, ev.Result.MOOT)
-                    return
-                line = codec.setup(sess, ask, self.servers.groups[ask.service_group], rung, timeout)
-                if len(line) > codec.MOST:  # the server would end the connection, with all that is open on it
-                    self.servers.count("too-long")
-                    self.servers.never_sent(item, ev.Result.MOOT)
-                    return
-                # An end is not to be taken for that of an attempt given up here before
-                connection.given_up.pop(sess, None)
-                # Nor may a release of that attempt, sent again, end what is set up now
-                connection.released.pop(sess, None)
-                self.refresh.forget_release(sess)
-                connection.setups[sess] = SetupOut(attempt, clock(), timeout)
-                connection.write(line)
-            case fx.SendTeardown(sess, attempt):
-                self._tear_down(connection, sess, attempt)
-            case fx.SendRung(sess, _, _, rung):
-                connection.write(codec.rung(sess, rung))
-            case fx.SendProbe():
-                sess = self.servers.new_id()
-                limit = asyncio.get_running_loop().call_later(
-                    self.servers.connect_timeout / SECOND, self._test_late, sess
-                )
-                self.tests[sess] = (clock(), limit)
-                connection.write(codec.test(sess, True))
-        if connection.unsent > WRITE_BUFFER_LIMIT:
-            self.connection_failed(connection, "does not read")
-
-    def _tear_down(self, connection: ServerConnection, sess: str, attempt: int) -> None:
-        """Give up a SETUP that is out, or release a session that stands."""
-        now, out = clock(), connection.setups.get(sess)
-        if out is None or out.attempt != attempt:
-            retired = self.refresh.connection_of_setup(sess, attempt)
-            if retired is None:
-                connection.release(now, sess)
-            else:
-                retired.give_up(sess)
-            return
-        connection.give_up(sess)
-        if now >= out.sent_at + out.timeout:
-            self._unanswered(now, out.sent_at)
-
-    def _unanswered(self, now: int, since: int) -> None:
-        """Something had no answer in its time. Doubt, if nothing at all has come since."""
-        heard_at = self.lease.proven_at or 0
-        if heard_at <= since:
-            self.refresh.completeness.doubt(now, heard_at)
-
     def withdraw(self, sess: str, attempt: int) -> bool:
         """Take back a SETUP that has not gone out yet."""
         kept = [
@@ -374,47 +307,11 @@
         return found
 
     def take(self, connection: ServerConnection, line: bytes) -> None:
-        """A line has come. What it says of sessions we do not know, or twice, is of no interest.
+        """A line has come. Raises UnreadableError for one that is no message."""
+        if self.connection is connection or self.refresh.holds(connection):
+            self.messages.take(connection, line)
 
-        Raises UnreadableError for one that is no message."""
-        if self.connection is not connection and not self.refresh.holds(connection):
-            return
-        said = codec.read(line)
-        self._heard(clock(), connection)
-        log.debug("server-says", server=id_of(self.number), said=said)
-        match said:
-            case codec.Stands(sess, passed):
-                out = connection.setups.pop(sess, None)
-                attempt = connection.given_up.pop(sess, None) if out is None else out.attempt
-                if attempt is not None:
-                    self.servers.answered(sess, attempt, self.number, None, {}, passed)
-            case codec.Ended(sess, before, after, report):
-                out = connection.setups.pop(sess, None)
-                held = self.servers.engine.find(sess)
-                if out is not None:
-                    self.servers.answered(sess, out.attempt, self.number, before, report)
-                elif (
-                    connection.given_up.pop(sess, None) is None
-                    and held is not None
-                    and held.server == self.number
-                ):
-                    number = held.attempt
-                    self.servers.apply(lambda now: self.servers.engine.stream_ended(now, sess, number, after))
-            case codec.Heard(sess):
-                connection.released.pop(sess, None)
-            case codec.Tested(sess, well, report):
-                if sess in self.tests:
-                    began, limit = self.tests.pop(sess)
-                    limit.cancel()
-                    self.servers.probed(
-                        self.number, clock() - began, ev.Result.SERVED if well else ev.Result.ERROR, report
-                    )
-            case codec.Noted(sess, kind, value):
-                held = self.servers.engine.find(sess)
-                if held is not None and held.server == self.number:
-                    self.servers.apply(lambda now: self.servers.engine.note_on(now, sess, kind, value))
-
-    def _heard(self, now: int, connection: ServerConnection) -> None:
+    def heard(self, now: int, connection: ServerConnection) -> None:
         """A message came: the server lives, and what it had to say may be proven heard."""
         silent_for = now - (self.lease.proven_at or now)
         connection.heard = True
@@ -423,11 +320,11 @@
             self.backoff.succeeded()
         self.refresh.heard(now, connection, silent_for)
 
-    def _test_late(self, sess: str) -> None:
-        if sess in self.tests:
-            now, (began, _) = clock(), self.tests.pop(sess)
-            self._unanswered(now, began)
-            self.servers.probed(self.number, now - began, ev.Result.TIMEOUT, {})
+    def unanswered(self, now: int, since: int) -> None:
+        """Something had no answer in its time. Doubt, if nothing at all has come since."""
+        heard_at = self.lease.proven_at or 0
+        if heard_at <= since:
+            self.refresh.completeness.doubt(now, heard_at)
 
     def unreadable(self, connection: ServerConnection, why: str) -> None:
         """What came is no message: nothing on this connection can be believed any more."""
@@ -480,7 +377,7 @@
         self.servers.connected.pop(self, None)
         self.servers.count("connection-ended")
         self.lease.note(now, Sign.BROKEN, why[:80])
-        tests, self.tests = self.tests, {}
+        tests = self.messages.take_tests()
         unheard = connection.unheard_releases(now, self.refresh.completeness.doubted_from)
         for sess in unheard:
             self.servers.count("releases-repeated")
@@ -491,8 +388,7 @@
         if (candidate := self.refresh.take_candidate()) is not None:
             self._connected(candidate)
         self.fail_setups(connection)
-        for began, limit in tests.values():
-            limit.cancel()
+        for began in tests:
             self.servers.probed(self.number, now - began, ev.Result.RESET, {})
         if self.waiting and self.connection is None:
             self.connect()
@@ -547,7 +443,7 @@
             self.servers.count("partial-line")
             self.lease.note(now, Sign.NO_MESSAGE, "partial line")
             self.connection_failed(connection, "partial line")
-        elif not plays and not self.has_setups and not self.tests and now - self.used_at > idle:
+        elif not plays and not self.has_setups and not self.messages.tests and now - self.used_at > idle:
             self.close_connection(connection, "idle")
 
     def give_up(self, now: int, why: str) -> None:
@@ -575,5 +471,4 @@
             self.connecting.cancel()
         self.refresh.close()
         self.servers.connected.pop(self, None)
-        for _, limit in self.tests.values():
-            limit.cancel()
+        self.messages.take_tests()
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -17,7 +17,8 @@
 from ponddoor.interface import events as ev
 from ponddoor.node.board_codec import id_of
 from ponddoor.node.server_connection import ServerConnection
-from ponddoor.node.server_link import MOST_PENDING_RELEASES, Item, ServerLink
+from ponddoor.node.server_link import MOST_PENDING_RELEASES, ServerLink
+from ponddoor.node.server_messages import Item
 from ponddoor.obligations.violations import Invariant, Violations
 
 UNLISTED_FOR = 13 * SECOND // 2  # a session is handed over at a server that the list may name so much later
