Soak: a viewer ends its session on a connection on which no message has begun

Trace: the node's log has no end by the viewer; client_pieces and release_crossings were both on at that node. A release behind half a message waits for its rest, up to 0.3 s, and is never written if the connection is ended meanwhile, but was noted as written after 0.05 s (by reading; the write itself is not in the trace).

--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -166,7 +166,7 @@
 
     def _viewer_ends(self, session: Session) -> None:
         """On any connection of viewers to the node."""
-        usable = [one for one in self.connections if one.open]
+        usable = [one for one in self.connections if one.open and not one.pieces]
         if session.heard_at < FOREVER or not usable or session.request not in self.playing:
             return
         connection = self.rng.choice(usable)
