--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -283,7 +283,7 @@
             self.timers.append(loop.call_later(condition.after_s, self._end_by_condition))
         if condition.speech in ("rubbish", "pieces") and condition.reads:
             self._say_no_message()
-        if condition.speaks:
+        if self.reads:
             self.read_on()
 
     def _end_by_condition(self) -> None:
