--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -129,7 +129,7 @@
 
 
 def connects_renew_sessions() -> None:
-    """An accepted connect is taken for a proof that the sessions at a server stand."""
+    """An accepted connect is taken for a proof that sessions stand, and what is doubted is never over."""
     connected = Lease.connected
 
     def renewing(self: Any, now: int) -> bool:
@@ -137,6 +137,7 @@
         return connected(self, now)
 
     Lease.connected = renewing  # type: ignore[method-assign]
+    Completeness._doubt_from = lambda self, since: None  # type: ignore[method-assign]
 
 
 def rubbish_renews_sessions() -> None:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -9,7 +9,7 @@
 
 from ponddoor.soak.conditions import Condition
 from ponddoor.soak.oracle import Oracle
-from ponddoor.soak.plan import Fault, Plan, draw
+from ponddoor.soak.plan import LONG_SESSIONS_S, Fault, Plan, draw
 from ponddoor.soak.records import (
     FOREVER,
     AnswerKind,
@@ -44,7 +44,10 @@
             return struck_plan(Condition("hangs", "reset", after_s=2.0))
         case "rubbish_renews_sessions":
             return struck_plan(Condition("runs", "stay", "rubbish"))
-        case "never_connects_anew" | "any_message_proves":
+        case "never_connects_anew":
+            forgotten = struck_plan(Condition("runs", "forgotten"), lasting=(0.5,))
+            return msgspec.structs.replace(forgotten, session_s=LONG_SESSIONS_S)
+        case "any_message_proves":
             return struck_plan(Condition("stands"), lasting=(4.0,))
         case "writes_a_release_once":
             faults = (Fault("release_crossings", 0.0, 7.0, 0), Fault("release_crossings", 0.0, 7.0, 1))
