--- a/review/standins.py
+++ b/review/standins.py
@@ -828,6 +828,10 @@
 
     async def whole() -> list[str]:
         platform.spawn(platform._tidy())
+        main = asyncio.current_task()
+        assert main is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, main.cancel)
         try:
             return await asyncio.wait_for(case(platform), 116)
         finally:
@@ -836,7 +840,7 @@
     try:
         violations = asyncio.run(whole())
         platform.node_lines("sessions-lost", "invariant-violated", "effect-failed")
-    except Exception as problem:
+    except (Exception, asyncio.CancelledError) as problem:
         print(f"could not run: {problem!r}")
         return 2
     for violation in violations:
