--- a/review/standins.py
+++ b/review/standins.py
@@ -567,6 +567,7 @@
     board: Board | None = None
     process: asyncio.subprocess.Process | None = None
     taking: bool = False  # whether the platform sends viewers to it
+    killed: bool = False  # whether the process of now was sent SIGKILL
     starts: int = 0
 
 
@@ -634,7 +635,7 @@
 
     async def start_node(self, node: Node) -> bool:
         """Start a process, and return whether it has passed a test."""
-        node.starts += 1
+        node.starts, node.killed = node.starts + 1, False
         if node.board is not None:
             node.board.close()
         node.board = Board(f"127.0.{20 + node.number}.200", [one.member(node.number) for one in self.servers])
@@ -683,6 +684,17 @@
             await asyncio.wait_for(connection.passed.wait(), 1.0)
         return connection.passed.is_set()
 
+    def stand(self, node: Node) -> None:
+        """The process of a node stands still."""
+        self.record.note("node-stands", node=node.number)
+        if node.process is not None and node.process.returncode is None:
+            node.process.send_signal(signal.SIGSTOP)
+
+    def go_on(self, node: Node) -> None:
+        self.record.note("node-goes-on", node=node.number)
+        if node.process is not None and node.process.returncode is None:
+            node.process.send_signal(signal.SIGCONT)
+
     async def terminate_node(self, node: Node) -> None:
         """A planned restart's first half: SIGTERM, and SIGKILL as early as the pages allow."""
         assert node.process is not None
@@ -694,6 +706,7 @@
             await asyncio.wait_for(node.process.wait(), longest + 0.7)
         except TimeoutError:
             self.record.note("SIGKILL", node=node.number)
+            node.killed = True
             node.process.kill()
             await node.process.wait()
         node.taking = False
@@ -732,10 +745,10 @@
         )
         connection.send(request.data)
         loop = asyncio.get_running_loop()
-        loop.call_later(request.wait_s + GIVE_UP_GRACE_S, self._give_up, connection, request)
+        loop.call_later(request.wait_s + GIVE_UP_GRACE_S, self.give_up, connection, request)
         return True
 
-    def _give_up(self, connection: ViewerConnection, request: Request) -> None:
+    def give_up(self, connection: ViewerConnection, request: Request) -> None:
         if request.answer:
             return
         request.answer, request.answered_at = "none", now()
