A server's release that comes before the hand-over is remembered for it

Cause: `_session_ended` dropped the end of a session that the engine did not hold. A new process connects to servers (its first probe) before it listens, and a server releases what ended meanwhile on that first connection; the hand-over comes after the first readiness test.

Each server has its own share of the memory, so one that sends ends without number displaces no other's; of one that exceeds its share every session that is handed over is released at both ends. `ends-not-held` and `ended-before-hand-over` are counted in the state line. A SETUP forgets an earlier end at its server.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -71,7 +71,7 @@
         connect_timeout = facts.permissions.connect_timeout
         self.servers = Servers(self.engine, apply, groups, connect_timeout, facts.me, facts.fronts)
         self.servers.random.seed(facts.seed)
-        self.viewers = Viewers(self.engine, apply, self.servers.expect_sessions, groups, 0)
+        self.viewers = Viewers(self.engine, apply, self.servers, groups, 0)
         self.servers.violations = self.viewers.sessions.violations
         roster = Roster(settings.zones, settings.kinds, facts.plant.cells, now - time.time_ns() // 1000)
         schedule = ReconnectSchedule(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
--- a/ponddoor/node/server_messages.py
+++ b/ponddoor/node/server_messages.py
@@ -16,6 +16,7 @@
 from ponddoor.node.board_codec import server_id
 from ponddoor.node.connection_refresh import ConnectionRefresh
 from ponddoor.node.server_connection import PendingSetup, ServerConnection
+from ponddoor.obligations.early_ends import EarlyEnds
 
 MAX_UNSENT_BYTES = 1 << 18  # on one connection; beyond that its server has stopped reading
 log = structlog.get_logger("servers")
@@ -28,6 +29,7 @@
     engine: Engine
     groups: tuple[str, ...]
     connect_timeout: int
+    early_ends: EarlyEnds[int]
 
     @property
     def apply(self) -> Apply: ...
@@ -100,6 +102,7 @@
         # A release of an earlier attempt must not be sent again: it would end the new session
         connection.unacknowledged_releases.pop(sess, None)
         self.link.refresh.forget_release(sess)
+        servers.early_ends.forget(self.link.number, sess)
         connection.setups[sess] = PendingSetup(item.attempt, clock(), item.timeout)
         connection.write(line)
 
@@ -172,9 +175,13 @@
                 sess, setup.attempt, self.link.number, message.setup_result, message.report
             )
             return
-        was_abandoned = connection.abandoned_setups.pop(sess, None) is not None
+        if connection.abandoned_setups.pop(sess, None) is not None:
+            return
         held = servers.engine.find(sess)
-        if not was_abandoned and held is not None and held.server == self.link.number:
+        if held is None:
+            servers.count("ends-not-held")
+            servers.early_ends.remember(clock(), self.link.number, sess, message.end_reason)
+        elif held.server == self.link.number:
             attempt = held.attempt
             servers.apply(lambda now: servers.engine.stream_ended(now, sess, attempt, message.end_reason))
 
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -19,6 +19,7 @@
 from ponddoor.node.server_connection import ServerConnection
 from ponddoor.node.server_link import MAX_PENDING_RELEASES, ServerLink
 from ponddoor.node.server_messages import Outgoing
+from ponddoor.obligations.early_ends import EarlyEnds
 from ponddoor.obligations.violations import Invariant, Violations
 
 # A session may be handed over at a server that the server list names only later
@@ -53,6 +54,7 @@
     max_connections: int = 1 << 30
     setups_enabled: bool = False
     violations: Violations = field(default_factory=Violations)
+    early_ends: EarlyEnds[int] = field(default_factory=EarlyEnds)  # by server
     # Links with a connection, open or being opened, the least recently used first
     open_links: dict[ServerLink, None] = field(default_factory=dict)
     # Connections of a link besides the one in use
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -3,13 +3,13 @@
 The state of requests, standing sessions and pending releases is kept by `ponddoor.obligations.sessions`."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 import structlog
 
 from ponddoor.front import effects as fx
-from ponddoor.front.effects import Answer, ViewerRequest
+from ponddoor.front.effects import Answer, Effect, ViewerRequest
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, Apply, after_pending_reads, clock
 from ponddoor.node import viewer_codec as codec
@@ -24,6 +24,7 @@
     ViewerConnection,
 )
 from ponddoor.obligations.drain import DrainSchedule
+from ponddoor.obligations.early_ends import EarlyEnd, EarlyEnds
 from ponddoor.obligations.sessions import Phase, Sessions
 from ponddoor.obligations.violations import Violation, Violations
 from ponddoor.web.unread import has_unread
@@ -37,16 +38,24 @@
 log = structlog.get_logger("viewers")
 
 
+class SessionServers(Protocol):
+    """What viewers need of the object that owns all servers. `early_ends` has what servers have ended."""
+
+    early_ends: EarlyEnds[int]
+
+    def expect_sessions(self, server: int) -> None:
+        """A session that plays at this server already was handed over."""
+
+
 @dataclass(slots=True)
 class Viewers:
     """Handles the connections, requests and sessions of all viewers of one front.
 
-    Keeps at most `max_connections` open. Calls `expect_sessions` with the number of a server when a viewer
-    hands over a session that plays there already."""
+    Keeps at most `max_connections` open."""
 
     engine: Engine
     apply: Apply
-    expect_sessions: Callable[[int], None]
+    servers: SessionServers
     groups: tuple[str, ...]
     max_connections: int
     ready: bool = False
@@ -194,6 +203,8 @@
             case codec.ReadinessTest(session):
                 connection.proven = True
                 connection.write(codec.encode_test_result(session, self.ready))
+                if self.ready:
+                    self.servers.early_ends.readiness_tested(clock())
 
     def _handle_release(self, connection: ViewerConnection, session: str) -> None:
         """Withdraw an open request, or end a standing session.
@@ -251,15 +262,30 @@
     ) -> None:
         if self._is_known(session):
             return
-        stands = self.sessions.hand_over(clock(), session, connection)
+        now = clock()
+        stands = self.sessions.hand_over(now, session, connection)
         self._mark_used(connection)
         self.session_log.session_standing(session, server, connection.number)
+        end = self.servers.early_ends.take(now, server, session)
+        if stands and end is not None:
+            self._end_at_hand_over(session, server, end)
+            return
         self.apply(lambda now: self.engine.handed_over(now, session, viewer_request, server))
-        self.expect_sessions(server)
+        self.servers.expect_sessions(server)
         if not stands:  # its viewer's release on another connection was read first
             self.count("released-before-hand-over")
             self._withdraw(session)
 
+    def _end_at_hand_over(self, session: str, server: int, end: EarlyEnd) -> None:
+        """Release a session that was over before its hand-over; if that is not certain, at its server too.
+
+        A session that its viewer has ended, or whose move its viewer has heard of, is not handed over. So its
+        viewer is owed the release whatever the reason."""
+        self.count("ended-before-hand-over")
+        effects: list[Effect] = [] if end.certain else [fx.SendTeardown(session, 0, server)]
+        reason = "over" if end.reason == "viewer-gone" else end.reason
+        self.apply(lambda _: [*effects, fx.Push(session, "ended", reason)])
+
     def _receive(self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest) -> None:
         """Register a request, and submit it once all input that has arrived by now is read.
 
--- a/ponddoor/soak/commands.py
+++ b/ponddoor/soak/commands.py
@@ -25,6 +25,7 @@
     draw,
     draw_crossings,
     draw_many_servers,
+    draw_restarts,
     draw_server_conditions,
     draw_shutdown,
     load,
@@ -40,12 +41,12 @@
 @click.option("--seconds", default=20.0, show_default=True, help="How long a run lasts.")
 @click.option(
     "--kind",
-    type=click.Choice(["mixed", "shutdown", "crossings", "many-servers", "server-conditions"]),
+    type=click.Choice(["mixed", "shutdown", "crossings", "many-servers", "server-conditions", "restarts"]),
     default="mixed",
     show_default=True,
     help="All faults; terminations alone; ends of connections in the instant of a release; all faults with "
     "hundreds or thousands of servers, and changes of the list; all faults with servers whose process, "
-    "connections and speech fail each for itself.",
+    "connections and speech fail each for itself; all faults with every node ended once or twice.",
 )
 @click.option("--nodes", default=0, help="How many nodes; 0: drawn from the seed.")
 @click.option("--servers", default=0, help="How many servers of many-servers; 0: drawn from the seed.")
@@ -93,6 +94,8 @@
         return draw_shutdown(seed)
     if kind == "server-conditions":
         return draw_server_conditions(seed, seconds, nodes)
+    if kind == "restarts":
+        return draw_restarts(seed, seconds, nodes)
     if kind == "crossings":
         return draw_crossings(seed, seconds)
     return draw(seed, seconds, nodes)
--- a/ponddoor/soak/plan.py
+++ b/ponddoor/soak/plan.py
@@ -17,6 +17,7 @@
 SHORT_SESSIONS_S, LONG_SESSIONS_S = (0.1, 3.0), (0.1, 12.0)
 UNSEEN_LOSSES = ("releases", "all_but_answers")  # beside set-ups that are answered
 UNSEEN_LOSS_S = 1.0
+DOWN_S = (0.2, 1.5)  # of a node in a restart
 
 FaultKind = Literal[
     "terminate",  # SIGTERM, then SIGKILL at the earliest moment that the page allows, then a new process
@@ -101,6 +102,8 @@
     racks: int = 0  # of servers that one process stands in for, two to a title; 0: each server holds all
     server_faults: tuple[ServerFault, ...] = ()
     session_s: tuple[float, float] = SHORT_SESSIONS_S  # how long a session stands
+    reports: Literal["inline", "on_probe"] = "inline"  # on_probe: nodes probe from their start on
+    down_s: float = 0.0  # from the end of a node's process to the start of the next
 
     @property
     def kill_delay_s(self) -> float:
@@ -218,6 +221,27 @@
     )
 
 
+def draw_restarts(seed: int, seconds: float, nodes: int = 0) -> Plan:
+    """Every node is terminated or killed once or twice, with the faults of `draw` beside that."""
+    rng = Random(seed)
+    mixed = draw(seed, seconds, nodes or rng.randint(3, 5))
+    ends: tuple[FaultKind, ...] = ("terminate", "kill")
+    restarts = [
+        Fault(rng.choice(ends), round(rng.uniform(begin, begin + 0.25) * seconds, 3), 1.0, node)
+        for node in range(mixed.nodes)
+        for begin in (0.1, 0.45)
+        if rng.random() < 0.8
+    ]
+    return msgspec.structs.replace(
+        mixed,
+        kind="restarts",
+        faults=tuple(sorted((*mixed.faults, *restarts), key=lambda one: one.at)),
+        session_s=rng.choice((SHORT_SESSIONS_S, LONG_SESSIONS_S)),
+        reports="on_probe",
+        down_s=round(rng.uniform(*DOWN_S), 3),
+    )
+
+
 def _server_fault(rng: Random, seconds: float) -> ServerFault:
     drawn = SOUND
     while drawn == SOUND:
--- a/ponddoor/soak/processes.py
+++ b/ponddoor/soak/processes.py
@@ -70,7 +70,7 @@
             "maxStreams": 1048576,
         },
         "prices": {"crossZone": 0.0, "probe": 0.0, "peer": 0.0, "moves": 0.0},
-        "reporting": {"fields": ["x0"], "how": "inline"},
+        "reporting": {"fields": ["x0"], "how": plan.reports},
         "safety": {
             "cold": 9000.0,
             "coldFrom": 0.5,
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -203,16 +203,11 @@
             pool.life = node.life
             return await pool.is_ready()
 
-        standing = [
-            one
-            for server in self.servers
-            for one in server.standing.values()
-            if one.life.node == number and one.request in pool.playing
-        ]
+        playing = [one for one in pool.playing.values() if one.life.node == number]
         pool.playing.clear()
         life = await node.start(is_ready)
-        if life.ready_at < FOREVER and standing:
-            await pool.hand_over(life, [one for one in standing if one.ended_at == FOREVER])
+        if life.ready_at < FOREVER and playing:
+            await pool.hand_over(life, playing)
 
     async def _measure_lag(self) -> None:
         due = time.monotonic() + LAG_SAMPLE_S
@@ -318,12 +313,14 @@
     async def _terminate(self, fault: Fault) -> None:
         if (node := self._claim(fault)) is not None:
             await node.terminate()
+            await asyncio.sleep(self.plan.down_s)
             await self._start_node(node.number)
             node.busy = False
 
     async def _kill(self, fault: Fault) -> None:
         if (node := self._claim(fault)) is not None:
             await node.kill()
+            await asyncio.sleep(self.plan.down_s)
             await self._start_node(node.number)
             node.busy = False
 
--- a/ponddoor/soak/servers.py
+++ b/ponddoor/soak/servers.py
@@ -323,6 +323,8 @@
             return
         for session in self.server.release_again.pop(self.node, []):
             self.say("down", session.request, Cause.ENDED)
+            if self.life is not None and session.told_node_at < self.life.started_at:
+                session.told_node_at = FOREVER  # to a process that is gone
             session.told_node_at = min(session.told_node_at, time.monotonic())
 
     def forget(self) -> None:
--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -107,14 +107,16 @@
         connection.close()
         return passed
 
-    async def hand_over(self, life: NodeLife, standing: list[Session]) -> None:
-        """The process of now is told of the sessions that stood under the one before."""
+    async def hand_over(self, life: NodeLife, playing: list[Session]) -> None:
+        """The process of now is handed the sessions that viewers of the one before hold to be playing: some
+        may have ended meanwhile."""
         connection = await self.connect()
         if connection is None:
             return
-        for session in standing:
+        for session in playing:
             session.life, session.handed_over_at = life, time.monotonic()
-            session.told_node_at = FOREVER
+            if session.told_node_at < life.started_at:
+                session.told_node_at = FOREVER
             self.playing[session.request] = session
             request = self.oracle.requests.get(session.request)
             class_name = request.class_name if request is not None else self.plan.classes[0].name
--- /dev/null
+++ b/tests/node/test_hand_over.py
@@ -0,0 +1,131 @@
+"""Sessions that end before or while they are handed over to the node's new process."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from ponddoor.obligations import early_ends
+
+from .conftest import CAUSES, Harness, session_id, setup_request
+from .test_crossings import (
+    READINESS_TEST,
+    RawViewer,
+    connect_all_servers,
+    connect_proven_viewer,
+    run_steps,
+    start_node,
+)
+
+SERVER, OTHER_SERVER = 1, 2
+ENDED_BY_VIEWER = 31
+NEVER_RAN = 34
+
+
+@pytest.fixture
+def harness(tmp_path: Any, monkeypatch: pytest.MonkeyPatch) -> Harness:
+    return Harness(tmp_path, monkeypatch)
+
+
+async def server_ends(harness: Harness, number: str, cause: int, server: int = SERVER) -> None:
+    """A server releases a session, and the node has read that."""
+    link = harness.node.servers.links[server]
+    read_at = link.lease.last_message_at
+    await harness.step(f"s{server}", "ends", number, str(cause))
+    while link.lease.last_message_at == read_at:
+        await asyncio.sleep(0)
+
+
+def hand_over(viewer: RawViewer, number: str, server: int = SERVER) -> None:
+    viewer.send(setup_request(number, at=f"s-{server:08x}", wait="0"))
+
+
+async def receive_release(viewer: RawViewer, number: str, cause: str) -> None:
+    """The viewer's next message is the release of a session."""
+    message = await viewer.receive()
+    assert (message[0], message[1:9].hex(), message[-1]) == (12, session_id(number), CAUSES[cause])
+
+
+async def receive_nothing(viewer: RawViewer) -> None:
+    viewer.send(READINESS_TEST)
+    assert (await viewer.receive())[0] == 53
+
+
+@pytest.mark.parametrize(
+    ("cause", "heard"), [(16, "ended"), (41, "lost"), (ENDED_BY_VIEWER, "ended")], ids=["ok", "cut", "moved"]
+)
+def test_release_that_a_server_sends_before_the_hand_over_reaches_the_viewer(
+    harness: Harness, cause: int, heard: str
+) -> None:
+    """It was dropped as that of an unknown session, and the session then taken over as playing for good.
+
+    A viewer whose session was moved, or that ended it, would not be handed over, had it heard of that."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await connect_all_servers(harness)
+        await server_ends(harness, "1", cause)
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_release(viewer, "1", heard)
+        await harness.step("node", "holds", "sessions=0", "standing=0")
+
+    run_steps(harness, steps)
+
+
+def test_end_of_a_session_counts_only_from_the_server_that_it_is_handed_over_at(harness: Harness) -> None:
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await connect_all_servers(harness)
+        await server_ends(harness, "1", 16, OTHER_SERVER)
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_nothing(viewer)
+        await harness.step("node", "holds", "sessions=1", "standing=1")
+
+    run_steps(harness, steps)
+
+
+def test_sessions_handed_over_at_a_server_that_sends_ends_without_number_are_released(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its memory of ends is limited, so the end of one that it owed may be forgotten."""
+    monkeypatch.setattr(early_ends, "MAX_ENDS", 40)
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await connect_all_servers(harness)
+        await server_ends(harness, "2", 16, OTHER_SERVER)
+        for number in range(100, 150):
+            await server_ends(harness, str(number), 16)
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_release(viewer, "1", "lost")
+        await harness.step("S", "receives", "down", "1", f"c={ENDED_BY_VIEWER}")
+        hand_over(viewer, "2", OTHER_SERVER)
+        await receive_release(viewer, "2", "ended")
+        assert len(harness.node.servers.early_ends) <= 40
+        await harness.step("node", "holds", "sessions=0", "standing=0")
+
+    run_steps(harness, steps)
+
+
+def test_set_up_after_an_end_from_the_same_server_stands(harness: Harness) -> None:
+    """The end was that of an earlier attempt; a hand-over that names the session changes nothing."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await connect_all_servers(harness)
+        for server in (SERVER, OTHER_SERVER):
+            await server_ends(harness, "1", NEVER_RAN, server)
+        viewer = await connect_proven_viewer(harness)
+        viewer.send(setup_request("1"))
+        await harness.step("S", "receives", "new", "1")
+        await harness.step("S", "answers", "1")
+        assert (await viewer.receive())[0] == 9
+        for server in (SERVER, OTHER_SERVER):
+            hand_over(viewer, "1", server)
+        await receive_nothing(viewer)
+        await harness.step("node", "holds", "sessions=1", "standing=1")
+
+    run_steps(harness, steps)
