A viewer's release that comes long before the hand-over ends the session too

Callers: a viewer that ended its session more than 1 s before the session was handed over left it standing at its server, and its node held it for good.

Evidence: the test of the limit said so itself: release at 0, hand-over at 1.000000 s, "stands".

What viewers send without number may displace other releases, as before, but ends no session that it does not name.

--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -204,7 +204,12 @@
                 connection.proven = True
                 connection.write(codec.encode_test_result(session, self.ready))
                 if self.ready:
-                    self.servers.early_ends.readiness_tested(clock())
+                    self._readiness_tested()
+
+    def _readiness_tested(self) -> None:
+        now = clock()
+        self.sessions.readiness_tested(now)
+        self.servers.early_ends.readiness_tested(now)
 
     def _handle_release(self, connection: ViewerConnection, session: str) -> None:
         """Withdraw an open request, or end a standing session.
@@ -263,27 +268,27 @@
         if self._is_known(session):
             return
         now = clock()
-        stands = self.sessions.hand_over(now, session, connection)
+        ended_here = self.sessions.hand_over(now, session, connection)
+        ended_at_server = self.servers.early_ends.take(now, server, session)
         self._mark_used(connection)
         self.session_log.session_standing(session, server, connection.number)
-        end = self.servers.early_ends.take(now, server, session)
-        if stands and end is not None:
-            self._end_at_hand_over(session, server, end)
+        if ended_here is not None or ended_at_server is not None:
+            self._end_at_hand_over(session, server, ended_at_server)
             return
         self.apply(lambda now: self.engine.handed_over(now, session, viewer_request, server))
         self.servers.expect_sessions(server)
-        if not stands:  # its viewer's release on another connection was read first
-            self.count("released-before-hand-over")
-            self._withdraw(session)
 
-    def _end_at_hand_over(self, session: str, server: int, end: EarlyEnd) -> None:
-        """Release a session that was over before its hand-over; if that is not certain, at its server too.
+    def _end_at_hand_over(self, session: str, server: int, ended_at_server: EarlyEnd | None) -> None:
+        """Release a session that was over before its hand-over; at its server too, unless that has ended it.
 
         A session that its viewer has ended, or whose move its viewer has heard of, is not handed over. So its
-        viewer is owed the release whatever the reason."""
+        viewer is owed the release, whatever the server's reason, unless its own release was read here."""
         self.count("ended-before-hand-over")
-        effects: list[Effect] = [] if end.certain else [fx.SendTeardown(session, 0, server)]
-        reason = "over" if end.reason == "viewer-gone" else end.reason
+        effects: list[Effect] = []
+        if ended_at_server is None or not ended_at_server.certain:
+            self.servers.expect_sessions(server)  # the list may not name it yet
+            effects.append(fx.SendTeardown(session, 0, server))
+        reason = "lost" if ended_at_server is not None and ended_at_server.reason == "lost" else "over"
         self.apply(lambda _: [*effects, fx.Push(session, "ended", reason)])
 
     def _receive(self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest) -> None:
--- a/ponddoor/obligations/sessions.py
+++ b/ponddoor/obligations/sessions.py
@@ -14,6 +14,7 @@
 from enum import Enum
 from typing import Generic, TypeVar
 
+from ponddoor.obligations.early_ends import EarlyEnd, EarlyEnds
 from ponddoor.obligations.violations import Invariant, Violations
 
 SECOND = 1_000_000
@@ -24,8 +25,6 @@
 ACK_TIMEOUT_US = 8 * SECOND  # for a release that was written but is not acknowledged
 MAX_REPEATS = 4  # for lack of an acknowledgement; more are sent only if a connection ends
 MAX_PENDING_RELEASES = 4096
-EARLY_RELEASE_TIMEOUT_US = SECOND  # a viewer's release of a session not known yet is remembered this long
-MAX_EARLY_RELEASES = 4096
 MAX_TRANSITIONS = 8  # kept of each record
 ANSWER_GRACE_US = 200_000  # a request unanswered this long after its deadline is an internal fault
 
@@ -42,6 +41,12 @@
     CLOSED = "closed"
 
 
+class EndedBy(Enum):
+    """Who ended a session before its hand-over."""
+
+    VIEWER = "viewer"
+
+
 class CloseReason(Enum):
     """Why a record was closed."""
 
@@ -99,7 +104,7 @@
     _standing_by_connection: dict[ConnectionT, dict[str, None]] = field(default_factory=dict)
     _unsubmitted: dict[str, None] = field(default_factory=dict)
     _pending: dict[str, None] = field(default_factory=dict)
-    _early_releases: dict[str, int] = field(default_factory=dict)
+    _early_ends: EarlyEnds[EndedBy] = field(default_factory=EarlyEnds)
 
     # Queries
 
@@ -194,7 +199,7 @@
         A release of an unknown session is remembered, since its hand-over may be read only after it."""
         record = self._records.get(session)
         if record is None:
-            self._remember_early_release(now, session)
+            self._early_ends.remember(now, EndedBy.VIEWER, session, "viewer-gone")
             return None
         phase = record.phase
         self._unindex_open(record)
@@ -222,18 +227,24 @@
 
     # Sessions
 
-    def hand_over(self, now: int, session: str, connection: ConnectionT) -> bool:
-        """Register a session that stands already. Returns False if its viewer's release was read before."""
+    def readiness_tested(self, now: int) -> None:
+        """The front has passed a readiness test, so its sessions are handed over now."""
+        self._early_ends.readiness_tested(now)
+
+    def hand_over(self, now: int, session: str, connection: ConnectionT) -> EarlyEnd | None:
+        """Register a session that stands already. Returns its end if its viewer's release was read before."""
         if session in self._records:
-            return True
+            return None
         record = Record(session, Phase.STANDING, now, now, connection)
         self._records[session] = record
         self._record_transition(record, now, "handed over")
-        if self._early_releases.pop(session, -EARLY_RELEASE_TIMEOUT_US) > now - EARLY_RELEASE_TIMEOUT_US:
+        end = self._early_ends.take(now, EndedBy.VIEWER, session)
+        # Whoever sends releases without number must not end the sessions of others
+        if end is not None and end.certain:
             self._close(record, now, CloseReason.ENDED_BY_VIEWER)
-            return False
+            return end
         self._index_standing(record)
-        return True
+        return None
 
     def end_session(self, now: int, session: str, message: bytes, expects_ack: bool = True) -> bool:
         """End a session that stands, and make its release `message` due.
@@ -379,17 +390,6 @@
             if not sessions:
                 del sessions_by_connection[record.connection]
 
-    def _remember_early_release(self, now: int, session: str) -> None:
-        self._early_releases[session] = now
-        while self._early_releases:
-            oldest = next(iter(self._early_releases))
-            if (
-                len(self._early_releases) <= MAX_EARLY_RELEASES
-                and self._early_releases[oldest] > now - EARLY_RELEASE_TIMEOUT_US
-            ):
-                break
-            del self._early_releases[oldest]
-
     def _record_transition(self, record: Record[ConnectionT], now: int, event: str) -> None:
         record.history.append(f"{now} {event}")
 
--- a/tests/obligations/test_sessions.py
+++ b/tests/obligations/test_sessions.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from ponddoor.obligations.early_ends import MAX_ENDS, RETENTION_US, EarlyEnd
 from ponddoor.obligations.sessions import (
     ACK_TIMEOUT_US,
-    EARLY_RELEASE_TIMEOUT_US,
     MAX_REPEATS,
     RESEND_INTERVAL_US,
     SETTLE_AFTER_US,
@@ -74,10 +74,26 @@
 
 
 def test_release_that_is_read_before_the_hand_over_ends_the_session() -> None:
-    for hand_over_at, stands in ((EARLY_RELEASE_TIMEOUT_US - 1, False), (EARLY_RELEASE_TIMEOUT_US, True)):
+    """A release that was read over a second before the hand-over was forgotten, and the session stood."""
+    for hand_over_at, stands in ((RETENTION_US - 1, False), (RETENTION_US, True)):
         sessions = Sessions[str]()
+        sessions.readiness_tested(0)
         assert sessions.end_by_viewer(0, "a") is None
-        assert sessions.hand_over(hand_over_at, "a", "v") is stands
+        assert (sessions.hand_over(hand_over_at, "a", "v") is None) is stands
+
+
+def test_release_that_is_read_long_before_the_readiness_test_ends_the_session() -> None:
+    sessions = Sessions[str]()
+    assert sessions.end_by_viewer(0, "a") is None
+    sessions.readiness_tested(2 * RETENTION_US)
+    assert sessions.hand_over(3 * RETENTION_US - 1, "a", "v") == EarlyEnd("viewer-gone")
+
+
+def test_releases_without_number_end_no_session_that_they_do_not_name() -> None:
+    sessions = Sessions[str]()
+    for number in range(MAX_ENDS + 1):
+        sessions.end_by_viewer(0, str(number))
+    assert sessions.hand_over(1, "a", "v") is None and sessions.standing_count == 1
 
 
 def test_unanswered_request_is_a_violation() -> None:
