A session that has ended at this front does not stand again when handed over

Change: a record that closes after its session stood leaves its end in the same memory, apart from the releases of strangers. A later hand-over releases the session at its viewer again, or, if the viewer has ended it, not at all, and at its server.

--- a/ponddoor/obligations/sessions.py
+++ b/ponddoor/obligations/sessions.py
@@ -28,6 +28,8 @@
 MAX_TRANSITIONS = 8  # kept of each record
 ANSWER_GRACE_US = 200_000  # a request unanswered this long after its deadline is an internal fault
 
+ENDED, ENDED_BY_VIEWER = "over", "viewer-gone"  # why a session is over
+
 ConnectionT = TypeVar("ConnectionT", bound=Hashable)
 
 
@@ -41,10 +43,11 @@
     CLOSED = "closed"
 
 
-class EndedBy(Enum):
-    """Who ended a session before its hand-over."""
+class EndSource(Enum):
+    """How the end of a session is known that is handed over after it."""
 
-    VIEWER = "viewer"
+    HELD = "held"  # the session was held here, and ended
+    UNKNOWN = "unknown"  # a viewer released a session that was not held
 
 
 class CloseReason(Enum):
@@ -104,7 +107,7 @@
     _standing_by_connection: dict[ConnectionT, dict[str, None]] = field(default_factory=dict)
     _unsubmitted: dict[str, None] = field(default_factory=dict)
     _pending: dict[str, None] = field(default_factory=dict)
-    _early_ends: EarlyEnds[EndedBy] = field(default_factory=EarlyEnds)
+    _early_ends: EarlyEnds[EndSource] = field(default_factory=EarlyEnds)
 
     # Queries
 
@@ -199,7 +202,7 @@
         A release of an unknown session is remembered, since its hand-over may be read only after it."""
         record = self._records.get(session)
         if record is None:
-            self._early_ends.remember(now, EndedBy.VIEWER, session, "viewer-gone")
+            self._early_ends.remember(now, EndSource.UNKNOWN, session, ENDED_BY_VIEWER)
             return None
         phase = record.phase
         self._unindex_open(record)
@@ -232,18 +235,27 @@
         self._early_ends.readiness_tested(now)
 
     def hand_over(self, now: int, session: str, connection: ConnectionT) -> EarlyEnd | None:
-        """Register a session that stands already. Returns its end if its viewer's release was read before."""
+        """Register a session that stands already. Returns its end if it has ended before.
+
+        Unless its viewer has ended it, the caller has to end it with `end_session`: its viewer does not know
+        of the end."""
         if session in self._records:
             return None
         record = Record(session, Phase.STANDING, now, now, connection)
         self._records[session] = record
         self._record_transition(record, now, "handed over")
-        end = self._early_ends.take(now, EndedBy.VIEWER, session)
-        # Whoever sends releases without number must not end the sessions of others
-        if end is not None and end.certain:
-            self._close(record, now, CloseReason.ENDED_BY_VIEWER)
-            return end
         self._index_standing(record)
+        end = self._take_early_end(now, session)
+        if end is not None and end.reason == ENDED_BY_VIEWER:
+            self._close(record, now, CloseReason.ENDED_BY_VIEWER)
+        return end
+
+    def _take_early_end(self, now: int, session: str) -> EarlyEnd | None:
+        """The end of a session, if one was named. Viewers that send releases without number end no other."""
+        for source in EndSource:
+            end = self._early_ends.take(now, source, session)
+            if end is not None and end.certain:
+                return end
         return None
 
     def end_session(self, now: int, session: str, message: bytes, expects_ack: bool = True) -> bool:
@@ -362,6 +374,11 @@
         return True
 
     def _close(self, record: Record[ConnectionT], now: int, reason: CloseReason) -> None:
+        if record.phase in (Phase.STANDING, Phase.RELEASING):
+            by_viewer = reason is CloseReason.ENDED_BY_VIEWER
+            self._early_ends.remember(
+                now, EndSource.HELD, record.session, ENDED_BY_VIEWER if by_viewer else ENDED
+            )
         self._unindex_standing(record)
         self._pending.pop(record.session, None)
         self._transition(record, now, Phase.CLOSED, reason.value)
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -7,7 +7,7 @@
 
 from ponddoor.obligations import early_ends
 
-from .conftest import CAUSES, Harness, session_id, setup_request
+from .conftest import CAUSES, Harness, encode_message, encode_parameter, session_id, setup_request
 from .test_crossings import (
     READINESS_TEST,
     RawViewer,
@@ -20,6 +20,7 @@
 SERVER, OTHER_SERVER = 1, 2
 ENDED_BY_VIEWER = 31
 NEVER_RAN = 34
+RELEASE, RELEASE_ACK = 12, 16
 
 
 @pytest.fixture
@@ -129,3 +130,30 @@
         await harness.step("node", "holds", "sessions=1", "standing=1")
 
     run_steps(harness, steps)
+
+
+@pytest.mark.parametrize("ended_by", ["server", "viewer"])
+def test_session_that_has_ended_here_does_not_stand_again_if_it_is_handed_over_late(
+    harness: Harness, ended_by: str
+) -> None:
+    """A hand-over that crossed the release was taken for one of a session that plays, and stood for good."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await connect_all_servers(harness)
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_nothing(viewer)
+        if ended_by == "server":
+            await server_ends(harness, "1", 16)
+            await receive_release(viewer, "1", "ended")
+            viewer.send(encode_message(RELEASE_ACK, "1"))
+        else:
+            viewer.send(encode_message(RELEASE, "1", encode_parameter(143, bytes([ENDED_BY_VIEWER]))))
+        hand_over(viewer, "1")
+        if ended_by == "server":  # the viewer has not heard of its end, or it would not be handed over
+            await receive_release(viewer, "1", "ended")
+        await receive_nothing(viewer)
+        await harness.step("node", "holds", "sessions=0", "standing=0")
+
+    run_steps(harness, steps)
--- a/tests/obligations/test_sessions.py
+++ b/tests/obligations/test_sessions.py
@@ -114,6 +114,7 @@
         self.now, self.request_count = 0, 0
         self.answer_counts: dict[str, int] = {}
         self.unsent_ends: dict[str, int] = {}
+        self.ended: set[str] = set()
         self.open_connections = {0, 1, 2}
 
     @rule(step=st.integers(1, 300_000))
@@ -156,13 +157,16 @@
         session = self._pick(data)
         if self.sessions.end_session(self.now, session, RELEASE_MESSAGE):
             self.unsent_ends[session] = self.now
+            self.ended.add(session)
 
     @precondition(lambda self: self.request_count)
     @rule(data=st.data())
     def viewer_ends(self, data: Any) -> None:
         session = self._pick(data)
-        self.sessions.end_by_viewer(self.now, session)
+        phase = self.sessions.end_by_viewer(self.now, session)
         self.unsent_ends.pop(session, None)
+        if phase in (None, Phase.STANDING, Phase.RELEASING):
+            self.ended.add(session)
 
     @precondition(lambda self: self.request_count)
     @rule(data=st.data())
@@ -171,6 +175,17 @@
         self.sessions.release_acknowledged(self.now, session)
         self.unsent_ends.pop(session, None)
 
+    @precondition(lambda self: self.request_count)
+    @rule(data=st.data(), connection=st.integers(0, 2))
+    def hand_over(self, data: Any, connection: int) -> None:
+        session = self._pick(data)
+        if self.sessions.find(session) is None and session not in self.ended:
+            return  # it was refused, or never stood
+        self.open_connections.add(connection)
+        end = self.sessions.hand_over(self.now, session, connection)
+        if end is not None and self.sessions.end_session(self.now, session, RELEASE_MESSAGE):
+            self.unsent_ends[session] = self.now
+
     @rule(connection=st.integers(0, 2))
     def connection_ends(self, connection: int) -> None:
         self.open_connections.discard(connection)
@@ -186,6 +201,11 @@
     def no_request_is_answered_twice(self) -> None:
         assert all(count == 1 for count in self.answer_counts.values())
 
+    @invariant()
+    def no_session_stands_again_after_its_end(self) -> None:
+        records = (self.sessions.find(session) for session in self.ended)
+        assert not any(record is not None and record.phase is Phase.STANDING for record in records)
+
     @invariant()
     def unsent_releases_are_pending(self) -> None:
         assert set(self.unsent_ends) <= set(self.sessions.pending_releases) | self._expired()
