A server's restart that the list tells before the hand-over ends its sessions

Callers: a session at a server that the list told anew, between the start of the node and the hand-over, was taken for one of the new process and never released: nothing that comes later says that it is over.

(A server that is only removed was remembered before; one that is listed again was not.)

Evidence: tests/node/test_hand_over.py, a server told anew, and one removed and listed again: no release in 2 of 2 (the test waits 5 s; the session is held as standing).

Change: both events count as the end of every session at that server, kept like the ends that servers name. As the new process might have the session after all (the list may be late), it is released at both ends.

--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -133,6 +133,7 @@
             else:  # another process, which does not have the sessions of the previous one
                 self.links[number] = ServerLink(self, number, entry)
                 self.end_sessions(link, "another process at its address")
+                self.early_ends.all_ended(clock(), number)
                 self._discard(link)
         for number in change.gone:
             if (link := self.links.get(number)) is None:
@@ -272,7 +273,9 @@
 
     def _server_listed(self, link: ServerLink) -> None:
         """Connect to a server that is new in the list if sessions or pending releases are waiting for it."""
-        self._gone_servers.pop(link.number, None)
+        if link.number in self._gone_servers:
+            del self._gone_servers[link.number]
+            self.early_ends.all_ended(clock(), link.number)
         self._unlisted_since.pop(link.number, None)
         for sess in self._unlisted_releases.pop(link.number, {}):
             link.queue_release(sess)
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -1,6 +1,8 @@
 """Sessions that end before or while they are handed over to the node's new process."""
 
 import asyncio
+import dataclasses
+import time
 from typing import Any
 
 import pytest
@@ -157,3 +159,30 @@
         await harness.step("node", "holds", "sessions=0", "standing=0")
 
     run_steps(harness, steps)
+
+
+@pytest.mark.parametrize("removed", [False, True], ids=["replaced", "removed and listed again"])
+def test_session_at_a_server_that_restarts_before_the_hand_over_is_released(
+    harness: Harness, removed: bool
+) -> None:
+    """The list told of the new process first; it was then taken for the one that has the session."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await harness.step("b", "is-watched", "1")
+        if removed:
+            await harness.step("b", "sends-change", "2", str(SERVER), "terminated")
+        revision = 3 if removed else 2
+        await harness.step(
+            "b", "sends-change", str(revision), str(SERVER), "in_service", str(time.time() * 1000)
+        )
+        await harness.step("node", "holds", f"version={revision}")
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_release(viewer, "1", "lost")
+        await harness.step("S", "receives", "down", "1", f"c={ENDED_BY_VIEWER}")
+        hand_over(viewer, "2", OTHER_SERVER)
+        await receive_nothing(viewer)
+        await harness.step("node", "holds", "sessions=1", "standing=1")
+
+    run_steps(harness, steps)
