A hand-over beyond the limit of sessions is released at both ends at once

Cause: `Engine.handed_over` takes nothing at the limit, and its caller did not look: the record of the session stood, the end that its server sent was that of an unknown session.

Change: what the engine does not take is released at its viewer and its server, as other things that this front gives up, and counted as `too-many-sessions`. A test with the limit of one.

--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -276,6 +276,10 @@
             self._end_at_hand_over(session, server, ended_at_server)
             return
         self.apply(lambda now: self.engine.handed_over(now, session, viewer_request, server))
+        if self.engine.find(session) is None:
+            self.count("too-many-sessions")
+            self._end_at_hand_over(session, server, EarlyEnd("lost", certain=False))
+            return
         self.servers.expect_sessions(server)
 
     def _end_at_hand_over(self, session: str, server: int, ended_at_server: EarlyEnd | None) -> None:
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -186,3 +186,21 @@
         await harness.step("node", "holds", "sessions=1", "standing=1")
 
     run_steps(harness, steps)
+
+
+def test_hand_over_beyond_the_limit_of_sessions_is_released_at_both_ends(harness: Harness) -> None:
+    """Its record stood, but the engine did not hold it: nothing could end it any more."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        limits = harness.node.engine.gate.limits
+        harness.node.engine.gate.limits = dataclasses.replace(limits, held=1)
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        hand_over(viewer, "2", OTHER_SERVER)
+        await receive_release(viewer, "2", "lost")
+        await harness.step("S", "receives", "down", "2", f"c={ENDED_BY_VIEWER}")
+        assert harness.servers_by_name["S"] is harness.media_servers[OTHER_SERVER]
+        await harness.step("node", "holds", "sessions=1", "standing=1")
+
+    run_steps(harness, steps)
