A handed-over session that its server ends with cause 31 is released too

Callers: a viewer whose session the process before had moved, and whose word of that was lost with the process, was handed over as playing and never released.

Cause: cause 31 ("moved, or ended by its viewer, who is owed no release") ends a session without a release. That holds where this process sent the move or read the viewer's release; then it holds the session no more as the server's message comes. For a session that was handed over it is the process before that did so, and a viewer that had heard of it would not be handed over.

Change: cause 31 for a session that was handed over releases it like cause 16.

--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -63,6 +63,11 @@
         """When its SETUP was sent, or when it was handed over to this front; microseconds."""
         return self.setup_sent_at or self.requested_at
 
+    @property
+    def handed_over(self) -> bool:
+        """Whether it played already when this front was told of it."""
+        return self.phase is not Phase.WAITING and self.setup_sent_at == 0
+
     @property
     def rate_kb(self) -> float:
         """The bandwidth of its rung, kB per second."""
--- a/ponddoor/node/server_messages.py
+++ b/ponddoor/node/server_messages.py
@@ -182,8 +182,11 @@
             servers.count("ends-not-held")
             servers.early_ends.remember(clock(), self.link.number, sess, message.end_reason)
         elif held.server == self.link.number:
-            attempt = held.attempt
-            servers.apply(lambda now: servers.engine.stream_ended(now, sess, attempt, message.end_reason))
+            attempt, reason = held.attempt, message.end_reason
+            # The process before this one may have moved it, and its message to the viewer be lost with it
+            if held.handed_over and reason == "viewer-gone":
+                reason = "over"
+            servers.apply(lambda now: servers.engine.stream_ended(now, sess, attempt, reason))
 
     def _probe_answered(self, probe_id: str, result: ev.Result, report: dict[str, float]) -> None:
         if probe_id in self.probes:
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -204,3 +204,19 @@
         await harness.step("node", "holds", "sessions=1", "standing=1")
 
     run_steps(harness, steps)
+
+
+def test_session_that_its_server_says_was_moved_after_the_hand_over_is_released(harness: Harness) -> None:
+    """The process before moved it; its word to the viewer, who still holds the session, went with it."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await connect_all_servers(harness)
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_nothing(viewer)
+        await server_ends(harness, "1", ENDED_BY_VIEWER)
+        await receive_release(viewer, "1", "ended")
+        await harness.step("node", "holds", "sessions=0", "standing=0")
+
+    run_steps(harness, steps)
