A node that closes its viewers' connections refreshes none to its servers

Cause: the process reads its server's release, but has closed its viewers' connections. The server repeats the release on the next connection alone. A message that makes a refresh due has this process open that connection, so that the next process, which is handed the session, does not get it.

Change: from then on a connection is opened for releases alone.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -259,6 +259,7 @@
         """Close everything in order: viewers' connections once all requests are answered and read, servers'
         connections once they are flushed, discovery, gossip, the timer and the reserved descriptors."""
         until = max(clock(), drain.answer_by) + FLUSH_TIMEOUT_US
+        self.servers.begin_close()
         await self.viewers.close(until)
         await self.servers.close(until)
         self.discovery.close()
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -47,6 +47,7 @@
 
     random: Random
     setups_enabled: bool
+    closing: bool
     open_links: "dict[ServerLink, None]"
 
     def mark_used(self, link: "ServerLink") -> None: ...
@@ -168,6 +169,8 @@
     def connect_staggered(self) -> None:
         """Connect after this front's connect delay, so that fronts that lost a server at the same time do
         not all connect to it at once. Not for SETUPs, which do not wait that long."""
+        if self.servers.closing and not self.pending_releases:
+            return
         if self.connection is None and self.connect_task is None and self.connect_timer is None:
             self.servers.mark_used(self)
             wait = max(self.servers.connect_delay(), self._backoff_wait(clock()) + 1) / SECOND
@@ -236,8 +239,10 @@
 
     def open_extra_connection(self) -> bool:
         """Open a further connection beside the one in use. Returns False if there is none in use, a connect
-        is in progress, the server is gone, or the limit of connections is reached."""
-        if self.connection is None or self.connect_task is not None or self.entry.state == "gone":
+        is in progress, the server is gone, this front closes, or the limit of connections is reached."""
+        if self.connection is None or self.connect_task is not None:
+            return False
+        if self.entry.state == "gone" or self.servers.closing:
             return False
         if not self.servers.make_room():
             self.servers.count("no-room")
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -53,6 +53,7 @@
     random: Random = field(default_factory=Random)  # for the jitter of the backoff
     max_connections: int = 1 << 30
     setups_enabled: bool = False
+    closing: bool = False
     violations: Violations = field(default_factory=Violations)
     early_ends: EarlyEnds[int] = field(default_factory=EarlyEnds)  # by server
     # Links with a connection, open or being opened, the least recently used first
@@ -83,6 +84,13 @@
             for link in list(self._active_links):
                 link.send_queued()
 
+    def begin_close(self) -> None:
+        """Open no further connections but to release sessions.
+
+        On a new connection a server repeats a release that its viewer may not have read, and on no later one:
+        it has to be one of the next process, as this one is about to close its viewers' connections."""
+        self.closing = True
+
     @property
     def unsent(self) -> bool:
         """Whether a message still has to be written to a server."""
@@ -173,7 +181,7 @@
         match effect:
             case fx.SendSetup() | fx.SendRung() | fx.SendProbe():
                 link = self.links.get(effect.server)
-                if link is None:
+                if link is None or (link.connection is None and self._is_too_late(effect)):
                     self.fail_unsent(effect, ev.Result.MOOT)
                 else:
                     link.send(effect)
@@ -190,6 +198,10 @@
             case _:
                 raise TypeError(f"{effect} is not addressed to a server")
 
+    def _is_too_late(self, effect: Effect) -> bool:
+        """Whether no connection may be opened for this message any more."""
+        return self.closing and isinstance(effect, fx.SendProbe)
+
     def fail_unsent(self, item: Outgoing, result: ev.Result) -> None:
         """Tell the engine that a SETUP or probe was not sent; other messages need no answer."""
         match item:
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -7,12 +7,15 @@
 
 import pytest
 
+from ponddoor.node.viewers import Viewers
 from ponddoor.obligations import early_ends
+from ponddoor.obligations.completeness import REFRESH_INTERVAL_US
 
 from .conftest import CAUSES, Harness, encode_message, encode_parameter, session_id, setup_request
 from .test_crossings import (
     READINESS_TEST,
     RawViewer,
+    call_before,
     connect_all_servers,
     connect_proven_viewer,
     run_steps,
@@ -220,3 +223,31 @@
         await harness.step("node", "holds", "sessions=0", "standing=0")
 
     run_steps(harness, steps)
+
+
+def test_no_connection_is_refreshed_while_the_node_closes_its_viewers_connections(harness: Harness) -> None:
+    """A server repeats a release on the next connection alone, which has to be one of the next process."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness, "forward_for_us=0")
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_nothing(viewer)
+        await connect_all_servers(harness)
+        server, link = harness.media_servers[SERVER], harness.node.servers.links[SERVER]
+        connects = len(server.connections)
+
+        def send_message_that_makes_a_refresh_due(*_: Any) -> None:
+            link.refresh.completeness.proven_until -= REFRESH_INTERVAL_US
+            for held in harness.node.engine.sessions_at(SERVER):
+                held.requested_at -= REFRESH_INTERVAL_US
+            server.write({"t": "tell", "ref": session_id("1"), "f": {"note": "r", "value": "1"}})
+
+        call_before(harness.monkeypatch, Viewers, "close", send_message_that_makes_a_refresh_due)
+        read_at = link.lease.last_message_at
+        await harness.step("node", "begins-shutdown")
+        await harness.step("node", "exits")
+        assert link.lease.last_message_at != read_at and len(server.connections) == connects
+        assert "refreshes" not in harness.node.servers.counts
+
+    run_steps(harness, steps)
