A hand-over that the settings do not allow is released at its server too

Callers: a session whose class or title's place the settings no longer know was reported as failed to its viewer, and left standing at its server.

Cause: a set-up with parameters out of range is answered as failed, whether it asks for a session or hands over one that plays.

Evidence: tests/node/test_hand_over.py, a hand-over with an unknown class: the server got no release (failed before).

Change: if such a set-up hands over a session that is not known here, its server is sent the release.

--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -9,7 +9,7 @@
 import structlog
 
 from ponddoor.front import effects as fx
-from ponddoor.front.effects import Answer, Effect, ViewerRequest
+from ponddoor.front.effects import Answer, ViewerRequest
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, Apply, after_pending_reads, clock
 from ponddoor.node import viewer_codec as codec
@@ -238,7 +238,10 @@
             and request.top < len(ladder.rate_kb)
         )
         if not usable:
+            is_new = not self._is_known(request.sess)
             self._reject_unusable(connection, request.sess, "a parameter is out of range")
+            if request.server and is_new:
+                self._release_at_server(request.sess, server_number(request.server))
             return
         viewer_request = ViewerRequest(
             request.title,
@@ -288,12 +291,15 @@
         A session that its viewer has ended, or whose move its viewer has heard of, is not handed over. So its
         viewer is owed the release, whatever the server's reason, unless its own release was read here."""
         self.count("ended-before-hand-over")
-        effects: list[Effect] = []
         if ended_at_server is None or not ended_at_server.certain:
-            self.servers.expect_sessions(server)  # the list may not name it yet
-            effects.append(fx.SendTeardown(session, 0, server))
+            self._release_at_server(session, server)
         reason = "lost" if ended_at_server is not None and ended_at_server.reason == "lost" else "over"
-        self.apply(lambda _: [*effects, fx.Push(session, "ended", reason)])
+        self.apply(lambda _: [fx.Push(session, "ended", reason)])
+
+    def _release_at_server(self, session: str, server: int) -> None:
+        """Release a session that the engine does not hold, at a server that the list may not name yet."""
+        self.servers.expect_sessions(server)
+        self.apply(lambda _: [fx.SendTeardown(session, 0, server)])
 
     def _receive(self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest) -> None:
         """Register a request, and submit it once all input that has arrived by now is read.
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -251,3 +251,17 @@
         assert "refreshes" not in harness.node.servers.counts
 
     run_steps(harness, steps)
+
+
+def test_hand_over_that_the_settings_do_not_allow_is_released_at_both_ends(harness: Harness) -> None:
+    """Its viewer was told that it failed, and its server was left with the session."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        viewer = await connect_proven_viewer(harness)
+        viewer.send(setup_request("1", at=f"s-{SERVER:08x}", group="none-such"))
+        await receive_release(viewer, "1", "failed")
+        await harness.step("S", "receives", "down", "1", f"c={ENDED_BY_VIEWER}")
+        await harness.step("node", "holds", "sessions=0", "standing=0")
+
+    run_steps(harness, steps)
