--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from dataclasses import dataclass, field, replace
-from typing import Protocol
 
 import structlog
 
@@ -14,6 +13,7 @@
 from ponddoor.front.pump import SECOND, Apply, after_pending_reads, clock
 from ponddoor.node import viewer_codec as codec
 from ponddoor.node.board_codec import server_number
+from ponddoor.node.hand_over import HandOvers, SessionServers
 from ponddoor.node.listener import Listener
 from ponddoor.node.session_log import SessionLog
 from ponddoor.node.viewer_connection import (
@@ -24,7 +24,6 @@
     ViewerConnection,
 )
 from ponddoor.obligations.drain import DrainSchedule
-from ponddoor.obligations.early_ends import EarlyEnd, EarlyEnds
 from ponddoor.obligations.sessions import Phase, Sessions
 from ponddoor.obligations.violations import Violation, Violations
 from ponddoor.web.unread import has_unread
@@ -38,15 +37,6 @@
 log = structlog.get_logger("viewers")
 
 
-class SessionServers(Protocol):
-    """What viewers need of the object that owns all servers. `early_ends` has what servers have ended."""
-
-    early_ends: EarlyEnds[int]
-
-    def expect_sessions(self, server: int) -> None:
-        """A session that plays at this server already was handed over."""
-
-
 @dataclass(slots=True)
 class Viewers:
     """Handles the connections, requests and sessions of all viewers of one front.
@@ -64,6 +54,7 @@
     sessions: Sessions[ViewerConnection] = field(init=False)
     counts: dict[str, int] = field(default_factory=dict)
     session_log: SessionLog = field(default_factory=SessionLog)
+    _hand_overs: HandOvers = field(init=False)
     _listener: Listener | None = None
     _eviction_scheduled: bool = False
     # Start times of the connections that may still linger
@@ -72,6 +63,9 @@
 
     def __post_init__(self) -> None:
         self.sessions = Sessions(Violations(self._log_violation))
+        self._hand_overs = HandOvers(
+            self.engine, self.apply, self.servers, self.sessions, self.session_log, self.count
+        )
 
     def count(self, event: str) -> None:
         """Increment the counter of `event`."""
@@ -204,12 +198,7 @@
                 connection.proven = True
                 connection.write(codec.encode_test_result(session, self.ready))
                 if self.ready:
-                    self._readiness_tested()
-
-    def _readiness_tested(self) -> None:
-        now = clock()
-        self.sessions.readiness_tested(now)
-        self.servers.early_ends.readiness_tested(now)
+                    self._hand_overs.readiness_tested()
 
     def _handle_release(self, connection: ViewerConnection, session: str) -> None:
         """Withdraw an open request, or end a standing session.
@@ -241,7 +230,7 @@
             is_new = not self._is_known(request.sess)
             self._reject_unusable(connection, request.sess, "a parameter is out of range")
             if request.server and is_new:
-                self._release_at_server(request.sess, server_number(request.server))
+                self._hand_overs.release_at_server(request.sess, server_number(request.server))
             return
         viewer_request = ViewerRequest(
             request.title,
@@ -268,38 +257,9 @@
     def _take_over(
         self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest, server: int
     ) -> None:
-        if self._is_known(session):
-            return
-        now = clock()
-        ended_here = self.sessions.hand_over(now, session, connection)
-        ended_at_server = self.servers.early_ends.take(now, server, session)
-        self._mark_used(connection)
-        self.session_log.session_standing(session, server, connection.number)
-        if ended_here is not None or ended_at_server is not None:
-            self._end_at_hand_over(session, server, ended_at_server)
-            return
-        self.apply(lambda now: self.engine.handed_over(now, session, viewer_request, server))
-        if self.engine.find(session) is None:
-            self.count("too-many-sessions")
-            self._end_at_hand_over(session, server, EarlyEnd("lost", certain=False))
-            return
-        self.servers.expect_sessions(server)
-
-    def _end_at_hand_over(self, session: str, server: int, ended_at_server: EarlyEnd | None) -> None:
-        """Release a session that was over before its hand-over; at its server too, unless that has ended it.
-
-        A session that its viewer has ended, or whose move its viewer has heard of, is not handed over. So its
-        viewer is owed the release, whatever the server's reason, unless its own release was read here."""
-        self.count("ended-before-hand-over")
-        if ended_at_server is None or not ended_at_server.certain:
-            self._release_at_server(session, server)
-        reason = "lost" if ended_at_server is not None and ended_at_server.reason == "lost" else "over"
-        self.apply(lambda _: [fx.Push(session, "ended", reason)])
-
-    def _release_at_server(self, session: str, server: int) -> None:
-        """Release a session that the engine does not hold, at a server that the list may not name yet."""
-        self.servers.expect_sessions(server)
-        self.apply(lambda _: [fx.SendTeardown(session, 0, server)])
+        if not self._is_known(session):
+            self._hand_overs.take_over(connection, session, viewer_request, server)
+            self._mark_used(connection)
 
     def _receive(self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest) -> None:
         """Register a request, and submit it once all input that has arrived by now is read.
