--- a/tests/soak/test_restarts.py
+++ b/tests/soak/test_restarts.py
@@ -6,11 +6,11 @@
 import msgspec
 import pytest
 
-from ponddoor.soak.plan import Fault, FaultKind
+from ponddoor.soak.plan import Fault, FaultKind, draw_restarts
 from ponddoor.soak.run import SoakRun
 from tests.soak.test_regressions import plan
 
-SECONDS = 9.0
+SECONDS, RANDOM_SECONDS = 9.0, 14.0
 NODES = 3
 DOWN_S = 0.7
 
@@ -27,3 +27,17 @@
     assert len(ended_before) >= NODES and len(handed_over) > len(ended_before)
     broken = [one.what for one in outcome.violations]
     assert not broken, "\n".join(broken)
+
+
+def test_no_rule_is_broken_by_restarts_under_overlapping_faults(tmp_path: Path) -> None:
+    async def both() -> list[str]:
+        runs = []
+        for seed in (1, 2):
+            folder = tmp_path / str(seed)
+            folder.mkdir()
+            runs.append(SoakRun(draw_restarts(seed, RANDOM_SECONDS, NODES), folder).play())
+        outcomes = await asyncio.gather(*runs)
+        return [f"{one.rule}: {one.what}" for outcome in outcomes for one in outcome.violations]
+
+    broken = asyncio.run(both())
+    assert not broken, "\n".join(broken)
