--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -15,6 +15,7 @@
 from ponddoor.node.board_codec import server_number
 from ponddoor.node.hand_over import HandOvers, SessionServers
 from ponddoor.node.listener import Listener
+from ponddoor.node.release_sender import ReleaseSender
 from ponddoor.node.session_log import SessionLog
 from ponddoor.node.viewer_connection import (
     LINGER_TIMEOUT_US,
@@ -30,7 +31,6 @@
 
 MAX_UNUSABLE_LOGGED = 20  # log lines about unusable requests, in the life of the process
 LINGERING_LIMIT = 16  # connections that linger at the same time; further ones are closed at once
-RELEASE_CHECK_INTERVAL_US = SECOND // 20  # while releases are pending
 FINAL_FLUSH_US = SECOND // 20  # the end of the shutdown, in which viewers read what was written last
 CLOSE_CHECK_INTERVAL_S = 0.001  # while connections still have unread input during the shutdown
 FLUSH_CHECK_INTERVAL_S = 0.005  # while viewers have not closed their connections during the final flush
@@ -54,15 +54,16 @@
     sessions: Sessions[ViewerConnection] = field(init=False)
     counts: dict[str, int] = field(default_factory=dict)
     session_log: SessionLog = field(default_factory=SessionLog)
+    _releases: ReleaseSender = field(init=False)
     _hand_overs: HandOvers = field(init=False)
     _listener: Listener | None = None
     _eviction_scheduled: bool = False
     # Start times of the connections that may still linger
     _linger_starts: list[int] = field(default_factory=list)
-    _release_timer: asyncio.TimerHandle | None = None
 
     def __post_init__(self) -> None:
         self.sessions = Sessions(Violations(self._log_violation))
+        self._releases = ReleaseSender(self.sessions, self.connections, self.session_log)
         self._hand_overs = HandOvers(
             self.engine, self.apply, self.servers, self.sessions, self.session_log, self.count
         )
@@ -164,7 +165,7 @@
         for session in end.ended_requests:
             self._withdraw(session)
         if end.resend:
-            self._send_due_releases()
+            self._releases.send_due()
 
     def _withdraw(self, session: str) -> None:
         self.apply(lambda now: self.engine.viewer_left(now, session))
@@ -338,10 +339,10 @@
                 self.sessions.end_without_release(clock(), session)
             case fx.Push(session, "ended", reason):
                 self.session_log.session_over(session, str(reason))
-                self._release(session, codec.encode_ended(session, reason == "lost"))
+                self._releases.release(session, codec.encode_ended(session, reason == "lost"))
             case fx.Push(session, "moved"):
                 self.session_log.session_over(session, "moved")
-                self._release(session, codec.encode_moved(session), acknowledged=False)
+                self._releases.release(session, codec.encode_moved(session), acknowledged=False)
 
     def _reply(self, session: str, answer: Answer) -> None:
         connection = self.sessions.answer(clock(), session, answer.kind == "playing")
@@ -362,44 +363,6 @@
             case _:
                 connection.write(codec.encode_failed(session))
 
-    # Releases
-
-    def _release(self, session: str, message: bytes, acknowledged: bool = True) -> None:
-        """Send the release of a standing session, on the connection of its request or, if that is closed, on
-        another: the protocol lets a release go out on any connection."""
-        record = self.sessions.find(session)
-        own = record.connection if record is not None else None
-        if not self.sessions.end_session(clock(), session, message, acknowledged):
-            return
-        if own is not None and own.open:
-            self._write_release(own, session, message)
-        self._send_due_releases()
-
-    def _write_release(self, connection: ViewerConnection, session: str, message: bytes) -> None:
-        connection.write(message)
-        record = self.sessions.find(session)
-        self.session_log.session_released(
-            session, connection.number, record is not None and bool(record.sent_on)
-        )
-        self.sessions.release_sent(clock(), session, connection)
-
-    def _send_due_releases(self) -> None:
-        due = self.sessions.due_releases(clock())
-        candidates = self.connections.release_candidates() if due else []
-        for record in due if candidates else ():
-            untried = (candidate for candidate in candidates if candidate not in record.sent_on)
-            connection = next(untried, candidates[0])
-            self._write_release(connection, record.session, record.release_message)
-        if self.sessions.pending_releases and self._release_timer is None:
-            loop = asyncio.get_running_loop()
-            self._release_timer = loop.call_later(
-                RELEASE_CHECK_INTERVAL_US / SECOND, self._release_timer_expired
-            )
-
-    def _release_timer_expired(self) -> None:
-        self._release_timer = None
-        self._send_due_releases()
-
     # Time
 
     def tick(self, now: int) -> None:
@@ -464,8 +427,7 @@
                 if self._is_idle(connection):
                     self.close_connection(connection, "ended", linger=True)
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
-        if self._release_timer is not None:
-            self._release_timer.cancel()
+        self._releases.close()
         for connection in list(self.connections.all):
             self.close_connection(connection, "ended", linger=True)
         while any(_is_connected(connection) for connection in connections) and clock() < until:
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -191,26 +191,20 @@
     run_steps(harness, steps)
 
 
-def test_session_at_a_server_that_is_removed_before_the_hand_over_is_released(harness: Harness) -> None:
-    async def steps(harness: Harness) -> None:
-        await start_node(harness)
-        await harness.step("b", "is-watched", "1")
-        await harness.step("b", "sends-change", "2", str(SERVER), "terminated")
-        await harness.step("node", "holds", "version=2", "servers=1")
-        viewer = await connect_proven_viewer(harness)
-        hand_over(viewer, "1")
-        await receive_release(viewer, "1", "lost")
-        await harness.step("node", "holds", "sessions=0", "standing=0")
-
-    run_steps(harness, steps)
-
-
-def test_session_at_a_server_that_refuses_connections_is_released(harness: Harness) -> None:
-    """Its process died while the node was down, and is not back."""
+@pytest.mark.parametrize("gone", ["removed", "refuses"])
+def test_session_at_a_server_that_is_gone_before_the_hand_over_is_released(
+    harness: Harness, gone: str
+) -> None:
+    """The list has removed it, or its process died while the node was down."""
 
     async def steps(harness: Harness) -> None:
         await start_node(harness)
-        await harness.step(f"s{SERVER}", "stops")
+        if gone == "removed":
+            await harness.step("b", "is-watched", "1")
+            await harness.step("b", "sends-change", "2", str(SERVER), "terminated")
+            await harness.step("node", "holds", "version=2", "servers=1")
+        else:
+            await harness.step(f"s{SERVER}", "stops")
         viewer = await connect_proven_viewer(harness)
         hand_over(viewer, "1")
         await receive_release(viewer, "1", "lost")
