Early ends: one event drops two expired or excess ends at most

One event could drop all ends of a server, or all servers whose ends had expired: work that grows with servers that the event doesn't name.

--- a/ponddoor/obligations/early_ends.py
+++ b/ponddoor/obligations/early_ends.py
@@ -14,6 +14,7 @@
 Source: the platform's protocol page (a set-up with `at`; "sends its release on the next connection to be
 opened as well")."""
 
+import itertools
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
@@ -22,6 +23,7 @@
 RETENTION_US = 30 * SECOND  # from reading an end, or from the first readiness test if that is later
 MAX_ENDS = 8192  # for all sources together, each of which may use an equal share
 MIN_ENDS_PER_SOURCE = 16  # with very many sources
+MAX_DROPPED = 2  # sources or ends that one event drops: each adds one at most
 
 SourceT = TypeVar("SourceT", bound=Hashable)
 
@@ -96,8 +98,7 @@
         return written
 
     def _forget_expired_sources(self, now: int) -> None:
-        while self._sources:
-            source, oldest = next(iter(self._sources.items()))
+        for source, oldest in list(itertools.islice(self._sources.items(), MAX_DROPPED)):
             if not self._has_expired(now, oldest.written_at):
                 return
             del self._sources[source]
@@ -105,14 +106,12 @@
     def _limit(self, now: int, written: _Source) -> None:
         """Drop expired ends of a source, and its oldest ones beyond its share."""
         share = max(MAX_ENDS // len(self._sources), MIN_ENDS_PER_SOURCE)
-        while written.ends:
-            oldest = next(iter(written.ends))
-            read_at, _ = written.ends[oldest]
+        for session, (read_at, _) in list(itertools.islice(written.ends.items(), MAX_DROPPED)):
             if not self._has_expired(now, read_at):
                 if len(written.ends) <= share:
                     return
                 written.all_ended_at = now
-            del written.ends[oldest]
+            del written.ends[session]
 
     def _has_expired(self, now: int, since: int) -> bool:
         return self._tested_at is not None and now - max(since, self._tested_at) >= RETENTION_US
