--- a/ponddoor/soak/commands.py
+++ b/ponddoor/soak/commands.py
@@ -25,6 +25,7 @@
     draw,
     draw_crossings,
     draw_many_servers,
+    draw_overload,
     draw_restarts,
     draw_server_conditions,
     draw_shutdown,
@@ -41,12 +42,15 @@
 @click.option("--seconds", default=20.0, show_default=True, help="How long a run lasts.")
 @click.option(
     "--kind",
-    type=click.Choice(["mixed", "shutdown", "crossings", "many-servers", "server-conditions", "restarts"]),
+    type=click.Choice(
+        ["mixed", "shutdown", "crossings", "many-servers", "server-conditions", "restarts", "overload"]
+    ),
     default="mixed",
     show_default=True,
     help="All faults; terminations alone; ends of connections in the instant of a release; all faults with "
     "hundreds or thousands of servers, and changes of the list; all faults with servers whose process, "
-    "connections and speech fail each for itself; all faults with every node ended once or twice.",
+    "connections and speech fail each for itself; all faults with every node ended once or twice; a node "
+    "that is asked for more than its share of a core can work off.",
 )
 @click.option("--nodes", default=0, help="How many nodes; 0: drawn from the seed.")
 @click.option("--servers", default=0, help="How many servers of many-servers; 0: drawn from the seed.")
@@ -96,6 +100,8 @@
         return draw_server_conditions(seed, seconds, nodes)
     if kind == "restarts":
         return draw_restarts(seed, seconds, nodes)
+    if kind == "overload":
+        return draw_overload(seed, seconds)
     if kind == "crossings":
         return draw_crossings(seed, seconds)
     return draw(seed, seconds, nodes)
@@ -169,7 +175,7 @@
     only = f" --only {kept}" if len(smaller.faults) < len(plan.faults) and kept else ""
     drawn = f"--seed {plan.seed} --seconds {plan.seconds:g}"
     drawn += f" --kind {plan.kind}" if plan.kind != "mixed" else ""
-    drawn += f" --nodes {smaller.nodes}" if plan.kind not in ("shutdown", "crossings") else ""
+    drawn += f" --nodes {smaller.nodes}" if plan.kind not in ("shutdown", "crossings", "overload") else ""
     drawn += f" --servers {smaller.servers}" if plan.racks else ""
     return f"ponddoor soak {drawn}{only}"
 
@@ -192,6 +198,8 @@
         "longest_turn_s": round(outcome.longest_turn_s, 3),
         "cpu_s": round(outcome.cpu_s, 2),
         "connects_to_resetting": round(outcome.connects_to_resetting, 2),
+        "usual": outcome.usual,
+        "usual_served": outcome.usual_served,
         "violations": len(outcome.violations),
     }
     return json.dumps(row)
--- a/ponddoor/soak/oracle.py
+++ b/ponddoor/soak/oracle.py
@@ -122,6 +122,8 @@
             return
         if request.given_up_at <= limit or self._crossed_a_close(request):
             return
+        if request.by_bad_client and request.connection_ended_at < limit:
+            return
         if self._excused_by_end(request, limit):
             return
         if request.connection_ended_at < limit:
--- a/ponddoor/soak/plan.py
+++ b/ponddoor/soak/plan.py
@@ -18,6 +18,10 @@
 UNSEEN_LOSSES = ("releases", "all_but_answers")  # beside set-ups that are answered
 UNSEEN_LOSS_S = 1.0
 DOWN_S = (0.2, 1.5)  # of a node in a restart
+CORE_SHARES = (0.1, 0.25, 0.25, 0.5)
+OVERLOAD_SETUPS_PER_S = (25.0, 50.0, 90.0)
+BURST_SETUPS = 300  # "hundreds of requests at once" (DAYS.md)
+OVERLOAD_STREAMS = 47  # of a server: cold, it takes so few set-ups that requests wait for it
 
 FaultKind = Literal[
     "terminate",  # SIGTERM, then SIGKILL at the earliest moment that the page allows, then a new process
@@ -51,6 +55,19 @@
     "servers_reset",  # a quarter of the servers resets whatever connects
 ]
 MANY_SERVERS_KINDS = ("list_changes", "list_halves", "list_wholes", "servers_replaced", "servers_reset")
+OVERLOAD_FAULTS: tuple[FaultKind, ...] = (
+    "terminate",
+    "kill",
+    "pause",
+    "starve",
+    "server_hangs",
+    "server_errors",
+    "server_drops_connections",
+    "client_resets",
+    "client_leaves",
+    "client_crowd",
+    "client_pieces",
+)
 FAULT_KINDS: tuple[str, ...] = tuple(
     kind for kind in FaultKind.__args__ if kind not in MANY_SERVERS_KINDS  # type: ignore[attr-defined]
 )  # fmt: skip
@@ -83,6 +100,15 @@
     node: int = -1
 
 
+class Overload(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A node that is asked for more than its share of a core can work off."""
+
+    node: int
+    core_share: float  # of its process; 1: all of a core
+    setups_per_s: float  # of its usual viewers
+    burst: int  # set-ups that a bad client writes at once and takes back together; 0: no such client
+
+
 class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A whole run."""
 
@@ -104,6 +130,8 @@
     session_s: tuple[float, float] = SHORT_SESSIONS_S  # how long a session stands
     reports: Literal["inline", "on_probe"] = "inline"  # on_probe: nodes probe from their start on
     down_s: float = 0.0  # from the end of a node's process to the start of the next
+    streams: int = 300  # that a server can carry
+    overload: Overload | None = None
 
     @property
     def kill_delay_s(self) -> float:
@@ -242,6 +270,51 @@
     )
 
 
+def overload(
+    seed: int, seconds: float, load: Overload, faults: tuple[Fault, ...] = (), once: bool = False
+) -> Plan:
+    """Three nodes, of which one is overloaded, and three servers that die and are replaced by cold ones."""
+    deaths = tuple(Fault("server_dies", round(seconds / 3, 3), 1.0, server) for server in range(3))
+    classes: tuple[ServiceClass, ...] = (ServiceClass("gold", 3000.0, "repeatable"),)
+    if once:
+        classes = (*classes, ServiceClass("fern", 3000.0, "once"))
+    return Plan(
+        seed=seed,
+        seconds=seconds,
+        nodes=3,
+        servers=3,
+        connections=8,
+        interval_ms=2000.0,
+        viewers_acknowledge=True,
+        servers_acknowledge=False,
+        drain_grace_ms=500.0,
+        sockets=256,
+        classes=classes,
+        faults=tuple(sorted((*deaths, *faults), key=lambda one: one.at)),
+        kind="overload",
+        session_s=LONG_SESSIONS_S,
+        reports="on_probe",
+        down_s=0.7,
+        streams=OVERLOAD_STREAMS,
+        overload=load,
+    )
+
+
+def draw_overload(seed: int, seconds: float) -> Plan:
+    """An overloaded node; every second seed with faults of nodes and viewers beside that."""
+    rng = Random(seed)
+    load = Overload(0, rng.choice(CORE_SHARES), rng.choice(OVERLOAD_SETUPS_PER_S), BURST_SETUPS)
+    once = rng.random() < 0.3
+    faults = list[Fault]()
+    if seed % 2 == 0:
+        kinds: Any = rng.sample(OVERLOAD_FAULTS, rng.randint(2, 5))
+        faults = [
+            Fault(kind, round(rng.uniform(0.2, 0.7) * seconds, 3), 2.0, rng.choice((0, 0, 1)))
+            for kind in kinds
+        ]
+    return overload(seed, seconds, load, tuple(faults), once)
+
+
 def _server_fault(rng: Random, seconds: float) -> ServerFault:
     drawn = SOUND
     while drawn == SOUND:
@@ -288,6 +361,10 @@
     most_servers = MAX_SERVERS_OF_ONE_PROCESS if plan.racks else MAX_PROCESSES
     if not 1 <= plan.servers <= most_servers:
         raise PlanError(f"{where}: {plan.servers} servers; 1 to {most_servers} can be played")
+    if plan.overload is not None and not 0.01 <= plan.overload.core_share <= 1:
+        raise PlanError(
+            f"{where}: a share of {plan.overload.core_share:g} of a core; 0.01 to 1 can be played"
+        )
     if not 0 <= plan.racks <= plan.servers:
         raise PlanError(f"{where}: {plan.racks} racks; each has a server at least")
     if not 1 <= plan.seconds <= MAX_SECONDS:
--- a/ponddoor/soak/processes.py
+++ b/ponddoor/soak/processes.py
@@ -86,7 +86,7 @@
             "floorByClass": [0] * len(classes),
             "groups": plan.racks or 2,
             "kbPerWeight": MANY_SERVERS_KB / plan.servers if plan.racks else 1000.0,
-            "kindStreams": [300],
+            "kindStreams": [plan.streams],
             "ladderWorth": [0.2, 0.6, 1.0],
             "live": [False] * len(classes),
             "positions": plan.racks or 4,
@@ -190,6 +190,11 @@
             self._paused_at = FOREVER
         self._process.send_signal(number)
 
+    def set_running(self, running: bool) -> None:
+        """Let the process run or not, within its share of a core. No limit is extended for this."""
+        if self._process is not None and self._process.returncode is None and self._paused_at == FOREVER:
+            self._process.send_signal(signal.SIGCONT if running else signal.SIGSTOP)
+
     @property
     def cpu_s(self) -> float:
         """Processor time of the process of now, in seconds; 0 where it has ended."""
--- a/ponddoor/soak/records.py
+++ b/ponddoor/soak/records.py
@@ -69,6 +69,7 @@
     resent: bool = False  # sent again: its connection was ended while it was under way
     crossing_s: float = 0.0  # then: how long the first that had no answer there had been sent
     is_resent: bool = False
+    by_bad_client: bool = False  # owed a refusal, an error or a close, and nothing more
 
 
 @dataclass(slots=True)
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -18,6 +18,7 @@
 from ponddoor.soak.conditions import SOUND
 from ponddoor.soak.discovery import ANY_HOST, ANY_NETWORK, FIRST_NETWORK, Discovery, Member, State
 from ponddoor.soak.oracle import Oracle
+from ponddoor.soak.overload import send_bursts, set_rates, share_core
 from ponddoor.soak.plan import Fault, Plan, ServerFault
 from ponddoor.soak.processes import NODE, NodeProcess
 from ponddoor.soak.records import FOREVER, AnswerKind, NodeLife, Session, Violation
@@ -60,6 +61,8 @@
     longest_turn_s: float = 0.0  # of a node, as its log tells
     cpu_s: float = 0.0  # of the processes that ran at the end
     connects_to_resetting: float = 0.0  # of a server and node in each second of that fault, at most
+    usual: int = 0  # requests of usual viewers at the overloaded node
+    usual_served: int = 0
 
 
 @dataclass(slots=True)
@@ -137,9 +140,21 @@
             rng = Random(plan.seed * 1000 + number)
             self.pools.append(ViewerPool(plan, self.oracle, rng, (hosts[number], port), ids))
         await asyncio.gather(*(self._start_node(number) for number in range(plan.nodes)))
+        self._begin_overload()
         for pool in self.pools:
             pool.start()
 
+    def _begin_overload(self) -> None:
+        overload = self.plan.overload
+        if overload is None:
+            return
+        set_rates(self.pools, overload)
+        node, pool = self.nodes[overload.node], self.pools[overload.node]
+        for work in (share_core(node, overload.core_share), send_bursts(pool, overload.burst)):
+            task = asyncio.create_task(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     async def _tear_down(self) -> None:
         for task in list(self._tasks):
             task.cancel()
@@ -247,8 +262,21 @@
             self._longest_turn_s(),
             sum(node.cpu_s for node in self.nodes),
             self._connects_to_resetting(),
+            *self._usual_at_overloaded(),
         )
 
+    def _usual_at_overloaded(self) -> tuple[int, int]:
+        """Requests of usual viewers at the overloaded node, and how many of them were served."""
+        if self.plan.overload is None:
+            return 0, 0
+        requests = [
+            one
+            for one in self.oracle.requests.values()
+            if one.life.node == self.plan.overload.node and not one.by_bad_client
+        ]
+        kinds = [kind for one in requests for _, kind in one.answers]
+        return len(requests), kinds.count(AnswerKind.STANDS)
+
     def _longest_turn_s(self) -> float:
         lines = [line for node in self.nodes for line in node.log_lines('"event": "state"')]
         return max((json.loads(line)["lag_us"] for line in lines), default=0) / 1e6
--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -40,6 +40,9 @@
     life: NodeLife | None = None
     connections: "list[_Connection]" = field(default_factory=list)
     playing: dict[str, Session] = field(default_factory=dict)
+    interval_s: float = 0.0  # mean time between two set-ups on a connection
+    take_back_share: float = 0.0  # of the set-ups, that their viewers take back
+    take_back_within_s: float = 0.0
     leaves_early: bool = False
     in_pieces: bool = False
     crossings: bool = False  # connections end in the instant in which their sessions are released
@@ -47,6 +50,9 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     stopping: bool = False
 
+    def __post_init__(self) -> None:
+        self.interval_s = self.plan.interval_ms / 1000
+
     def start(self) -> None:
         """Every connection sends set-ups from now on."""
         for _ in range(self.plan.connections):
@@ -86,7 +92,7 @@
                 continue
             while connection.open and not self.stopping:
                 connection.ask(self.rng.choice(self.plan.classes))
-                await asyncio.sleep(self.rng.expovariate(1000 / self.plan.interval_ms))
+                await asyncio.sleep(self.rng.expovariate(1 / self.interval_s))
 
     def place_of_title(self) -> wire.Place:
         """Where a title lies: on two racks of a plan with racks, else on all servers."""
@@ -168,7 +174,7 @@
 
     def _viewer_ends(self, session: Session) -> None:
         """On any connection of viewers to the node."""
-        usable = [one for one in self.connections if one.open and not one.pieces]
+        usable = [one for one in self.connections if one.open and not one.pieces and not one.by_bad_client]
         if session.heard_at < FOREVER or not usable or session.request not in self.playing:
             return
         connection = self.rng.choice(usable)
@@ -257,7 +263,7 @@
         self.brought: set[str] = set()
         self.opened_at = time.monotonic()
         self.tested = asyncio.Event()
-        self.silent = self.half_closed = False
+        self.silent = self.half_closed = self.by_bad_client = False
         self.pieces: list[bytes] = []
 
     @property
@@ -307,7 +313,12 @@
                 continue
             request.connection_ended_at = now
             # What may cross a close, the oracle judges
-            if not request.is_resent and self.life.killed_at > now and not self.pool.stopping:
+            if (
+                not request.is_resent
+                and not self.by_bad_client
+                and self.life.killed_at > now
+                and not self.pool.stopping
+            ):
                 request.resent, request.crossing_s = True, crossing_s
                 self.pool.spawn(self._send_again(request))
 
@@ -334,17 +345,8 @@
         wait = service_class.deadline_ms / 1000
         if pool.rng.random() < 0.1:
             wait *= pool.rng.uniform(0.02, 1.0)  # a viewer's later try has less time left
-        ident = f"{next(pool.ids):016x}"
-        data = wire.set_up(ident, service_class.name, wait * 1000, place=pool.place_of_title())
-        request = Request(
-            ident,
-            self.life,
-            service_class.name,
-            service_class.semantics == "once",
-            now,
-            now + wait,
-            is_resent=is_resent,
-        )
+        request, data = self._new_request(service_class, now, wait)
+        request.is_resent = is_resent
         loop = asyncio.get_running_loop()
         if pool.in_pieces and pool.rng.random() < 0.5 and not is_resent:
             cut = pool.rng.randrange(1, len(data))
@@ -355,6 +357,30 @@
         self.write(data)
         self._sent(request)
 
+    def _new_request(self, service_class: ServiceClass, now: float, wait: float) -> tuple[Request, bytes]:
+        """A set-up and the message that asks for it."""
+        ident = f"{next(self.pool.ids):016x}"
+        data = wire.set_up(ident, service_class.name, wait * 1000, place=self.pool.place_of_title())
+        is_once = service_class.semantics == "once"
+        return Request(ident, self.life, service_class.name, is_once, now, now + wait), data
+
+    def ask_together(self, service_class: ServiceClass, count: int) -> list[Request]:
+        """Write set-ups of a bad client at once."""
+        now, wait = time.monotonic(), service_class.deadline_ms / 1000
+        made = [self._new_request(service_class, now, wait) for _ in range(count)]
+        self.write(b"".join(data for _, data in made))
+        for request, _ in made:
+            request.by_bad_client = True
+            self.pool.oracle.requests[request.id] = self.waiting[request.id] = request
+        return [request for request, _ in made]
+
+    def take_back(self, requests: list[Request]) -> None:
+        """Take back together what has no answer yet."""
+        unanswered = [request for request in requests if self.waiting.pop(request.id, None) is not None]
+        for request in unanswered:
+            request.given_up_at = time.monotonic()
+        self.write(b"".join(wire.release(request.id, wire.Cause.ENDED) for request in unanswered))
+
     def _rest(self, request: Request) -> None:
         rest, self.pieces = b"".join(self.pieces), []
         if self.open:
@@ -372,6 +398,8 @@
         limit = request.deadline_at - request.sent_at + GIVE_UP_GRACE_S + 2.0
         if pool.leaves_early and pool.rng.random() < 0.5:
             limit = pool.rng.uniform(0.0, 0.2)
+        elif pool.rng.random() < pool.take_back_share:
+            limit = pool.rng.uniform(0.0, pool.take_back_within_s)
         loop.call_later(limit, self._give_up, request)
 
     def _give_up(self, request: Request) -> None:
--- /dev/null
+++ b/tests/soak/test_overload.py
@@ -0,0 +1,23 @@
+"""A node that is asked for more than its share of a core can work off, with real node processes."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from ponddoor.soak.plan import BURST_SETUPS, Overload, overload
+from ponddoor.soak.run import SoakRun
+
+SECONDS = 20.0
+
+
+@pytest.mark.parametrize(("setups_per_s", "core_share"), [(50.0, 0.25), (90.0, 0.1)])
+def test_no_request_is_lost_beside_bursts_at_a_node_with_part_of_a_core(
+    setups_per_s: float, core_share: float, tmp_path: Path
+) -> None:
+    load = Overload(0, core_share, setups_per_s, BURST_SETUPS)
+    run = SoakRun(overload(1, SECONDS, load), tmp_path)
+    outcome = asyncio.run(run.play())
+    assert outcome.usual > SECONDS * setups_per_s / 2
+    broken = [f"{one.rule}: {one.what}" for one in outcome.violations]
+    assert not broken, "\n".join(broken)
