Soak: a viewer that half-closed its connection sends nothing again as it ends

Cause: `_end(by_node=True)` took the node's close behind a viewer's own half-close for a close by the node, and sent the set-ups again, each on a connection of its own that nobody closes. The half-close is the viewer's.

--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -308,7 +308,7 @@
         waiting, self.waiting = list(self.waiting.values()), {}
         crossing_s = max((now - request.sent_at for request in waiting), default=0.0)
         for request in waiting:
-            if not by_node:
+            if not by_node or self.half_closed:  # "a viewer that stops waiting ... no answer is then owed"
                 request.given_up_at = min(request.given_up_at, now)
                 continue
             request.connection_ended_at = now
