Tests: hypothesis collects its constants before the first test, not within it

Seen: tests/node/test_codecs.py::test_viewer_messages_are_decoded_however_they_are_split failed once in a part of the suite on a busy machine, with no cache of hypothesis. Cause: `FailedHealthCheck: Input generation is slow`, one draw of 1.0 to 1.4 s. The first draws of a process parse all imported modules for constants; beside 16 busy processes that takes over the second which the health check allows. Any module's first hypothesis test may be struck.

A session fixture draws once before; each test keeps its health checks.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,8 @@
 
 import pytest
 import structlog
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from ponddoor.decide import Front
 from ponddoor.interface import actions as act
@@ -30,6 +32,19 @@
     return {test.strip(): entry.strip() for test, _, entry in (line.partition("|") for line in lines)}
 
 
+@pytest.fixture(scope="session", autouse=True)
+def collected_constants() -> None:
+    """Have hypothesis collect the constants of all modules, which the first draws of a process do: on a busy
+    machine this takes over a second, and the health check of whichever test came first failed."""
+
+    @settings(database=None, suppress_health_check=[HealthCheck.too_slow])
+    @given(st.binary(max_size=40), st.integers())
+    def draw(_data: bytes, _number: int) -> None:
+        pass
+
+    draw()
+
+
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Mark the known failures: they are run and must fail. An entry without parameters covers all cases of
     its test, some of which may pass; a test whose entry says SOMETIMES may pass as well."""
