Requests for cold servers stand in one queue; a slot wakes two of them, not all

Cause: `serve` let every request that waited for the same cold servers wake at each of their slots; one took it, the others decided in vain and slept again.

Now the head of a queue tries, a SETUP wakes the next two (`wait_in_queue`). Why this works: the work for a slot depends on the slots, not on who waits. Requests that can't be served any more are told at the head's failure, as before.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -24,7 +24,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from dataclasses import replace
 
 from ponddoor.fleet.presence import Timing
@@ -34,8 +34,9 @@
 from ponddoor.interface import words
 from ponddoor.interface.events import Result, ServerState
 from ponddoor.interface.facts import Effect, Reporting, Scope, SiteFacts
-from ponddoor.interface.script import ResumeValue, Script
+from ponddoor.interface.script import ResumeValue, Script, Subscript
 from ponddoor.server_table import ServerTable
+from ponddoor.setup_queue import QueueKey, SetupQueue
 from ponddoor.state import LONG_AGO, Arrivals, LinkState, RackLoad, SeededRandom, Server, Sess
 
 SECOND = 1_000_000  # in microseconds
@@ -83,6 +84,8 @@
 # fronts, changes of rung need no random spreading
 LOW_CONTENTION_FRONTS = 4
 PLAYER_HINT_TTL_US = 8 * SECOND  # how long a player's hint counts
+# Waiting sessions that a SETUP wakes; two, so that all are soon placed once their servers are warm
+WOKEN_PER_SETUP = 2
 THROUGHPUT_USE_RATIO = 0.9  # fraction of a player's measured throughput that a rung may use
 FIRST_SETUP_BACKOFF_US = SECOND  # after a failed set-up; doubled with each further failure
 MAX_BACKOFF_DOUBLINGS = 3
@@ -107,6 +110,8 @@
         self.servers, self.by_rack = self.table.by_number, self.table.by_rack
         self.uplinks = [LinkState(facts.plant.uplink_kb) for _ in range(facts.plant.racks or 1)]
         self.sessions: dict[int, Sess] = {}
+        self.setup_queues: dict[Hashable, SetupQueue] = {}
+        self.turns_until = LONG_AGO  # until when the heads of these queues have their turns
         self.seats_in_use: dict[tuple[int, int], int] = {}
         # Play time of all sessions together, and the number of sessions that have ended
         self.total_play_us, self.ended_sessions = 0, 0
@@ -955,6 +960,7 @@
         """The script of a requested session: sets it up and ends with the viewer's final answer."""
         sess = self.open_session(req)
         yield from self.serve(sess)
+        yield from self.leave_queue(sess)
         self.close_session(sess)
 
     def serve(self, sess: Sess) -> Script:
@@ -969,11 +975,17 @@
             if server is None:
                 unpaced = self.eligible_holders(sess, paced=False)
                 next_try = min(map(self.paced_until, unpaced), default=sess.deadline)
-                if not self.now < next_try < sess.deadline and (next_try := self.retry_at(sess)) <= self.now:
+                if self.now < next_try < sess.deadline:
+                    result: ResumeValue = yield from self.wait_in_queue(sess, next_try)
+                elif (next_try := self.retry_at(sess)) > self.now:
+                    result = yield act.Wait(next_try)
+                else:
+                    break
+                if sess.gives_up and not sess.viewer_done:
                     break
-                result: ResumeValue = yield act.Wait(next_try)
             else:
                 self.record_setup(sess, server)
+                yield from self.leave_queue(sess, WOKEN_PER_SETUP)
                 yield from self.send_updates([server])
                 if sess.top >= sess.group.floor:
                     yield act.SetRung(req_id, sess.rung)
@@ -998,6 +1010,81 @@
         come_back = max_come_back // 4 + self.chance.draw(max_come_back // 2)
         yield act.BusyReply(req_id, come_back) if self.may_reply_busy(sess) else act.TearDown(req_id)
 
+    # The queue for paced servers. If all that wait tried at each slot, the work for one SETUP would grow with
+    # their number
+
+    def queue_key(self, sess: Sess) -> QueueKey:
+        """Equal for sessions to which the same servers are open."""
+        may_have_run = any(result not in NEVER_RAN for _, _, result in sess.attempts)
+        has_own_servers = may_have_run and sess.group.effect is not Effect.SAFE
+        return QueueKey(
+            sess.req.home,
+            sess.req.span,
+            sess.seat_key() if sess.group.seats > 0 else None,
+            bool(sess.attempts),
+            sess.req.req_id if has_own_servers else 0,
+        )
+
+    def wait_in_queue(self, sess: Sess, next_try: int) -> Subscript[ResumeValue]:
+        """Waits for the pace of the session's servers, which open at `next_try`, in order of arrival: only
+        the head of the queue tries then, and those behind it are woken as it is placed.
+
+        Those whose deadline is before `next_try` give up now."""
+        key = self.queue_key(sess)
+        if sess.queue_key != key:
+            yield from self.leave_queue(sess)
+            sess.queue_key = key
+        queue = self.setup_queues.setdefault(key, SetupQueue())
+        queue.join(sess)
+        is_head = queue.head is sess
+        if is_head:
+            queue.next_try = next_try
+            for expired in queue.take_expired(next_try):
+                expired.gives_up = True
+                yield act.Wake(expired.req.req_id, self.now)
+        result = yield from self.sleep(sess, next_try if is_head else sess.deadline)
+        if is_head and result is None:
+            return (yield from self.await_turn(sess))
+        return result
+
+    def sleep(self, sess: Sess, until: int) -> Subscript[ResumeValue]:
+        sess.asleep = True
+        result = yield act.Wait(until)
+        sess.asleep = False
+        return result
+
+    def await_turn(self, sess: Sess) -> Subscript[ResumeValue]:
+        """The heads of several queues whose servers open at the same time try in order of arrival."""
+        if self.now <= self.turns_until:
+            return None
+        heads = [
+            head
+            for queue in self.setup_queues.values()
+            if queue.next_try <= self.now and (head := queue.head) is not None
+        ]
+        in_turn = sorted(head.req.req_id for head in heads if head is sess or head.asleep)
+        if len(in_turn) < 2:
+            return None
+        self.turns_until = self.now + len(in_turn)
+        own_turn = in_turn.index(sess.req.req_id)
+        for turn, req_id in enumerate(in_turn):
+            if turn != own_turn:
+                yield act.Wake(req_id, self.now + turn)
+        return (yield from self.sleep(sess, self.now + own_turn)) if own_turn else None
+
+    def leave_queue(self, sess: Sess, woken: int = 0) -> Script:
+        """Takes the session out of its queue, if it is in one, and wakes the first `woken` of those behind
+        it. If it was the head, the next one is woken in any case, as that is the head now."""
+        key, sess.queue_key = sess.queue_key, None
+        queue = None if key is None else self.setup_queues.get(key)
+        if key is None or queue is None:
+            return
+        was_head = queue.leave(sess)
+        for behind in queue.first_asleep(max(woken, int(was_head))):
+            yield act.Wake(behind.req.req_id, self.now)
+        if not queue:
+            self.setup_queues.pop(key, None)
+
     def retry_at(self, sess: Sess) -> int:
         """When to try again to place a moved player, which can wait while it plays from its buffer; now, if
         it can't wait or an attempt has been made."""
--- a/ponddoor/interface/actions.py
+++ b/ponddoor/interface/actions.py
@@ -41,6 +41,15 @@
     until: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """End the wait of another session's generator at a time, at the earliest once the generators that are
+    due by then have run. Does nothing if it does not wait for a time."""
+
+    req_id: int
+    at: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetRung:
     """Set the rung of a session's stream."""
@@ -135,6 +144,7 @@
     | Play
     | Wait
     | WaitForPeerMessage
+    | Wake
     | SetRung
     | BusyReply
     | TearDown
--- a/ponddoor/runtime/driver.py
+++ b/ponddoor/runtime/driver.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from ponddoor.interface.actions import Action, Play, SetTimer, Setup, Wait, WaitForPeerMessage
+from ponddoor.interface.actions import Action, Play, SetTimer, Setup, Wait, WaitForPeerMessage, Wake
 from ponddoor.interface.events import (
     Ended,
     Event,
@@ -117,18 +117,39 @@
             match action:
                 case Play():
                     return
-                case Wait(until) | WaitForPeerMessage(until):
-                    self._last_cookie = (self._last_cookie + 1) % 2**32
-                    if isinstance(action, WaitForPeerMessage):
-                        self._awaiting_message[self._last_cookie] = (script, req_id)
+                case Wait(until):
+                    self._wait_until(until, script, req_id, actions)
+                    return
+                case WaitForPeerMessage(until):
+                    cookie = self._new_cookie(req_id)
+                    self._awaiting_message[cookie] = (script, req_id)
                     if until is not None:
-                        self._timers[self._last_cookie] = (script, req_id)
-                        actions.append(SetTimer(until, self._last_cookie))
-                    if req_id is not None:
-                        self._cookie_of_session[req_id] = self._last_cookie
+                        self._timers[cookie] = (script, req_id)
+                        actions.append(SetTimer(until, cookie))
                     return
+                case Wake(other, at):
+                    self._wake(other, at, actions)
                 case Setup():
                     actions.append(action)
                     return
                 case _:
                     actions.append(action)
+
+    def _new_cookie(self, req_id: int | None) -> int:
+        self._last_cookie = (self._last_cookie + 1) % 2**32
+        if req_id is not None:
+            self._cookie_of_session[req_id] = self._last_cookie
+        return self._last_cookie
+
+    def _wait_until(self, until: int, script: Script, req_id: int | None, actions: list[Action]) -> None:
+        cookie = self._new_cookie(req_id)
+        self._timers[cookie] = (script, req_id)
+        actions.append(SetTimer(until, cookie))
+
+    def _wake(self, req_id: int, at: int, actions: list[Action]) -> None:
+        """Let a session's script wait until `at` instead. The old timer finds nothing."""
+        cookie = self._cookie_of_session.get(req_id, -1)
+        if cookie in self._timers and cookie not in self._awaiting_message:
+            script, _ = self._stop_waiting(cookie)
+            assert script is not None
+            self._wait_until(at, script, req_id, actions)
--- a/ponddoor/simhost/codec.py
+++ b/ponddoor/simhost/codec.py
@@ -260,5 +260,5 @@
             return _record(13, struct.pack(">IB", req_id, rung))
         case act.Move(req_id):
             return _record(14, _U32.pack(req_id))
-        case act.Play() | act.Wait() | act.WaitForPeerMessage():
+        case act.Play() | act.Wait() | act.WaitForPeerMessage() | act.Wake():
             raise TypeError(f"{action} is for the runtime and has no code on the simulator's wire")
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -4,6 +4,7 @@
 
 import bisect
 import math
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 
 from ponddoor.fleet.evidence import Observation
@@ -62,6 +63,9 @@
     playing_since: int | None = None
     attempts: list[tuple[int, int, ev.Result | None]] = field(default_factory=list)
     means: ev.Means | None = None
+    queue_key: Hashable | None = None  # of the queue for paced servers that it waits in
+    asleep: bool = False  # in that queue, until it is woken or its deadline comes
+    gives_up: bool = False  # no server can be sent to before its deadline
 
     def rate(self, rung: int) -> float:
         """The session's rate at a rung, in kB a second."""
