Timers: a few run in one turn, after the input that came before they were due

Cause: the pump ran all that was due in one turn, with the time of its beginning.

Now the pump notes the time as its timer fires, lets the loop read what has come by then, and runs at most 16 of the timers due by that time; then sockets are read again and the clock is read anew. Why this works: a timer that is run has nothing unread from before it was due, and no turn is longer than 16 of them.

--- a/ponddoor/front/engine.py
+++ b/ponddoor/front/engine.py
@@ -338,10 +338,12 @@
     def peer_message(self, now: int, peer: int, payload: bytes) -> list[Effect]:
         return self._handle_event(now, ev.PeerMessage(peer, payload), None)
 
-    def run_due_timers(self, now: int) -> list[Effect]:
-        """Runs every timer that is due at `now`, in order."""
+    def run_due_timers(self, now: int, due_by: int | None = None, limit: int | None = None) -> list[Effect]:
+        """Runs the timers that are due at `due_by` (by default `now`), in order, at most `limit` of them."""
         effects: list[Effect] = []
-        while self._timers and self._timers[0][0] <= now:
+        due_by, ran = now if due_by is None else due_by, 0
+        while self._timers and self._timers[0][0] <= due_by and (limit is None or ran < limit):
+            ran += 1
             _, _, kind, number, attempt = heapq.heappop(self._timers)
             if kind == "cookie":
                 effects += self._handle_event(now, ev.TimerDue(number), None)
--- a/ponddoor/front/pump.py
+++ b/ponddoor/front/pump.py
@@ -34,14 +34,21 @@
     asyncio.get_running_loop().call_soon(scheduled)
 
 
+MAX_TIMERS_PER_TURN = 16
+
+
 class Pump:
-    """Calls one engine and passes its effects to `carry_out`."""
+    """Calls one engine and passes its effects to `carry_out`.
+
+    Timers run once all input that came before they were due has been read: it may be the answer, or the end,
+    that a timer would miss after a stall. A few run at once, then the sockets are read again."""
 
     def __init__(self, engine: Engine, carry_out: Callable[[Effect], None]) -> None:
         self._engine, self._carry_out = engine, carry_out
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at: int | None = None
-        self._applying = False
+        self._timers_pending = False  # due timers run after the pending reads
+        self._applying = self._closed = False
         self._queue: deque[Effect] = deque()
 
     def apply(self, call: Callable[[int], list[Effect]]) -> None:
@@ -69,17 +76,29 @@
 
     def _set_timer(self) -> None:
         due = self._engine.next_due
-        if due is None or (self._timer_at is not None and self._timer_at <= due):
+        if due is None or self._timers_pending or self._closed:
+            return
+        if self._timer_at is not None and self._timer_at <= due:
             return  # a timer that fires too early finds nothing due and is set again
-        self.close()
+        self._cancel_timer()
         self._timer_at = due
         self._timer = asyncio.get_running_loop().call_later(max(due - clock(), 0) / SECOND, self._on_timer)
 
     def _on_timer(self) -> None:
-        self._timer_at, self._timer = None, None
-        self.apply(self._engine.run_due_timers)
+        self._timer_at, self._timer, self._timers_pending = None, None, True
+        due_by = clock()
+        after_pending_reads(lambda: self._run_timers(due_by))
 
-    def close(self) -> None:
-        """Cancel the timer."""
+    def _run_timers(self, due_by: int) -> None:
+        self._timers_pending = False
+        if not self._closed:
+            self.apply(lambda now: self._engine.run_due_timers(now, due_by, MAX_TIMERS_PER_TURN))
+
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+
+    def close(self) -> None:
+        """Run no timer any more."""
+        self._closed = True
+        self._cancel_timer()
