Admission: requests in turn over connections; what can't be worked off is refused

Cause: every request that was read went to the decisions in one turn, in the order of reading; nothing was refused by what could still be worked off, so 300 requests of one write stood before the others, whose answers and ends were read late.

Now requests wait by connection (`obligations/request_queue.py`) and are taken in turn, four in a turn of the loop (`node/admission.py`). The node measures what one request takes it, waits for the processor included, while others wait. Where those that wait would take more than half of the shortest start target, the newest of the connection with most are refused, 32 in a turn. A request whose time is up as its turn comes is refused without a decision. Why this works: the wait for a decision is bounded by time, not by number, and who asks for most is refused first.

The unguarded variant of the test of withdrawn requests takes out `Admission.received`, as the guard has moved there; it fails as before.

--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -10,8 +10,9 @@
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import Answer, ViewerRequest
 from ponddoor.front.engine import Engine
-from ponddoor.front.pump import SECOND, Apply, after_pending_reads, clock
+from ponddoor.front.pump import SECOND, Apply, clock
 from ponddoor.node import viewer_codec as codec
+from ponddoor.node.admission import Admission, ReceivedRequest
 from ponddoor.node.board_codec import server_number
 from ponddoor.node.hand_over import HandOvers, SessionServers
 from ponddoor.node.listener import Listener
@@ -56,6 +57,7 @@
     session_log: SessionLog = field(default_factory=SessionLog)
     _releases: ReleaseSender = field(init=False)
     _hand_overs: HandOvers = field(init=False)
+    _admission: Admission = field(init=False)
     _listener: Listener | None = None
     _eviction_scheduled: bool = False
     # Start times of the connections that may still linger
@@ -64,6 +66,10 @@
     def __post_init__(self) -> None:
         self.sessions = Sessions(Violations(self._log_violation))
         self._releases = ReleaseSender(self.sessions, self.connections, self.session_log)
+        start_targets = (group.start_target for group in self.engine.facts.groups)
+        self._admission = Admission(
+            lambda request: self._submit(request), self._refuse, min(start_targets, default=SECOND) // 2
+        )
         self._hand_overs = HandOvers(
             self.engine, self.apply, self.servers, self.sessions, self.session_log, self.count
         )
@@ -161,6 +167,7 @@
 
         Standing sessions go on."""
         self.connections.remove(connection)
+        self._admission.connection_ended(connection)
         end = self.sessions.connection_ended(clock(), connection)
         for session in end.ended_requests:
             self._withdraw(session)
@@ -216,6 +223,7 @@
         connection.proven = True
         if phase is Phase.RECEIVED:
             self.count("taken-back")
+            self._admission.ended(connection, session)
         else:
             self._withdraw(session)
 
@@ -263,26 +271,41 @@
             self._mark_used(connection)
 
     def _receive(self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest) -> None:
-        """Register a request, and submit it once all input that has arrived by now is read.
-
-        A request that is withdrawn by input that arrived with it does not reach the engine, where it would
-        count as an arrival; the rate of arrivals paces the probes."""
+        """Register a request, to be submitted in its turn."""
         read_at = clock()
         self.sessions.receive(read_at, session, connection, viewer_request.wait)
+        request = ReceivedRequest(connection, session, viewer_request, read_at)
         if self.sessions.received_count + self.engine.requests_in_hand <= self.engine.gate.limits.in_hand:
-            after_pending_reads(lambda: self._submit(session, viewer_request, read_at))
+            self._admission.received(request)
         else:  # over the limit: the engine answers busy at once
-            self._submit(session, viewer_request, read_at)
+            self._submit(request)
 
-    def _submit(self, session: str, viewer_request: ViewerRequest, read_at: int) -> None:
-        now = clock()
-        record = self.sessions.find(session)
-        if record is None or record.phase_since != read_at or not self.sessions.submit(now, session):
-            return  # it has ended by now, or the record is that of a later request with the same id
-        wait = max(viewer_request.wait - (now - read_at), 1)
+    def _is_received(self, request: ReceivedRequest) -> bool:
+        """Whether a request has not ended yet; its record may be that of a later one with the same id."""
+        record = self.sessions.find(request.session)
+        return record is not None and record.phase is Phase.RECEIVED and record.phase_since == request.read_at
+
+    def _submit(self, request: ReceivedRequest) -> bool:
+        """Submit a request to the engine, or refuse it if its time is up. Returns False if it has ended."""
+        if not self._is_received(request):
+            return False
+        now, session = clock(), request.session
+        wait = request.viewer_request.wait - (now - request.read_at)
         if self.drain is not None:
             wait = self.drain.limit_wait(now, wait)
-        self.apply(lambda now: self.engine.request(now, session, replace(viewer_request, wait=wait), None)[1])
+        if wait <= 0:
+            self.answer_now(session, "no-time-left")
+            return True
+        self.sessions.submit(now, session)
+        viewer_request = replace(request.viewer_request, wait=wait)
+        self.apply(lambda now: self.engine.request(now, session, viewer_request, None)[1])
+        return True
+
+    def _refuse(self, request: ReceivedRequest) -> None:
+        """Refuse a request that this front can't work off in time."""
+        if self._is_received(request):
+            self.count("overloaded")
+            self.answer_now(request.session, "overloaded")
 
     def _is_known(self, session: str) -> bool:
         return self.sessions.find(session) is not None or self.engine.find(session) is not None
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -35,6 +35,7 @@
 from ponddoor.node import viewer_connection as node_viewer_connection
 from ponddoor.node import viewers as node_viewers
 from ponddoor.node import words as node_words
+from ponddoor.node.admission import Admission
 from ponddoor.node.server_connection import ServerConnection
 from ponddoor.obligations.lease import LeaseEvent
 from ponddoor.web import connecting
@@ -244,7 +245,7 @@
 
     None is sent to peers or servers, and none counts as an arrival."""
     if unguarded:
-        harness.monkeypatch.setattr(node_viewers, "after_pending_reads", call_immediately)
+        harness.monkeypatch.setattr(Admission, "received", lambda self, request: self.submit(request))
     sent_kinds = list[int]()
 
     async def steps(harness: Harness) -> None:
