Requests: one log line at each end; accepted ones go first while timers are late

Now at most one new request is submitted in a turn, in place of four, while an engine timer is overdue.

--- a/ponddoor/front/pump.py
+++ b/ponddoor/front/pump.py
@@ -90,11 +90,18 @@
         after_pending_reads(lambda: self._run_timers(due_by))
 
     def _run_timers(self, due_by: int) -> None:
+        if self._closed:
+            return
         self._timers_pending = False
-        if not self._closed:
-            self.apply(lambda now: self._engine.run_due_timers(now, due_by, MAX_TIMERS_PER_TURN))
+        self.apply(lambda now: self._engine.run_due_timers(now, due_by, MAX_TIMERS_PER_TURN))
+        due = self._engine.next_due
+        if due is not None and due <= due_by:  # more than run in one turn
+            self._timers_pending = True
+            self._cancel_timer()
+            asyncio.get_running_loop().call_soon(self._run_timers, due_by)
 
     def _cancel_timer(self) -> None:
+        self._timer_at = None
         if self._timer is not None:
             self._timer.cancel()
 
--- a/ponddoor/node/admission.py
+++ b/ponddoor/node/admission.py
@@ -11,6 +11,7 @@
 from ponddoor.obligations.request_queue import RequestCost, RequestQueue
 
 MAX_SUBMITTED_PER_TURN = 4
+MAX_SUBMITTED_WHILE_BEHIND = 1  # fewer than the timers that run in a turn, so that these catch up
 MAX_REFUSED_PER_TURN = 32  # a refusal takes about a tenth of the work of a decision
 
 
@@ -30,10 +31,12 @@
 
     A request that would wait for longer than `max_wait` microseconds, by the measured cost of those before
     it, is refused: the newest of the connection that has most waiting, so that a client that asks for too
-    much is refused and the others are not."""
+    much is refused and the others are not. What is accepted already goes first: while the engine's timers
+    are overdue, fewer requests are submitted."""
 
     submit: Callable[[ReceivedRequest], bool]  # returns whether it had not ended yet
     refuse: Callable[[ReceivedRequest], None]
+    is_behind: Callable[[int], bool]  # whether work for accepted requests was due before this time
     max_wait: int
     queue: RequestQueue[ViewerConnection, ReceivedRequest] = field(default_factory=RequestQueue)
     cost: RequestCost = field(default_factory=RequestCost)
@@ -81,7 +84,8 @@
             self.cost.record(now - self._last_turn_at, self._submitted_last)
         self._refuse_excess()
         self._last_turn_at, self._submitted_last = now, 0
-        while self._submitted_last < MAX_SUBMITTED_PER_TURN and (request := self.queue.take()) is not None:
+        limit = MAX_SUBMITTED_WHILE_BEHIND if self.is_behind(now) else MAX_SUBMITTED_PER_TURN
+        while self._submitted_last < limit and (request := self.queue.take()) is not None:
             self._submitted_last += self.submit(request)
         if not self.queue:  # the time until the next request comes is no work
             self.cost.record(clock() - now, self._submitted_last)
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -17,7 +17,7 @@
 from ponddoor.node.hand_over import HandOvers, SessionServers
 from ponddoor.node.listener import Listener
 from ponddoor.node.release_sender import ReleaseSender
-from ponddoor.node.session_log import SessionLog
+from ponddoor.node.session_log import RequestEnd, SessionLog
 from ponddoor.node.viewer_connection import (
     LINGER_TIMEOUT_US,
     PARTIAL_MESSAGE_TIMEOUT_US,
@@ -26,7 +26,7 @@
     ViewerConnection,
 )
 from ponddoor.obligations.drain import DrainSchedule
-from ponddoor.obligations.sessions import Phase, Sessions
+from ponddoor.obligations.sessions import OPEN_PHASES, Phase, Sessions
 from ponddoor.obligations.violations import Violation, Violations
 from ponddoor.web.unread import has_unread
 
@@ -68,7 +68,10 @@
         self._releases = ReleaseSender(self.sessions, self.connections, self.session_log)
         start_targets = (group.start_target for group in self.engine.facts.groups)
         self._admission = Admission(
-            lambda request: self._submit(request), self._refuse, min(start_targets, default=SECOND) // 2
+            lambda request: self._submit(request),
+            self._refuse,
+            lambda now: (self.engine.next_due or now) < now,
+            min(start_targets, default=SECOND) // 2,
         )
         self._hand_overs = HandOvers(
             self.engine, self.apply, self.servers, self.sessions, self.session_log, self.count
@@ -168,6 +171,8 @@
         Standing sessions go on."""
         self.connections.remove(connection)
         self._admission.connection_ended(connection)
+        for session in self.sessions.open_requests_on(connection):
+            self._log_request_end(session, "withdrawn", "its connection ended")
         end = self.sessions.connection_ended(clock(), connection)
         for session in end.ended_requests:
             self._withdraw(session)
@@ -215,6 +220,7 @@
         viewer would never be answered. A standing session can be ended from any connection."""
         if self.sessions.waiting_connection(session) not in (None, connection):
             return
+        self._log_request_end(session, "withdrawn", "by its viewer")
         phase = self.sessions.end_by_viewer(clock(), session)
         if phase is None or phase is Phase.RELEASING:
             return
@@ -333,6 +339,7 @@
 
     def _fail_duplicate(self, connection: ViewerConnection, session: str) -> None:
         """End the request with this id, and report its failure on the connection that used the id again."""
+        self._log_request_end(session, "failed", "its id was used twice")
         phase = self.sessions.end_by_viewer(clock(), session)
         if phase is Phase.RECEIVED:
             self.count("taken-back")
@@ -367,7 +374,29 @@
                 self.session_log.session_over(session, "moved")
                 self._releases.release(session, codec.encode_moved(session), acknowledged=False)
 
+    def _log_request_end(self, session: str, how: str, reason: str) -> None:
+        """Log the end of an open request, before it ends."""
+        record, held = self.sessions.find(session), self.engine.find(session)
+        if record is None or record.phase not in OPEN_PHASES or record.connection is None:
+            return
+        attempts = 0 if held is None else held.attempt + 1
+        self.session_log.request_ended(
+            RequestEnd(
+                session,
+                record.connection.number,
+                how,
+                reason,
+                record.received_at,
+                record.submitted_at,
+                held.setup_sent_at if held is not None and attempts else None,
+                attempts,
+                clock(),
+                record.deadline,
+            )
+        )
+
     def _reply(self, session: str, answer: Answer) -> None:
+        self._log_request_end(session, answer.kind, answer.reason)
         connection = self.sessions.answer(clock(), session, answer.kind == "playing")
         if connection is None:
             return
--- a/ponddoor/obligations/sessions.py
+++ b/ponddoor/obligations/sessions.py
@@ -80,6 +80,8 @@
     phase_since: int
     deadline: int  # of the answer, or of the release once the session has ended
     connection: ConnectionT | None
+    received_at: int = 0
+    submitted_at: int | None = None
     release_message: bytes = b""  # while the release is pending
     expects_ack: bool = True  # whether viewers acknowledge this kind of message
     sent_at: int | None = None  # None if the release has to be sent
@@ -160,7 +162,7 @@
                 Invariant.LEGAL_TRANSITION, self._records[session], "a request with the same id was received"
             )
             return
-        record = Record(session, Phase.RECEIVED, now, now + wait, connection)
+        record = Record(session, Phase.RECEIVED, now, now + wait, connection, now)
         self._records[session] = record
         self._unsubmitted[session] = None
         self._open_by_connection.setdefault(connection, {})[session] = None
@@ -171,6 +173,7 @@
         record = self._records.get(session)
         if record is None or record.phase is not Phase.RECEIVED:
             return False
+        record.submitted_at = now
         return self._transition(record, now, Phase.WAITING, "submitted")
 
     def answer(self, now: int, session: str, stands: bool) -> ConnectionT | None:
--- a/tests/node/test_admission.py
+++ b/tests/node/test_admission.py
@@ -6,7 +6,12 @@
 
 from ponddoor.front.effects import ViewerRequest
 from ponddoor.front.pump import SECOND, clock
-from ponddoor.node.admission import MAX_SUBMITTED_PER_TURN, Admission, ReceivedRequest
+from ponddoor.node.admission import (
+    MAX_SUBMITTED_PER_TURN,
+    MAX_SUBMITTED_WHILE_BEHIND,
+    Admission,
+    ReceivedRequest,
+)
 from ponddoor.node.viewer_connection import ViewerConnection
 
 REQUEST = ViewerRequest("t", 0, 0, 0, 4, 2, 3 * SECOND, None, 1, False, False, "")
@@ -21,7 +26,13 @@
         self.cost_s = cost_s
         self.submitted, self.refused = list[str](), list[str]()
         self.waited_us = dict[str, int]()
-        self.admission = Admission(self.submit, lambda one: self.refused.append(one.session), MAX_WAIT_US)
+        self.is_behind = False
+        self.admission = Admission(
+            self.submit,
+            lambda one: self.refused.append(one.session),
+            lambda _: self.is_behind,
+            MAX_WAIT_US,
+        )
 
     def submit(self, request: ReceivedRequest) -> bool:
         time.sleep(self.cost_s)
@@ -69,8 +80,9 @@
 
 
 def test_other_callbacks_run_between_a_few_requests_of_a_burst() -> None:
-    async def run() -> int:
+    async def run(is_behind: bool) -> int:
         worker = Worker(0.0)
+        worker.is_behind = is_behind
         worker.receive("burst", BURST)
         most = before = 0
         while len(worker.submitted) < BURST:
@@ -78,7 +90,8 @@
             most, before = max(most, len(worker.submitted) - before), len(worker.submitted)
         return most
 
-    assert asyncio.run(run()) <= MAX_SUBMITTED_PER_TURN
+    assert asyncio.run(run(False)) <= MAX_SUBMITTED_PER_TURN
+    assert asyncio.run(run(True)) <= MAX_SUBMITTED_WHILE_BEHIND
 
 
 def test_request_that_ends_before_its_turn_is_not_submitted() -> None:
