SETUPs: one rule judges each as it is written; violations are counted

Cause: a SETUP is decided, then waits for reads or for a connection; whether its viewer still waits was a matter of what other code had withdrawn in between.

Why this works: the state and the socket are looked at at that moment.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -28,8 +28,10 @@
 from ponddoor.node.viewers import Viewers
 from ponddoor.node.words import GossipSocket
 from ponddoor.obligations.drain import DrainPhase, DrainSchedule
+from ponddoor.obligations.setup_rule import SetupRule
 from ponddoor.settings.limits import Limits
 from ponddoor.web.timing import within
+from ponddoor.web.unread import has_unread
 
 TICK_INTERVAL_US = SECOND // 4
 STATE_LOG_INTERVAL_US = 5 * SECOND
@@ -73,6 +75,8 @@
         self.servers.random.seed(facts.seed)
         self.viewers = Viewers(self.engine, apply, self.servers, groups, 0)
         self.servers.violations = self.viewers.sessions.violations
+        setup_rule = SetupRule(self.viewers.sessions, lambda connection: has_unread(connection.transport))
+        self.servers.judge_setup = setup_rule.judge
         roster = Roster(settings.zones, settings.kinds, facts.plant.cells, now - time.time_ns() // 1000)
         schedule = ReconnectSchedule(facts.me, facts.fronts, facts.rules.drain_grace, facts.seed)
         self.reserve = DescriptorReserve()
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -26,6 +26,7 @@
 from ponddoor.node.server_messages import MessageOwner, Outgoing, ServerMessages
 from ponddoor.obligations.completeness import Completeness
 from ponddoor.obligations.lease import Lease, LeaseAction, LeaseEvent
+from ponddoor.obligations.setup_rule import JudgeSetup, Verdict
 from ponddoor.web.connecting import connect_within
 from ponddoor.web.unread import has_unread
 
@@ -50,6 +51,8 @@
     closing: bool
     open_links: "dict[ServerLink, None]"
 
+    @property
+    def judge_setup(self) -> JudgeSetup: ...
     def mark_used(self, link: "ServerLink") -> None: ...
     def make_room(self) -> bool: ...
     def connect_delay(self) -> int: ...
@@ -126,19 +129,29 @@
         for item in self.queued:
             self._send_after_pending_reads(item)
 
-    def _send_after_pending_reads(self, item: Outgoing) -> None:
+    def _send_after_pending_reads(self, item: Outgoing, reads_awaited: int = 0) -> None:
         """Send a queued message once all data received so far is read: it may say that the viewer has left
         or that the server drains."""
         if self.servers.setups_enabled:
-            after_pending_reads(lambda: self._send_queued_item(item))
+            after_pending_reads(lambda: self._send_queued_item(item, reads_awaited))
 
-    def _send_queued_item(self, item: Outgoing) -> None:
+    def _send_queued_item(self, item: Outgoing, reads_awaited: int) -> None:
         if self.connection is None:
             return
         index = next((i for i, queued in enumerate(self.queued) if queued is item), None)
-        if index is not None:
-            del self.queued[index]
+        if index is None:
+            return
+        verdict = Verdict.SEND
+        if isinstance(item, fx.SendSetup):
+            verdict = self.servers.judge_setup(clock(), item.sess, reads_awaited)
+        if verdict is Verdict.AWAIT_READS:
+            self._send_after_pending_reads(item, reads_awaited + 1)
+            return
+        del self.queued[index]
+        if verdict is Verdict.SEND:
             self.messages.write(self.connection, item)
+        else:
+            self.servers.fail_unsent(item, ev.Result.MOOT)
 
     def connect(self) -> None:
         """Connect now. While the backoff after failures lasts, fail the queued messages instead."""
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -20,6 +20,7 @@
 from ponddoor.node.server_link import MAX_PENDING_RELEASES, ServerLink
 from ponddoor.node.server_messages import Outgoing
 from ponddoor.obligations.early_ends import EarlyEnds
+from ponddoor.obligations.setup_rule import JudgeSetup, Verdict
 from ponddoor.obligations.violations import Invariant, Violations
 
 # A session may be handed over at a server that the server list names only later
@@ -35,6 +36,11 @@
 log = structlog.get_logger("servers")
 
 
+def _send_any(now: int, session: str, reads_awaited: int) -> Verdict:
+    """Where no requests of viewers are kept."""
+    return Verdict.SEND
+
+
 @dataclass(slots=True)
 class Servers:
     """All servers of one front. `apply` calls the engine with the current time and executes its effects.
@@ -55,6 +61,7 @@
     setups_enabled: bool = False
     closing: bool = False
     violations: Violations = field(default_factory=Violations)
+    judge_setup: JudgeSetup = _send_any
     early_ends: EarlyEnds[int] = field(default_factory=EarlyEnds)  # by server
     # Links with a connection, open or being opened, the least recently used first
     open_links: dict[ServerLink, None] = field(default_factory=dict)
--- a/ponddoor/obligations/violations.py
+++ b/ponddoor/obligations/violations.py
@@ -10,6 +10,7 @@
 
     LEGAL_TRANSITION = "legal-transition"  # a record changes only as `sessions.ALLOWED_TRANSITIONS` permits
     ONE_ANSWER = "one-answer"  # a request is answered once
+    FORWARDED_WHILE_OPEN = "forwarded-while-open"  # a SETUP is written while its request is open
     ANSWERED_IN_TIME = "answered-in-time"  # a request is answered by its deadline
     LEASE_IN_TIME = "lease-in-time"  # no session stands at a server whose lease is over
     CLOSED_WITHOUT_WAITING = "closed-without-waiting"  # no connection is closed while a request is open on it
