Half-close: of a connection that was reset it does not end the process

Cause: `write_eof` shuts the socket down at once, which fails where a reset has come that is not read yet; in the tick nothing caught it. Lines: ServerConnection.half_close, ViewerConnection.finish, the HTTP server's close_write, all of which now call `web/half_close.py`.

The class: an error in a periodic check ended `Node.run`. Each check of the tick is now logged as `check-failed`, counted as a fault, and the others go on; the soak takes the line for a violation.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -5,7 +5,7 @@
 import resource
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -202,9 +202,18 @@
             await within(max(due - clock(), 0) / SECOND, self._shutdown_requested.wait())
 
     def _tick(self, now: int) -> None:
-        self.servers.tick(now, min(SERVER_IDLE_LIMIT_US, 2 * self.settings.server_idle_timeout_us // 3))
-        self.viewers.tick(now)
-        self.reserve.refill()
+        idle_limit = min(SERVER_IDLE_LIMIT_US, 2 * self.settings.server_idle_timeout_us // 3)
+        self._check("servers", lambda: self.servers.tick(now, idle_limit))
+        self._check("viewers", lambda: self.viewers.tick(now))
+        self._check("descriptors", self.reserve.refill)
+
+    def _check(self, part: str, check: Callable[[], None]) -> None:
+        """Run one periodic check. An error in it must not end the process with all requests that it holds."""
+        try:
+            check()
+        except Exception:
+            self.engine.counts.faults += 1
+            log.exception("check-failed", part=part)
 
     async def _shut_down(self, drain: DrainSchedule) -> None:
         """Go through the phases of the shutdown, each from its time in the schedule on."""
--- a/ponddoor/node/server_connection.py
+++ b/ponddoor/node/server_connection.py
@@ -8,6 +8,7 @@
 from ponddoor.front.pump import SECOND, clock
 from ponddoor.node import server_codec as codec
 from ponddoor.node.lines import LineReader, UnreadableError
+from ponddoor.web.half_close import half_close
 
 USEFUL_AFTER_US = SECOND  # a connection that ends sooner, without any message, counts as a failure
 # A release was read by the server if its connection, if it works, stayed open for this long afterwards
@@ -97,7 +98,7 @@
     def half_close(self) -> None:
         """Close the sending direction: written data is still sent, and the server's data still received."""
         if self.transport is not None and self.transport.can_write_eof() and not self.transport.is_closing():
-            self.transport.write_eof()
+            half_close(self.transport)
 
     @property
     def unsent_bytes(self) -> int:
--- a/ponddoor/node/viewer_connection.py
+++ b/ponddoor/node/viewer_connection.py
@@ -10,6 +10,7 @@
 
 from ponddoor.front.pump import SECOND, clock
 from ponddoor.node import viewer_codec as codec
+from ponddoor.web.half_close import half_close
 
 PARTIAL_MESSAGE_TIMEOUT_US = 3 * SECOND // 2  # from the first byte of a message to its last
 SILENT_CONNECTION_TIMEOUT_US = 2 * SECOND  # for a connection that has sent no valid message since it opened
@@ -113,7 +114,7 @@
             return
         if linger and not self.transport.is_closing():
             self.finishing = True
-            self.transport.write_eof()
+            half_close(self.transport)
         else:
             self.transport.close()
         if self.finishing or self.transport.get_write_buffer_size():
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -240,7 +240,7 @@
             for line in node.log_lines("invariant-violated"):
                 if "answered-in-time" not in line:
                     self.oracle.broken("invariant", ended_at, f"node {node.number}: {line.strip()[:300]}")
-            for line in node.log_lines("effect-failed"):
+            for line in (*node.log_lines("effect-failed"), *node.log_lines("check-failed")):
                 self.oracle.broken("invariant", ended_at, f"node {node.number}: {line.strip()[:300]}")
 
     def _outcome(self, ended_at: float) -> Outcome:
--- a/ponddoor/web/server.py
+++ b/ponddoor/web/server.py
@@ -15,6 +15,7 @@
 import h11
 import msgspec
 
+from ponddoor.web.half_close import half_close
 from ponddoor.web.timing import read_within
 from ponddoor.web.unread import has_unread
 
@@ -230,7 +231,7 @@
         """Send the end of the stream; the client can still read what was sent, and close."""
         self.write_closed = True
         if not self.writer.transport.is_closing():
-            self.writer.write_eof()
+            half_close(self.writer.transport)
 
     async def run(self) -> bool:
         """Serve until the connection ends. Returns whether the last response may still be unread."""
