Listener: a node that stood still until its end accepts the backlog all the same

Cause: `Listener.close` looked at the clock before the backlog, so after a stall it closed the socket without one accept, and the kernel reset what had come. The class is that of the timers: time was judged before what had come was read.

--- a/ponddoor/node/listener.py
+++ b/ponddoor/node/listener.py
@@ -66,16 +66,20 @@
     async def close(self, until: float) -> None:
         """Accept all connections in the backlog, then stop listening, by `until` (loop time) at the latest.
 
-        Closing a listener resets the connections in its backlog and loses data sent on them. This can still
-        happen to a connection that comes up in the microseconds between the last accept and the close."""
+        Where that is over, as after a stall, a full backlog is still accepted: its connections have been
+        taken by this machine, and requests on them have to be answered. Closing a listener resets the
+        connections in its backlog and loses data sent on them. This can still happen to a connection that
+        comes up in the microseconds between the last accept and the close."""
         loop = asyncio.get_running_loop()
         if self._socket is None:
             return
         loop.remove_reader(self._socket)
-        while loop.time() < until:
-            accepted = [self._accept() for _ in range(ACCEPT_BATCH_SIZE)]
-            if not any(accepted):
+        count = 0
+        while count < LISTEN_BACKLOG or loop.time() < until:
+            accepted = sum(self._accept() for _ in range(ACCEPT_BATCH_SIZE))
+            if not accepted:
                 break
+            count += accepted
             await asyncio.sleep(0)
         loop.remove_reader(self._socket)
         self._socket.close()
