Requests: time counts from when they may have come, not from when they were read

What callers saw: requests answered up to 1.9 s too late, or after their viewers had stopped waiting, by a node that ran at their time (rule `lost`). Cause: the deadline was set from the clock at the reading. A node that had stood still for 1.7 s read what had come meanwhile as new, and refused those that waited for cold servers as their time, by its count, came to its end.

The soak had excused them: its oracle added all time that a process was stopped to a request's limit. It now extends a limit only if it falls into a pause or the 0.2 s behind it.

Now the node samples its loop's lag each 50 ms, and takes the lag at the reading off the time of a request: an overdue sample counts before it runs, so what is read first after a stall is taken for as old as the stall. Why this works: what is read can't have come before the loop last ran, and time is never overestimated.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -16,7 +16,7 @@
 from ponddoor.front.acting import ActiveMechanisms, server_account
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
-from ponddoor.front.limits import AdmissionGate, LagMeter
+from ponddoor.front.limits import SAMPLE_PERIOD_US, AdmissionGate, LagMeter
 from ponddoor.front.pump import SECOND, Pump, clock
 from ponddoor.front.reconnect import ReconnectSchedule
 from ponddoor.front.roster import ListChange, Roster
@@ -95,6 +95,7 @@
         self.acting = ActiveMechanisms()
         self.memory = MemoryGauge()
         self.drain: DrainSchedule | None = None
+        self._lag_timer: asyncio.TimerHandle | None = None
         self._shutdown_requested = asyncio.Event()
         self._max_lag_us = 0
 
@@ -176,6 +177,8 @@
         setups_enabled_after = 2 * self.settings.facts.rules.drain_grace / 3 / SECOND
         asyncio.get_running_loop().call_later(setups_enabled_after, self.servers.enable_setups)
         self._follow_signals(path, early)
+        self.engine.gate.lag.due = clock()
+        self._sample_lag()
         await self.viewers.start(*self.settings.listen)
         self.viewers.ready = True
         log.debug("facts", facts=self.settings.facts, limits=self.settings.socket_limit)
@@ -196,6 +199,10 @@
                 self._log_state()
         await self._shut_down(self.drain)
 
+    def _sample_lag(self) -> None:
+        self.engine.gate.lag.tick(clock())
+        self._lag_timer = asyncio.get_running_loop().call_later(SAMPLE_PERIOD_US / SECOND, self._sample_lag)
+
     async def _wait_until(self, due: int) -> None:
         """Sleep until `due` or the beginning of the shutdown."""
         with contextlib.suppress(TimeoutError):
@@ -278,6 +285,8 @@
         self.discovery.close()
         self.gossip.close()
         self.pump.close()
+        if self._lag_timer is not None:
+            self._lag_timer.cancel()
         self.reserve.close()
         self._log_state()
         log.info("node-ended")
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -279,7 +279,9 @@
     def _receive(self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest) -> None:
         """Register a request, to be submitted in its turn."""
         read_at = clock()
-        self.sessions.receive(read_at, session, connection, viewer_request.wait)
+        # It may have come at any time since the event loop ran last, as after a stall
+        wait = viewer_request.wait - self.engine.gate.lag.lag(read_at)
+        self.sessions.receive(read_at, session, connection, wait)
         request = ReceivedRequest(connection, session, viewer_request, read_at)
         if self.sessions.received_count + self.engine.requests_in_hand <= self.engine.gate.limits.in_hand:
             self._admission.received(request)
@@ -293,10 +295,11 @@
 
     def _submit(self, request: ReceivedRequest) -> bool:
         """Submit a request to the engine, or refuse it if its time is up. Returns False if it has ended."""
-        if not self._is_received(request):
-            return False
         now, session = clock(), request.session
-        wait = request.viewer_request.wait - (now - request.read_at)
+        record = self.sessions.find(session)
+        if record is None or not self._is_received(request):
+            return False
+        wait = record.deadline - now
         if self.drain is not None:
             wait = self.drain.limit_wait(now, wait)
         if wait <= 0:
--- a/ponddoor/soak/oracle.py
+++ b/ponddoor/soak/oracle.py
@@ -31,6 +31,7 @@
 READY_S = 10.0
 START_FAILED_S = 30.0
 MAX_ATTEMPTS = 3
+AFTER_PAUSE_S = 0.2  # within which a process that runs again answers what is due
 LAG_AROUND_S = 0.2  # a lateness of the stand-ins counts so long before and after it was noted
 
 
@@ -110,7 +111,7 @@
             kinds = ", ".join(kind.value for _, kind in request.answers)
             self.broken("one answer", request.answers[1][0], f"{request.id} was answered {kinds}")
         limit = request.deadline_at + LATE_ANSWER_S + SLACK_S
-        limit = _in_running_time(request.life, request.sent_at, limit)
+        limit = _once_running(request.life, limit)
         limit += self.lateness(request.sent_at, min(limit, ended_at))
         if request.answers:
             at, kind = request.answers[0]
@@ -336,6 +337,15 @@
     return extended
 
 
+def _once_running(life: NodeLife, limit: float) -> float:
+    """A limit, or shortly after the end of the pause in which it falls: a process that runs at its limit has
+    to keep it, however long it was stopped before."""
+    for begin, end in sorted(life.pauses):
+        if begin - AFTER_PAUSE_S <= limit <= end + AFTER_PAUSE_S:
+            limit = end + AFTER_PAUSE_S
+    return limit
+
+
 def _connected(life: NodeLife, since: float, until: float) -> bool:
     """Whether one connection of viewers was open through the whole span."""
     return any(opened <= since and ended >= until for opened, ended in life.connected)
--- a/ponddoor/soak/overload.py
+++ b/ponddoor/soak/overload.py
@@ -1,6 +1,7 @@
 """Overload of one node in a soak run: a share of a core, usual viewers, and a bad client beside them."""
 
 import asyncio
+import signal
 
 from ponddoor.soak.plan import Overload
 from ponddoor.soak.processes import NodeProcess
@@ -12,6 +13,7 @@
 BURST_INTERVAL_S = 1.5
 BURST_TAKEN_BACK_AFTER_S = 0.7
 RECONNECT_S = 0.05
+STALL_INTERVAL_S = 4.0
 
 
 def set_rates(pools: list[ViewerPool], overload: Overload) -> None:
@@ -31,6 +33,18 @@
         await asyncio.sleep(CORE_CYCLE_S * (1 - share))
 
 
+async def stand_still(node: NodeProcess, seconds: float) -> None:
+    """Stop the node's process for some seconds, again and again."""
+    while seconds:
+        await asyncio.sleep(STALL_INTERVAL_S - seconds)
+        if not node.busy:
+            node.send(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            node.send(signal.SIGCONT)
+        else:
+            await asyncio.sleep(seconds)
+
+
 async def send_bursts(pool: ViewerPool, count: int) -> None:
     """A bad client: hundreds of set-ups in one write, all taken back, and the same again."""
     while count and not pool.stopping:
--- a/ponddoor/soak/plan.py
+++ b/ponddoor/soak/plan.py
@@ -18,7 +18,8 @@
 UNSEEN_LOSSES = ("releases", "all_but_answers")  # beside set-ups that are answered
 UNSEEN_LOSS_S = 1.0
 DOWN_S = (0.2, 1.5)  # of a node in a restart
-CORE_SHARES = (0.1, 0.25, 0.25, 0.5)
+CORE_SHARES = (0.1, 0.25, 0.25, 0.5, 1.0)
+STALLS_S = (0.0, 0.5, 1.7)  # "stand still for 1,300 to 2,000 ms", of nodes with half of a core or more
 OVERLOAD_SETUPS_PER_S = (25.0, 50.0, 90.0)
 BURST_SETUPS = 300  # "hundreds of requests at once" (DAYS.md)
 OVERLOAD_STREAMS = 47  # of a server: cold, it takes so few set-ups that requests wait for it
@@ -107,6 +108,7 @@
     core_share: float  # of its process; 1: all of a core
     setups_per_s: float  # of its usual viewers
     burst: int  # set-ups that a bad client writes at once and takes back together; 0: no such client
+    stall_s: float = 0.0  # for so long the process stands still, again and again; 0: never
 
 
 class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -303,7 +305,9 @@
 def draw_overload(seed: int, seconds: float) -> Plan:
     """An overloaded node; every second seed with faults of nodes and viewers beside that."""
     rng = Random(seed)
-    load = Overload(0, rng.choice(CORE_SHARES), rng.choice(OVERLOAD_SETUPS_PER_S), BURST_SETUPS)
+    core_share, setups_per_s = rng.choice(CORE_SHARES), rng.choice(OVERLOAD_SETUPS_PER_S)
+    stall_s = rng.choice(STALLS_S) if core_share >= 0.5 else 0.0
+    load = Overload(0, core_share, setups_per_s, rng.choice((0, BURST_SETUPS, BURST_SETUPS)), stall_s)
     once = rng.random() < 0.3
     faults = list[Fault]()
     if seed % 2 == 0:
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -18,7 +18,7 @@
 from ponddoor.soak.conditions import SOUND
 from ponddoor.soak.discovery import ANY_HOST, ANY_NETWORK, FIRST_NETWORK, Discovery, Member, State
 from ponddoor.soak.oracle import Oracle
-from ponddoor.soak.overload import send_bursts, set_rates, share_core
+from ponddoor.soak.overload import send_bursts, set_rates, share_core, stand_still
 from ponddoor.soak.plan import Fault, Plan, ServerFault
 from ponddoor.soak.processes import NODE, NodeProcess
 from ponddoor.soak.records import FOREVER, AnswerKind, NodeLife, Session, Violation
@@ -150,7 +150,12 @@
             return
         set_rates(self.pools, overload)
         node, pool = self.nodes[overload.node], self.pools[overload.node]
-        for work in (share_core(node, overload.core_share), send_bursts(pool, overload.burst)):
+        works = (
+            share_core(node, overload.core_share),
+            stand_still(node, overload.stall_s),
+            send_bursts(pool, overload.burst),
+        )
+        for work in works:
             task = asyncio.create_task(work)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -25,6 +25,7 @@
 
 from ponddoor.front import effects as fx
 from ponddoor.front.effects import ViewerRequest
+from ponddoor.front.limits import LagMeter
 from ponddoor.front.pump import Pump, clock
 from ponddoor.front.reconnect import ReconnectSchedule
 from ponddoor.interface import words
@@ -280,6 +281,21 @@
     run_steps(harness, steps, unguarded)
 
 
+def test_time_that_a_request_may_have_waited_unread_is_taken_off_its_own(harness: Harness) -> None:
+    late_us = 400_000
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        viewer = await connect_proven_viewer(harness)
+        harness.monkeypatch.setattr(LagMeter, "lag", lambda meter, now: late_us)
+        viewer.send(setup_request("1"))
+        assert await sessions_set_up(harness, "1") == [session_id("1")]
+        session = harness.node.engine.find(session_id("1"))
+        assert session is not None and session.request.wait <= 3_000_000 - late_us
+
+    run_steps(harness, steps)
+
+
 def test_node_does_not_exit_before_a_request_that_is_not_submitted_yet(harness: Harness) -> None:
     drained = list[bool]()
 
--- a/tests/soak/test_overload.py
+++ b/tests/soak/test_overload.py
@@ -24,6 +24,15 @@
     assert not broken, "\n".join(broken)
 
 
+def test_requests_that_came_while_a_node_stood_still_are_answered_in_their_time(tmp_path: Path) -> None:
+    """Their time was counted from when they were read: those that waited were answered 1.3 s too late."""
+    load = Overload(0, 1.0, 25.0, 0, stall_s=1.7)
+    run = SoakRun(overload(1, SECONDS, load), tmp_path)
+    outcome = asyncio.run(run.play())
+    lost = [one.what for one in outcome.violations if one.rule == "lost"]
+    assert not lost, "\n".join(lost)
+
+
 def test_no_rule_is_broken_at_an_overloaded_node_under_overlapping_faults(tmp_path: Path) -> None:
     async def both() -> list[str]:
         runs = []
