Shutdown: scheduled from when SIGTERM may have come, not from when it was handled

What callers saw: set-ups without an answer at SIGKILL, sent 1.9 to 2.5 s after SIGTERM on open connections (rule `lost`), at a node that had stood still as SIGTERM came. Cause: the schedule began as the loop ran again, 1.8 s late, so requests were forwarded and waited beyond the page's earliest SIGKILL. The class is that of the requests' time: an event was dated by its handling.

Now the time of the signal is the handling less the lag of the loop. Why this works: the signal can't have come before the loop last ran, so the schedule ends before SIGKILL at the latest.

`terminate_in_stall` is among the drawn faults of `--kind overload`.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -135,15 +135,17 @@
             self.discovery.move_to(address)
 
     def begin_shutdown(self, signalled_at: int | None = None) -> None:
-        """Begin the shutdown. `signalled_at` is the time of the signal, by default now.
+        """Begin the shutdown. `signalled_at` is the time of the signal, by default that of the event loop's
+        last turn: a signal that came while the process stood still is handled after that.
 
         Does nothing if the shutdown has begun already."""
         if self.drain is not None:
             return
+        if signalled_at is None:
+            now = clock()
+            signalled_at = now - self.engine.gate.lag.lag(now)
         longest_timeout = max(group.setup_timeout for group in self.settings.facts.groups)
-        self.drain = DrainSchedule.after_sigterm(
-            clock() if signalled_at is None else signalled_at, longest_timeout
-        )
+        self.drain = DrainSchedule.after_sigterm(signalled_at, longest_timeout)
         self.viewers.drain = self.drain
         self._shutdown_requested.set()
         log.info(
--- a/ponddoor/soak/plan.py
+++ b/ponddoor/soak/plan.py
@@ -26,6 +26,7 @@
 
 FaultKind = Literal[
     "terminate",  # SIGTERM, then SIGKILL at the earliest moment that the page allows, then a new process
+    "terminate_in_stall",  # likewise, with the process stopped from before SIGTERM on, for some time
     "kill",  # SIGKILL, then a new process
     "reload",  # SIGHUP, twice in a row, with another address of discovery
     "reload_in_drain",  # SIGTERM, then SIGHUP and a second SIGTERM
@@ -58,6 +59,7 @@
 MANY_SERVERS_KINDS = ("list_changes", "list_halves", "list_wholes", "servers_replaced", "servers_reset")
 OVERLOAD_FAULTS: tuple[FaultKind, ...] = (
     "terminate",
+    "terminate_in_stall",
     "kill",
     "pause",
     "starve",
@@ -70,7 +72,9 @@
     "client_pieces",
 )
 FAULT_KINDS: tuple[str, ...] = tuple(
-    kind for kind in FaultKind.__args__ if kind not in MANY_SERVERS_KINDS  # type: ignore[attr-defined]
+    kind
+    for kind in FaultKind.__args__  # type: ignore[attr-defined]
+    if kind not in (*MANY_SERVERS_KINDS, "terminate_in_stall")
 )  # fmt: skip
 
 
--- a/ponddoor/soak/run.py
+++ b/ponddoor/soak/run.py
@@ -31,6 +31,7 @@
 BUSY_PROCESSES = 6
 CHANGES_A_SECOND, ROWS_OF_A_CHANGE = 5, 20
 REPLACED_STEPS = 5
+MAX_STALL_S = 2.0
 SERVER_MODES = {
     "server_hangs": Mode.HANGS,
     "server_silent": Mode.SILENT,
@@ -306,6 +307,7 @@
         else:
             handlers: dict[str, Callable[[Fault], Awaitable[None]]] = {
                 "terminate": self._terminate,
+                "terminate_in_stall": self._terminate_in_stall,
                 "kill": self._kill,
                 "reload": self._reload,
                 "reload_in_drain": self._reload_in_drain,
@@ -346,6 +348,16 @@
     async def _terminate(self, fault: Fault) -> None:
         await self._restart(fault, NodeProcess.terminate)
 
+    async def _terminate_in_stall(self, fault: Fault) -> None:
+        async def end(node: NodeProcess) -> None:
+            node.send(signal.SIGSTOP)
+            ending = asyncio.create_task(node.terminate())
+            await asyncio.sleep(min(fault.seconds, MAX_STALL_S))
+            node.send(signal.SIGCONT)
+            await ending
+
+        await self._restart(fault, end)
+
     async def _kill(self, fault: Fault) -> None:
         await self._restart(fault, NodeProcess.kill)
 
--- a/tests/soak/test_overload.py
+++ b/tests/soak/test_overload.py
@@ -3,9 +3,10 @@
 import asyncio
 from pathlib import Path
 
+import msgspec
 import pytest
 
-from ponddoor.soak.plan import BURST_SETUPS, Overload, draw_overload, overload
+from ponddoor.soak.plan import BURST_SETUPS, Fault, Overload, draw_overload, overload
 from ponddoor.soak.run import SoakRun
 
 SECONDS, RANDOM_SECONDS = 20.0, 14.0
@@ -33,6 +34,18 @@
     assert not lost, "\n".join(lost)
 
 
+def test_requests_are_answered_before_sigkill_if_sigterm_came_in_a_stall(tmp_path: Path) -> None:
+    """The shutdown was scheduled from when the signal was handled: set-ups waited beyond SIGKILL."""
+    faults = tuple(Fault("terminate_in_stall", 2.0 + node / 4, 1.8, node) for node in range(3))
+    deaths = tuple(Fault("server_dies", 1.0, 0.1, server) for server in range(3))
+    load = Overload(0, 1.0, 50.0, 0)
+    made = overload(1, SECONDS / 2, load, faults)
+    made = msgspec.structs.replace(made, faults=tuple(sorted((*deaths, *faults), key=lambda one: one.at)))
+    outcome = asyncio.run(SoakRun(made, tmp_path).play())
+    broken = [f"{one.rule}: {one.what}" for one in outcome.violations]
+    assert not broken, "\n".join(broken)
+
+
 def test_no_rule_is_broken_at_an_overloaded_node_under_overlapping_faults(tmp_path: Path) -> None:
     async def both() -> list[str]:
         runs = []
