Restart told late: sessions set up at the new process are released at it too

Cause: as the list tells of a server's new process, `apply_list_change` ends all sessions there as those of the process before. Those that were set up between its start and the list's event stand at it, and nothing was sent to it.

Now those that were set up after the start that the list names, less a second for the clocks, are released at the new process as they are ended.

Open: sessions that stand are still cut there, which no rule forbids; a new server at the address of another id (join+mass) is not mended.

--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
@@ -13,7 +14,7 @@
 from ponddoor.front.effects import Effect
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, Apply, clock
-from ponddoor.front.roster import ListChange
+from ponddoor.front.roster import Entry, ListChange
 from ponddoor.interface import events as ev
 from ponddoor.node.board_codec import server_id
 from ponddoor.node.server_connection import ServerConnection
@@ -32,6 +33,7 @@
 MAX_IDS_LOGGED = 20  # session ids in one log line
 # A lease that is still in use this long after its end should have been ended by `tick`: an internal fault
 LEASE_OVERDUE_AFTER_US = SECOND // 2
+START_TIME_TOLERANCE_US = SECOND  # between a server's clock and ours
 FLUSH_POLL_S = 0.01
 log = structlog.get_logger("servers")
 
@@ -145,11 +147,8 @@
                 self._server_listed(self.links[number])
             elif (link.entry.address, link.entry.started_us) == process:
                 link.entry = entry
-            else:  # another process, which does not have the sessions of the previous one
-                self.links[number] = ServerLink(self, number, entry)
-                self.end_sessions(link, "another process at its address")
-                self.early_ends.all_ended(clock(), number)
-                self._discard(link)
+            else:
+                self._process_replaced(link, entry)
         for number in change.gone:
             if (link := self.links.get(number)) is None:
                 continue
@@ -160,6 +159,24 @@
             self._active_links[link] = None
             self._remove_if_unused(link)
 
+    def _process_replaced(self, link: ServerLink, entry: Entry) -> None:
+        """The list tells of another process, which does not have the sessions of the previous one.
+
+        Those that were set up after its start, before the list told of it, stand there: all are ended, so
+        these have to be released at it."""
+        now, number = clock(), link.number
+        fresh = self.links[number] = ServerLink(self, number, entry)
+        started_at = entry.started_us + now - time.time_ns() // 1000
+        if entry.address == link.entry.address:
+            for held in self.engine.sessions_at(number):
+                if held.standing_since >= started_at - START_TIME_TOLERANCE_US:
+                    fresh.queue_release(held.sess)
+        self.end_sessions(link, "another process at its address")
+        self.early_ends.all_ended(now, number)
+        self._discard(link)
+        if fresh.pending_releases:
+            fresh.connect_staggered()
+
     def _remove_if_unused(self, link: ServerLink) -> None:
         """Remove the link to a server that is gone, once no session or message depends on it."""
         busy = self.engine.has_sessions_at(link.number) or link.queued or link.has_setups
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -191,6 +191,28 @@
     run_steps(harness, steps)
 
 
+def test_session_set_up_at_a_new_process_before_the_list_tells_of_it_is_released_there(
+    harness: Harness,
+) -> None:
+    """It was ended at its viewer as one of the process before, and left standing at the server."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        await harness.step("b", "is-watched", "1")
+        viewer = await connect_proven_viewer(harness)
+        started_ms = str(time.time() * 1000)
+        viewer.send(setup_request("1"))
+        await harness.step("S", "receives", "new", "1")
+        await harness.step("S", "answers", "1")
+        await harness.step("node", "holds", "sessions=1", "standing=1")
+        session = harness.node.engine.find(session_id("1"))
+        assert session is not None
+        await harness.step("b", "sends-change", "2", str(session.server), "in_service", started_ms)
+        await harness.step("S", "receives", "down", "1", f"c={ENDED_BY_VIEWER}")
+
+    run_steps(harness, steps)
+
+
 @pytest.mark.parametrize("gone", ["removed", "refuses"])
 def test_session_at_a_server_that_is_gone_before_the_hand_over_is_released(
     harness: Harness, gone: str
