Admission: a turn counts 100 ms at most, so a stall does not refuse what follows

Cause: a stall of the process between two turns was taken for the cost of the four requests of the first, and the mean of the next 64 rose to 5 ms and more for one of 0.3 s: requests behind it were refused that could be worked off.

tests/node/test_admission.py, ..._behind_a_single_stall_are_not_refused: fails with the bound taken out, passes with it (three runs).

--- a/ponddoor/node/admission.py
+++ b/ponddoor/node/admission.py
@@ -12,6 +12,7 @@
 
 MAX_SUBMITTED_PER_TURN = 4
 MAX_SUBMITTED_WHILE_BEHIND = 1  # fewer than the timers that run in a turn, so that these catch up
+MAX_TURN_COST_US = 100_000  # a longer turn is a stall: it says nothing of the requests that come next
 MAX_REFUSED_PER_TURN = 8  # a refusal takes about a tenth of the work of a decision
 
 
@@ -81,17 +82,20 @@
         self._turn_scheduled = False
         now = clock()
         if self._submitted_last:
-            self.cost.record(now - self._last_turn_at, self._submitted_last)
+            self._record_cost(now - self._last_turn_at)
         self._refuse_excess()
         self._last_turn_at, self._submitted_last = now, 0
         limit = MAX_SUBMITTED_WHILE_BEHIND if self.is_behind(now) else MAX_SUBMITTED_PER_TURN
         while self._submitted_last < limit and (request := self.queue.take()) is not None:
             self._submitted_last += self.submit(request)
         if not self.queue:  # the time until the next request comes is no work
-            self.cost.record(clock() - now, self._submitted_last)
+            self._record_cost(clock() - now)
             self._submitted_last = 0
         self._schedule_turn()
 
+    def _record_cost(self, elapsed_us: int) -> None:
+        self.cost.record(min(elapsed_us, MAX_TURN_COST_US), self._submitted_last)
+
     def _refuse_excess(self) -> None:
         max_waiting = max(self.max_wait / self.cost.mean_us, MAX_SUBMITTED_PER_TURN)
         for _ in range(MAX_REFUSED_PER_TURN):
--- a/tests/node/test_admission.py
+++ b/tests/node/test_admission.py
@@ -17,6 +17,7 @@
 REQUEST = ViewerRequest("t", 0, 0, 0, 4, 2, 3 * SECOND, None, 1, False, False, "")
 MAX_WAIT_US = SECOND // 2
 BURST = 300
+STALL_S = 0.3
 
 
 class Worker:
@@ -79,6 +80,22 @@
     assert asyncio.run(run()).refused == []
 
 
+def test_requests_behind_a_single_stall_are_not_refused() -> None:
+    async def run() -> Worker:
+        worker = Worker(0.0)
+        worker.receive("before", BURST)
+        await worker.drain(BURST)
+        worker.receive("stalled", 20)
+        worker.cost_s = STALL_S
+        await worker.drain(BURST + 1)
+        worker.cost_s = 0.0
+        worker.receive("behind", BURST // 3)
+        await worker.drain(BURST + 20 + BURST // 3)
+        return worker
+
+    assert asyncio.run(run()).refused == []
+
+
 def test_other_callbacks_run_between_a_few_requests_of_a_burst() -> None:
     async def run(is_behind: bool) -> int:
         worker = Worker(0.0)
