Log: request-ended has the SETUPs that were sent, also of requests that are refused

Cause: the line asked the engine, which has closed a session before its answer is carried out; only sessions that play were right. on-call.md reads "no attempt" as a wait for cold servers, so the line misled. Now the record has the number and the time of the first SETUP, noted by the rule that lets it be written.

The bounds of lines a second stay 100 of late requests and 100 of the rest.

tests/node/test_crossings.py, test_log_line_of_a_refused_request_...: failed with 0 in place of 3, passes now.

--- a/ponddoor/node/session_log.py
+++ b/ponddoor/node/session_log.py
@@ -3,22 +3,21 @@
 
 `ponddoor timeline` joins these lines with those about connections to servers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
 from ponddoor.front.pump import SECOND, clock
 from ponddoor.node.board_codec import server_id
 
-MAX_LINES_PER_SECOND = 100
-MAX_LATE_LINES_PER_SECOND = 100  # beside those
+MAX_LINES_PER_SECOND = 100  # of requests that are late, and as many of all else
 log = structlog.get_logger("sessions")
 
 
 @dataclass(frozen=True, slots=True)
 class RequestEnd:
     """How a request ended. Times in microseconds of the front's clock; `submitted_at` is None if it never
-    reached the decisions, `setup_sent_at` if no SETUP was sent."""
+    reached the decisions, `setup_sent_at`, of the first SETUP, if none was sent."""
 
     session: str
     connection: int
@@ -38,31 +37,35 @@
 
     def fields(self) -> dict[str, object]:
         """What is logged: milliseconds from one step to the next."""
-        steps = (self.received_at, self.submitted_at, self.setup_sent_at, self.ended_at)
-        taken = [step for step in steps if step is not None]
-        names = [
-            name
-            for name, step in zip(("received", "queued_ms", "decided_ms", "rest_ms"), steps, strict=True)
-            if step is not None
-        ]
-        waits = {
-            name: (step - before) // 1000
-            for name, before, step in zip(names[1:], taken[:-1], taken[1:], strict=True)
+        fields: dict[str, object] = {
+            "viewer_connection": self.connection,
+            "how": self.how,
+            "why": self.reason,
+            "attempts": self.attempts,
+            "left_ms": (self.deadline - self.ended_at) // 1000,
         }
-        return {
-            "viewer_connection": self.connection, "how": self.how, "why": self.reason,
-            "attempts": self.attempts, **waits, "left_ms": (self.deadline - self.ended_at) // 1000,
-        }  # fmt: skip
+        since = self.received_at
+        steps = (
+            ("queued_ms", self.submitted_at),
+            ("decided_ms", self.setup_sent_at),
+            ("rest_ms", self.ended_at),
+        )
+        for name, at in steps:
+            if at is not None:
+                fields[name] = (at - since) // 1000
+                since = at
+        return fields
 
 
 @dataclass(slots=True)
 class SessionLog:
-    """Writes at most MAX_LINES_PER_SECOND lines, and counts the lines dropped beyond that."""
+    """Writes at most MAX_LINES_PER_SECOND lines of either kind, and counts the lines dropped beyond that."""
 
     lines_dropped: int = 0
     _second: int = 0
-    _lines: int = 0
-    _late_lines: int = 0
+    _lines: dict[bool, int] = field(
+        default_factory=dict
+    )  # in this second, by whether they are of late requests
 
     def request_ended(self, end: RequestEnd) -> None:
         """A request was answered or taken back, or ended with its connection."""
@@ -83,12 +86,9 @@
     def _write(self, event: str, session: str, late: bool = False, **fields: object) -> None:
         second = clock() // SECOND
         if second != self._second:
-            self._second, self._lines, self._late_lines = second, 0, 0
-        self._lines += not late
-        self._late_lines += late
-        if (self._late_lines if late else self._lines) > (
-            MAX_LATE_LINES_PER_SECOND if late else MAX_LINES_PER_SECOND
-        ):
+            self._second, self._lines = second, {}
+        self._lines[late] = self._lines.get(late, 0) + 1
+        if self._lines[late] > MAX_LINES_PER_SECOND:
             self.lines_dropped += 1
         else:
             log.info(event, session=session, **fields)
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -379,10 +379,9 @@
 
     def _log_request_end(self, session: str, how: str, reason: str) -> None:
         """Log the end of an open request, before it ends."""
-        record, held = self.sessions.find(session), self.engine.find(session)
+        record = self.sessions.find(session)
         if record is None or record.phase not in OPEN_PHASES or record.connection is None:
             return
-        attempts = 0 if held is None else held.attempt + 1
         self.session_log.request_ended(
             RequestEnd(
                 session,
@@ -391,8 +390,8 @@
                 reason,
                 record.received_at,
                 record.submitted_at,
-                held.setup_sent_at if held is not None and attempts else None,
-                attempts,
+                record.setup_sent_at,
+                record.setups_sent,
                 clock(),
                 record.deadline,
             )
--- a/ponddoor/obligations/sessions.py
+++ b/ponddoor/obligations/sessions.py
@@ -82,6 +82,8 @@
     connection: ConnectionT | None
     received_at: int = 0
     submitted_at: int | None = None
+    setup_sent_at: int | None = None  # the first SETUP
+    setups_sent: int = 0
     release_message: bytes = b""  # while the release is pending
     expects_ack: bool = True  # whether viewers acknowledge this kind of message
     sent_at: int | None = None  # None if the release has to be sent
@@ -176,6 +178,13 @@
         record.submitted_at = now
         return self._transition(record, now, Phase.WAITING, "submitted")
 
+    def setup_sent(self, now: int, session: str) -> None:
+        """Record that a SETUP for an open request is written to a server now."""
+        record = self._records[session]
+        record.setups_sent += 1
+        if record.setup_sent_at is None:
+            record.setup_sent_at = now
+
     def answer(self, now: int, session: str, stands: bool) -> ConnectionT | None:
         """Record the answer to a request; with `stands`, its session stands from now on.
 
--- a/ponddoor/obligations/setup_rule.py
+++ b/ponddoor/obligations/setup_rule.py
@@ -13,9 +13,6 @@
 ConnectionT = TypeVar("ConnectionT", bound=Hashable)
 
 
-JudgeSetup = Callable[[int, str, int], "Verdict"]  # the type of `SetupRule.judge`
-
-
 class Verdict(Enum):
     """What is to be done with a SETUP."""
 
@@ -25,6 +22,9 @@
     ENDED = "ended"  # its request was answered or withdrawn
 
 
+JudgeSetup = Callable[[int, str, int], Verdict]  # the type of `SetupRule.judge`
+
+
 @dataclass(slots=True)
 class SetupRule(Generic[ConnectionT]):
     """Judges by the state of the request at this moment, not at that of the decision.
@@ -36,7 +36,8 @@
     has_unread: Callable[[ConnectionT], bool]
 
     def judge(self, now: int, session: str, reads_awaited: int) -> Verdict:
-        """`reads_awaited` is how often this SETUP was judged AWAIT_READS before."""
+        """`reads_awaited` is how often this SETUP was judged AWAIT_READS before. One that is judged SEND is
+        recorded as sent."""
         record = self.sessions.find(session)
         if record is None or record.phase is not Phase.WAITING or record.connection is None:
             history = () if record is None else tuple(record.history)
@@ -49,4 +50,5 @@
         if reads_awaited < MAX_READS_AWAITED and self.has_unread(record.connection):
             self.sessions.count("setup-awaits-reads")
             return Verdict.AWAIT_READS
+        self.sessions.setup_sent(now, session)
         return Verdict.SEND
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -296,6 +296,28 @@
     run_steps(harness, steps)
 
 
+def test_log_line_of_a_refused_request_has_the_setups_that_were_sent_for_it(harness: Harness) -> None:
+    async def steps(harness: Harness) -> None:
+        harness.server_count = 1
+        await start_node(harness)
+        viewer = await connect_proven_viewer(harness)
+        with structlog.testing.capture_logs() as lines:
+            viewer.send(setup_request("1"))
+            await harness.step("S", "receives", "new", "1")
+            await harness.step("S", "ends", "1", "34")
+            await harness.step("S", "receives", "new", "1")
+            await harness.step("S", "ends", "1", "34")
+            await harness.step("S", "receives", "new", "1")
+            await harness.step("S", "ends", "1", "34")
+            while (await viewer.receive())[0] != 12:
+                pass
+        ends = [line for line in lines if line["event"] == "request-ended"]
+        assert [(line["how"], line["attempts"]) for line in ends] == [("busy", 3)]
+        assert "decided_ms" in ends[0]
+
+    run_steps(harness, steps)
+
+
 def test_node_does_not_exit_before_a_request_that_is_not_submitted_yet(harness: Harness) -> None:
     drained = list[bool]()
 
