Simpler: one look-up, one wait, a typed queue key; the soak's own duplicates go

Tried and taken back: an oracle that excuses no limit shortly before a pause. It broke test_a_pause_within_the_time_that_a_pause_gives_counts_too[11.94-False], which states that excuse.

--- a/ponddoor/decide.py
+++ b/ponddoor/decide.py
@@ -24,7 +24,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Hashable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
 
 from ponddoor.fleet.presence import Timing
@@ -36,8 +36,8 @@
 from ponddoor.interface.facts import Effect, Reporting, Scope, SiteFacts
 from ponddoor.interface.script import ResumeValue, Script, Subscript
 from ponddoor.server_table import ServerTable
-from ponddoor.setup_queue import QueueKey, SetupQueue
-from ponddoor.state import LONG_AGO, Arrivals, LinkState, RackLoad, SeededRandom, Server, Sess
+from ponddoor.setup_queue import SetupQueue
+from ponddoor.state import LONG_AGO, Arrivals, LinkState, QueueKey, RackLoad, SeededRandom, Server, Sess
 
 SECOND = 1_000_000  # in microseconds
 # Fraction of a link or uplink kept free for true rates above the ladder's and for raises by other fronts
@@ -110,7 +110,7 @@
         self.servers, self.by_rack = self.table.by_number, self.table.by_rack
         self.uplinks = [LinkState(facts.plant.uplink_kb) for _ in range(facts.plant.racks or 1)]
         self.sessions: dict[int, Sess] = {}
-        self.setup_queues: dict[Hashable, SetupQueue] = {}
+        self.setup_queues: dict[QueueKey, SetupQueue] = {}
         self.turns_until = LONG_AGO  # until when the heads of these queues have their turns
         self.seats_in_use: dict[tuple[int, int], int] = {}
         # Play time of all sessions together, and the number of sessions that have ended
@@ -1076,14 +1076,14 @@
         """Takes the session out of its queue, if it is in one, and wakes the first `woken` of those behind
         it. If it was the head, the next one is woken in any case, as that is the head now."""
         key, sess.queue_key = sess.queue_key, None
-        queue = None if key is None else self.setup_queues.get(key)
-        if key is None or queue is None:
+        if key is None:
             return
+        queue = self.setup_queues[key]
         was_head = queue.leave(sess)
         for behind in queue.first_asleep(max(woken, int(was_head))):
             yield act.Wake(behind.req.req_id, self.now)
         if not queue:
-            self.setup_queues.pop(key, None)
+            del self.setup_queues[key]
 
     def retry_at(self, sess: Sess) -> int:
         """When to try again to place a moved player, which can wait while it plays from its buffer; now, if
--- a/ponddoor/front/pump.py
+++ b/ponddoor/front/pump.py
@@ -24,6 +24,7 @@
 
 # Turns of the event loop until what the sockets hold is handled; a close is reported one turn later.
 LOOP_TURNS = 4
+MAX_TIMERS_PER_TURN = 16
 READ_TURNS = 2  # until every socket that was readable has been read once
 
 
@@ -35,9 +36,6 @@
     asyncio.get_running_loop().call_soon(scheduled)
 
 
-MAX_TIMERS_PER_TURN = 16
-
-
 class Pump:
     """Calls one engine and passes its effects to `carry_out`.
 
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -26,7 +26,7 @@
     ViewerConnection,
 )
 from ponddoor.obligations.drain import DrainSchedule
-from ponddoor.obligations.sessions import OPEN_PHASES, Phase, Sessions
+from ponddoor.obligations.sessions import OPEN_PHASES, Phase, Record, Sessions
 from ponddoor.obligations.violations import Violation, Violations
 from ponddoor.web.unread import has_unread
 
@@ -288,16 +288,18 @@
         else:  # over the limit: the engine answers busy at once
             self._submit(request)
 
-    def _is_received(self, request: ReceivedRequest) -> bool:
-        """Whether a request has not ended yet; its record may be that of a later one with the same id."""
+    def _find_received(self, request: ReceivedRequest) -> Record[ViewerConnection] | None:
+        """The record of a request that is not submitted yet; None if it has ended. The record found by its id
+        may be that of a later request."""
         record = self.sessions.find(request.session)
-        return record is not None and record.phase is Phase.RECEIVED and record.phase_since == request.read_at
+        is_same = record is not None and record.received_at == request.read_at
+        return record if record is not None and is_same and record.phase is Phase.RECEIVED else None
 
     def _submit(self, request: ReceivedRequest) -> bool:
         """Submit a request to the engine, or refuse it if its time is up. Returns False if it has ended."""
         now, session = clock(), request.session
-        record = self.sessions.find(session)
-        if record is None or not self._is_received(request):
+        record = self._find_received(request)
+        if record is None:
             return False
         wait = record.deadline - now
         if self.drain is not None:
@@ -312,7 +314,7 @@
 
     def _refuse(self, request: ReceivedRequest) -> None:
         """Refuse a request that this front can't work off in time."""
-        if self._is_received(request):
+        if self._find_received(request) is not None:
             self.count("overloaded")
             self.answer_now(request.session, "overloaded")
 
--- a/ponddoor/runtime/driver.py
+++ b/ponddoor/runtime/driver.py
@@ -121,11 +121,12 @@
                     self._wait_until(until, script, req_id, actions)
                     return
                 case WaitForPeerMessage(until):
-                    cookie = self._new_cookie(req_id)
+                    cookie = (
+                        self._new_cookie(req_id)
+                        if until is None
+                        else self._wait_until(until, script, req_id, actions)
+                    )
                     self._awaiting_message[cookie] = (script, req_id)
-                    if until is not None:
-                        self._timers[cookie] = (script, req_id)
-                        actions.append(SetTimer(until, cookie))
                     return
                 case Wake(other, at):
                     self._wake(other, at, actions)
@@ -141,10 +142,11 @@
             self._cookie_of_session[req_id] = self._last_cookie
         return self._last_cookie
 
-    def _wait_until(self, until: int, script: Script, req_id: int | None, actions: list[Action]) -> None:
+    def _wait_until(self, until: int, script: Script, req_id: int | None, actions: list[Action]) -> int:
         cookie = self._new_cookie(req_id)
         self._timers[cookie] = (script, req_id)
         actions.append(SetTimer(until, cookie))
+        return cookie
 
     def _wake(self, req_id: int, at: int, actions: list[Action]) -> None:
         """Let a session's script wait until `at` instead. The old timer finds nothing."""
--- a/ponddoor/setup_queue.py
+++ b/ponddoor/setup_queue.py
@@ -3,21 +3,10 @@
 import heapq
 import itertools
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from ponddoor.state import Sess
 
 
-class QueueKey(NamedTuple):
-    """Sessions with equal keys may be sent to the same servers at the same times."""
-
-    home: int
-    span: int
-    seats: tuple[int, int] | None  # None where seats are not counted
-    is_retry: bool
-    req_id: int  # of a session that has servers of its own, as its set-up may have run; otherwise 0
-
-
 @dataclass(slots=True)
 class SetupQueue:
     """Keeps each session at its position until it leaves.
--- a/ponddoor/soak/overload.py
+++ b/ponddoor/soak/overload.py
@@ -5,14 +5,13 @@
 
 from ponddoor.soak.plan import Overload
 from ponddoor.soak.processes import NodeProcess
-from ponddoor.soak.viewers import ViewerPool
+from ponddoor.soak.viewers import RECONNECT_S, ViewerPool
 
 CORE_CYCLE_S = 0.04  # within which a process runs for its share
 OTHER_SETUPS_PER_S = 4.0  # to each of the other nodes
 TAKE_BACK_SHARE, TAKE_BACK_WITHIN_S = 1 / 3, 1.5  # of usual viewers
 BURST_INTERVAL_S = 1.5
 BURST_TAKEN_BACK_AFTER_S = 0.7
-RECONNECT_S = 0.05
 STALL_INTERVAL_S = 4.0
 
 
--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -398,15 +398,13 @@
         limit = request.deadline_at - request.sent_at + GIVE_UP_GRACE_S + 2.0
         if pool.leaves_early and pool.rng.random() < 0.5:
             limit = pool.rng.uniform(0.0, 0.2)
-        elif pool.rng.random() < pool.take_back_share:
+        elif pool.take_back_share and pool.rng.random() < pool.take_back_share:
             limit = pool.rng.uniform(0.0, pool.take_back_within_s)
         loop.call_later(limit, self._give_up, request)
 
     def _give_up(self, request: Request) -> None:
         if request.id in self.waiting and self.open:
-            del self.waiting[request.id]
-            request.given_up_at = time.monotonic()
-            self.write(wire.release(request.id, wire.Cause.ENDED))
+            self.take_back([request])
 
     def reset(self) -> None:
         self._end(by_node=False)
--- a/ponddoor/state.py
+++ b/ponddoor/state.py
@@ -4,8 +4,8 @@
 
 import bisect
 import math
-from collections.abc import Hashable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ponddoor.fleet.evidence import Observation
 from ponddoor.interface import events as ev
@@ -44,6 +44,16 @@
         return self.known_demand[max(bisect.bisect_right(self.known_demand, (moment, math.inf)) - 1, 0)][1]
 
 
+class QueueKey(NamedTuple):
+    """Sessions with equal keys may be sent to the same servers at the same times."""
+
+    home: int
+    span: int
+    seats: tuple[int, int] | None  # None where seats are not counted
+    is_retry: bool
+    req_id: int  # of a session that has servers of its own, as its set-up may have run; otherwise 0
+
+
 @dataclass(slots=True)
 class Sess:
     """One session, from its request to its end.
@@ -63,7 +73,7 @@
     playing_since: int | None = None
     attempts: list[tuple[int, int, ev.Result | None]] = field(default_factory=list)
     means: ev.Means | None = None
-    queue_key: Hashable | None = None  # of the queue for paced servers that it waits in
+    queue_key: QueueKey | None = None  # of the queue for paced servers that it waits in
     asleep: bool = False  # in that queue, until it is woken or its deadline comes
     gives_up: bool = False  # no server can be sent to before its deadline
 
