Review case 9: one spoilt line of a server's notes, and the front never hears it again

Cause: _follow_notes catches MsgspecError, and msgspec raises UnicodeDecodeError for a string that is no UTF-8; the task ends unseen.

--- a/review/fronts.py
+++ b/review/fronts.py
@@ -161,12 +161,14 @@
 
 class Relay:
     """Passes connections on to one port. `held_back` may hold bytes of the far end back for some seconds, by
-    the first bytes that the near end sent on that connection; each time it is asked for one piece."""
+    the first bytes that the near end sent on that connection; each time it is asked for one piece. `altered`
+    may change such bytes, but not their number."""
 
     def __init__(self, to: int) -> None:
         self.to = to
         self.port = 0
         self.held_back: Callable[[bytes], float] = lambda first: 0.0
+        self.altered: Callable[[bytes, bytes], bytes] = lambda first, data: data
         self.writers: list[asyncio.StreamWriter] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.resets_left = 0  # so many new connections are reset once their first bytes have come
@@ -229,6 +231,8 @@
                     first += data
                 if answers and (wait := self.held_back(bytes(first))) > 0:
                     await asyncio.sleep(wait)
+                if answers:
+                    data = self.altered(bytes(first), data)
                 writer.write(data)
                 await writer.drain()
 
