--- a/review/fronts.py
+++ b/review/fronts.py
@@ -445,7 +445,7 @@
             await case.end_processes()
         case.note("verdict", code=code, told=told)
         case.close()
-        print(f"{folder.name}: {told} (exit {code})")
+        print(f"{folder.name}: {told} (exit {code}, {time.monotonic() - case.began:.0f} s)")
         return code
 
     sys.exit(asyncio.run(whole()))
