--- a/review/fronts.py
+++ b/review/fronts.py
@@ -1,4 +1,4 @@
-"""What the cases 6 to 10 share: a folder, processes of the project's own programs, a server list, a relay.
+"""What the cases 6 to 9 share: a folder, processes of the project's own programs, a server list, a relay.
 
 Every address is one of the loopback range, every port a free one. What passes is written to `record.txt` of
 the case. The server list and the relay are small stand-ins: the list follows "Server list" of
@@ -24,7 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 PYTHON = str(ROOT / ".venv" / "bin" / "python")
 HOST = "127.0.0.1"
-HELD, BROKEN, CANNOT = 0, 1, 2  # exit codes of a case
+HELD, CANNOT, BROKEN = 0, 2, 3  # how a check ends; run.sh ends with 1 where the rule was broken
 KEY = "5d2f6a0c91b84e37a1c0d9f2e4b65870"
 ABORT = struct.pack("ii", 1, 0)
 
@@ -425,7 +425,7 @@
 
 
 def run(folder: Path, work: Callable[[Case], Awaitable[tuple[int, str]]], within: float = 110.0) -> None:
-    """Run a case and end with its exit code: 0 the rule held, 1 it was broken, 2 the case could not run."""
+    """Run a case and end with its status: 0 the rule held, 3 it was broken, 2 the case could not run."""
 
     async def whole() -> int:
         case = Case(folder)
@@ -445,7 +445,7 @@
             await case.end_processes()
         case.note("verdict", code=code, told=told)
         case.close()
-        print(f"{folder.name}: {told} (exit {code}, {time.monotonic() - case.began:.0f} s)")
+        print(f"{folder.name}: {told} (status {code}, {time.monotonic() - case.began:.0f} s)")
         return code
 
     sys.exit(asyncio.run(whole()))
