--- a/review/fronts.py
+++ b/review/fronts.py
@@ -1,4 +1,4 @@
-"""What the cases 6 to 9 share: a folder, processes of the project's own programs, a server list, a relay.
+"""What the cases 6, 7 and 9 share: a folder, processes of the project's own programs, a server list, a relay.
 
 Every address is one of the loopback range, every port a free one. What passes is written to `record.txt` of
 the case. The server list and the relay are small stand-ins: the list follows "Server list" of
