Releases to viewers: one owner until a proof, in widening rounds over all connections

Callers saw: a session was over and its viewer was never told, or not in 1 s. Cause: a release counted as heard 0.5 s after it was written as long as no viewer of the process had acknowledged one (so the first of each process), a move always; with acknowledgements it went to four more connections at most, the youngest first, and never to one that opened later. A write, or time on an open connection, is no proof.

ReleaseDelivery owns it now: until an acknowledgement, the viewer's own release, or 8 s; rounds of 1, 2, 4, 8 connections 150 ms apart, those that spoke last first, then all others 0.6 s after the end, then each that opens or speaks anew. Any other end counts as viewer-told. Logged: each copy with the connection's silence, each end.

The scenario told_to_end acknowledges now, as a viewer that doesn't is told elsewhere.

Cost: 1 message where it is acknowledged; 85 with 85 connections of which none acknowledges; 4,000 pending with 84 of 85 dead 340,000, at most 4,181 in a turn.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -255,7 +255,7 @@
         return not (
             self.engine.sessions_held
             or viewers.has_unfinished_requests
-            or viewers.sessions.pending_releases
+            or viewers.sessions.delivery.has_unoffered
             or self.servers.unsent
         )
 
@@ -264,7 +264,7 @@
         log.info(
             "state", in_hand=self.engine.requests_in_hand, held=self.engine.sessions_held,
             viewers=len(viewers.connections), servers=len(servers.links),
-            releases_pending=len(viewers.sessions.pending_releases),
+            releases_pending=len(viewers.sessions.delivery),
             sessions=viewers.sessions.counts, violations=viewers.sessions.violations.counts,
             lag_us=self._max_lag_us, memory_kb=self.memory.resident_kb(),
             faults=counts.faults, answers=counts.answers, setups=counts.setups, stray=counts.stray,
--- a/ponddoor/node/release_sender.py
+++ b/ponddoor/node/release_sender.py
@@ -1,17 +1,21 @@
-"""Sends the releases of sessions to their viewers, again where a connection ends or nobody acknowledges.
+"""Writes the releases of sessions to connections from viewers, until their viewers are known to have heard.
 
-`ponddoor.obligations.sessions` tells which releases are due; here is the choice of the connection and the
-timer."""
+`ponddoor.obligations.release_delivery` tells which copies are due; here are the order of the connections, the
+timer and the log."""
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 
 from ponddoor.front.pump import SECOND, clock
-from ponddoor.node.session_log import SessionLog
+from ponddoor.node.session_log import ReleaseCopy, SessionLog
 from ponddoor.node.viewer_connection import ConnectionTable, ViewerConnection
+from ponddoor.obligations.release_delivery import DeliveryEnd, PendingRelease
 from ponddoor.obligations.sessions import Sessions
 
-CHECK_INTERVAL_US = SECOND // 20  # while releases are pending
+NO_CONNECTION_RETRY_US = SECOND // 20  # while there is no connection to write a release to
+
+Release = PendingRelease[ViewerConnection]
 
 
 @dataclass(slots=True)
@@ -21,46 +25,78 @@
     sessions: Sessions[ViewerConnection]
     connections: ConnectionTable
     session_log: SessionLog
-    _timer: asyncio.TimerHandle | None = None
+    _timer: asyncio.TimerHandle | None = field(default=None, init=False)
+    _timer_at: int = field(default=0, init=False)
+    _closed: bool = field(default=False, init=False)
 
-    def release(self, session: str, message: bytes, acknowledged: bool = True) -> None:
-        """Send the release of a standing session, on the connection of its request or, if that is closed, on
-        another: the protocol lets a release go out on any connection.
+    def __post_init__(self) -> None:
+        self.sessions.on_delivery_end = self._log_delivery_end
 
-        `acknowledged` is whether viewers acknowledge this kind of message."""
-        record = self.sessions.find(session)
-        own = record.connection if record is not None else None
-        if not self.sessions.end_session(clock(), session, message, acknowledged):
-            return
-        if own is not None and own.open:
-            self._write(own, session, message)
-        self.send_due()
+    def release(self, session: str, message: bytes) -> None:
+        """End a standing session, and tell its viewer with this message."""
+        if self.sessions.end_session(clock(), session, message):
+            self.send_due()
 
     def send_due(self) -> None:
-        """Send every release that is due, and look again later while one is pending."""
-        due = self.sessions.due_releases(clock())
-        candidates = self.connections.release_candidates() if due else []
-        for record in due if candidates else ():
-            untried = (candidate for candidate in candidates if candidate not in record.sent_on)
-            connection = next(untried, candidates[0])
-            self._write(connection, record.session, record.release_message)
-        if self.sessions.pending_releases and self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(CHECK_INTERVAL_US / SECOND, self._timer_expired)
-
-    def _write(self, connection: ViewerConnection, session: str, message: bytes) -> None:
-        connection.write(message)
-        record = self.sessions.find(session)
-        self.session_log.session_released(
-            session, connection.number, record is not None and bool(record.sent_on)
-        )
-        self.sessions.release_sent(clock(), session, connection)
+        """Write every copy that is due, and look again when the next one is."""
+        now = clock()
+        copies = self.sessions.delivery.due(now, self.connections.release_candidates)
+        self._write(now, copies)
+        self._set_timer(now, wrote=bool(copies))
+
+    def connection_spoke(self, connection: ViewerConnection) -> None:
+        """A message was received: what the connection may have missed follows once that is handled."""
+        now = clock()
+        self.sessions.delivery.connection_spoke(now, connection)
+        self._set_timer(now, wrote=True)
+
+    def write_before_close(self, connection: ViewerConnection) -> None:
+        """Write the releases that a connection was not offered yet, since it is about to be closed."""
+        releases = self.sessions.delivery.copies_before_close(connection)
+        if releases:
+            self._write(clock(), {connection: releases})
+
+    def write_all(self) -> None:
+        """Write each pending release to every connection that was not offered it yet."""
+        now = clock()
+        candidates = self.connections.release_candidates()
+        self._write(now, self.sessions.delivery.offer_all_now(candidates))
+
+    def _write(self, now: int, copies: Mapping[ViewerConnection, Sequence[Release]]) -> None:
+        written = dict[str, tuple[Release, list[ReleaseCopy]]]()
+        for connection, releases in copies.items():
+            connection.write(b"".join(release.message for release in releases))
+            copy = ReleaseCopy(connection.number, connection.silent_for(now))
+            for release in releases:
+                written.setdefault(release.session, (release, []))[1].append(copy)
+        for release, its_copies in written.values():
+            self.sessions.release_copied(now, release, len(its_copies))
+            self.session_log.session_released(release.session, release.rounds, its_copies)
+
+    def _log_delivery_end(self, now: int, release: Release, how: DeliveryEnd) -> None:
+        self.session_log.release_ended(release.session, how.value, release.copies, now - release.ended_at)
+
+    def _set_timer(self, now: int, wrote: bool) -> None:
+        due = self.sessions.delivery.next_due
+        if due is None or self._closed:
+            return
+        if due <= now and not wrote:
+            due = now + NO_CONNECTION_RETRY_US
+        if self._timer is not None:
+            if self._timer_at <= due:
+                return
+            self._timer.cancel()
+        self._timer_at = due
+        delay_s = max(due - now, 0) / SECOND
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._timer_expired)
 
     def _timer_expired(self) -> None:
         self._timer = None
         self.send_due()
 
     def close(self) -> None:
-        """Cancel the timer."""
+        """The process ends: what is still pending is left to the next one."""
+        self._closed = True
         if self._timer is not None:
             self._timer.cancel()
+        self.sessions.delivery.leave_all(clock())
--- a/ponddoor/node/session_log.py
+++ b/ponddoor/node/session_log.py
@@ -1,8 +1,9 @@
-"""The log of requests and sessions: one line when a request ends, when a session stands, when it is over, and
-when its release is sent.
+"""The log of requests and sessions: one line when a request ends, when a session stands, when it is over,
+each time that its release is sent, and when the delivery of the release ends.
 
 `ponddoor timeline` joins these lines with those about connections to servers."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import structlog
@@ -11,6 +12,7 @@
 from ponddoor.node.board_codec import server_id
 
 MAX_LINES_PER_SECOND = 100  # of requests that are late, and as many of all else
+MAX_COPIES_LOGGED = 16  # connections in one line
 log = structlog.get_logger("sessions")
 
 
@@ -57,6 +59,14 @@
         return fields
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseCopy:
+    """A release was written to a connection from which nothing was read for `silent_for` microseconds."""
+
+    connection: int
+    silent_for: int
+
+
 @dataclass(slots=True)
 class SessionLog:
     """Writes at most MAX_LINES_PER_SECOND lines of either kind, and counts the lines dropped beyond that."""
@@ -79,9 +89,21 @@
         """A standing session is over."""
         self._write("session-over", session, why=reason)
 
-    def session_released(self, session: str, connection: int, resent: bool) -> None:
-        """A session's release was written to a viewers' connection; `resent` if not for the first time."""
-        self._write("session-released", session, viewer_connection=connection, again=resent)
+    def session_released(self, session: str, attempt: int, copies: Sequence[ReleaseCopy]) -> None:
+        """A session's release was written to viewers' connections. `attempt` counts from 1."""
+        logged = copies[:MAX_COPIES_LOGGED]
+        self._write(
+            "session-released",
+            session,
+            attempt=attempt,
+            copies=len(copies),
+            viewer_connections=[copy.connection for copy in logged],
+            silent_ms=[copy.silent_for // 1000 for copy in logged],
+        )
+
+    def release_ended(self, session: str, how: str, copies: int, after_us: int) -> None:
+        """The delivery of a release ended, `after_us` after the end of its session."""
+        self._write("release-ended", session, how=how, copies=copies, after_ms=after_us // 1000)
 
     def _write(self, event: str, session: str, late: bool = False, **fields: object) -> None:
         second = clock() // SECOND
--- a/ponddoor/node/viewer_connection.py
+++ b/ponddoor/node/viewer_connection.py
@@ -55,6 +55,7 @@
         self.opened_at = clock()
         self.proven = self.trusted = self.finishing = False
         self.wrote_at = 0
+        self.read_at: int | None = None
         self.partial_since: int | None = None
 
     @property
@@ -62,6 +63,10 @@
         """Whether data written to the connection can still reach the viewer."""
         return self.transport is not None and not self.finishing and not self.transport.is_closing()
 
+    def silent_for(self, now: int) -> int:
+        """The time since a byte was read from the connection, or since it was accepted."""
+        return now - (self.opened_at if self.read_at is None else self.read_at)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
@@ -77,6 +82,7 @@
         """Handle the messages that end in newly read bytes."""
         if self.finishing:
             return
+        self.read_at = clock()
         messages, error = self.reader.feed(data)
         for message in messages:
             if not self.open:
@@ -179,11 +185,12 @@
 
     def release_candidates(self) -> list[ViewerConnection]:
         """Connections to send releases on, best first: trusted, then proven, then others past their grace
-        period; in each class the most recently opened first."""
-        grace_start = clock() - NEW_CONNECTION_GRACE_US
-        usable = [connection for connection in reversed(self.all) if connection.open]
-        usable = [c for c in usable if c.trusted or c.proven or c.opened_at <= grace_start]
-        return sorted(usable, key=lambda c: (not c.trusted, not c.proven))
+        period; in each class the one first that sent something last."""
+        now = clock()
+        grace_start = now - NEW_CONNECTION_GRACE_US
+        usable = (connection for connection in self.all if connection.open)
+        candidates = [c for c in usable if c.trusted or c.proven or c.opened_at <= grace_start]
+        return sorted(candidates, key=lambda c: (not c.trusted, not c.proven, c.silent_for(now)))
 
 
 def _first(
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -143,6 +143,8 @@
         for session in self.sessions.open_requests_on(connection):
             self.answer_now(session, reason)
         self.sessions.connection_closing(connection)
+        if connection.proven:
+            self._releases.write_before_close(connection)
         log.debug(
             "closing",
             connection=connection.number,
@@ -166,17 +168,16 @@
         self._remove_connection(connection)
 
     def _remove_connection(self, connection: ViewerConnection) -> None:
-        """Withdraw the connection's open requests, and resend its unacknowledged releases on others.
+        """Withdraw the connection's open requests, and go on with the releases that were sent on it last.
 
         Standing sessions go on."""
         self.connections.remove(connection)
         self._admission.connection_ended(connection)
         for session in self.sessions.open_requests_on(connection):
             self._log_request_end(session, "withdrawn", "its connection ended")
-        end = self.sessions.connection_ended(clock(), connection)
-        for session in end.ended_requests:
+        for session in self.sessions.connection_ended(clock(), connection):
             self._withdraw(session)
-        if end.resend:
+        if self.sessions.delivery.pending:
             self._releases.send_due()
 
     def _withdraw(self, session: str) -> None:
@@ -198,6 +199,7 @@
         """Handle one message."""
         self._mark_used(connection)
         log.debug("viewer-says", connection=connection.number, said=message)
+        self._releases.connection_spoke(connection)
         match message:
             case codec.SetupRequest():
                 self._handle_request(connection, message)
@@ -377,7 +379,7 @@
                 self._releases.release(session, codec.encode_ended(session, reason == "lost"))
             case fx.Push(session, "moved"):
                 self.session_log.session_over(session, "moved")
-                self._releases.release(session, codec.encode_moved(session), acknowledged=False)
+                self._releases.release(session, codec.encode_moved(session))
 
     def _log_request_end(self, session: str, how: str, reason: str) -> None:
         """Log the end of an open request, before it ends."""
@@ -483,9 +485,10 @@
                 if self._is_idle(connection):
                     self.close_connection(connection, "ended", linger=True)
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
-        self._releases.close()
+        self._releases.write_all()
         for connection in list(self.connections.all):
             self.close_connection(connection, "ended", linger=True)
+        self._releases.close()
         while any(_is_connected(connection) for connection in connections) and clock() < until:
             await asyncio.sleep(FLUSH_CHECK_INTERVAL_S)
         for connection in connections:
--- a/ponddoor/obligations/sessions.py
+++ b/ponddoor/obligations/sessions.py
@@ -1,30 +1,26 @@
 """The state and the deadline of every request and session that a front answers for. Does no I/O.
 
 A request belongs to the connection that it was received on: it is answered there and ends with it. A session
-that stands belongs to no connection. The release that ends it is pending until its viewer acknowledges it,
-and is sent again on another connection if the one that it was written to ends or no acknowledgement comes in
-time (the platform's protocol page: what ends a session may be sent on any connection from viewers, within
-1 s).
+that stands belongs to no connection. Once it has ended its viewer has to be told: see `release_delivery`.
 
 Times are in microseconds. Each method makes one whole transition; nothing else may change a record."""
 
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Generic, TypeVar
 
 from ponddoor.obligations.early_ends import EarlyEnd, EarlyEnds
+from ponddoor.obligations.release_delivery import (
+    RELEASE_DEADLINE_US,
+    DeliveryEnd,
+    PendingRelease,
+    ReleaseDelivery,
+)
 from ponddoor.obligations.violations import Invariant, Violations
 
 SECOND = 1_000_000
-RESEND_INTERVAL_US = SECOND // 5  # without an acknowledgement; four of these fit into RELEASE_DEADLINE_US
-SETTLE_AFTER_US = SECOND // 2  # if viewers don't acknowledge: from writing a release to closing its record
-RELEASE_DEADLINE_US = SECOND  # from the end of a session to its release
-UNSENT_RELEASE_TIMEOUT_US = 30 * SECOND  # for a release that could be written to no connection
-ACK_TIMEOUT_US = 8 * SECOND  # for a release that was written but is not acknowledged
-MAX_REPEATS = 4  # for lack of an acknowledgement; more are sent only if a connection ends
-MAX_PENDING_RELEASES = 4096
 MAX_TRANSITIONS = 8  # kept of each record
 ANSWER_GRACE_US = 200_000  # a request unanswered this long after its deadline is an internal fault
 
@@ -39,7 +35,7 @@
     RECEIVED = "received"  # read completely, but not submitted to the engine yet
     WAITING = "waiting"  # submitted to the engine
     STANDING = "standing"  # answered: the session plays
-    RELEASING = "releasing"  # the session has ended; its viewer has not acknowledged that
+    RELEASING = "releasing"  # the session has ended; its viewer may not know that
     CLOSED = "closed"
 
 
@@ -57,8 +53,9 @@
     WITHDRAWN = "given-up"
     ENDED_BY_VIEWER = "ended-by-viewer"
     ACKNOWLEDGED = "acknowledged"
-    SETTLED = "settled"  # viewers do not acknowledge; the connection lasted SETTLE_AFTER_US after the release
-    EXPIRED = "expired"
+    EXPIRED = "expired"  # this and the following: see DeliveryEnd
+    DISPLACED = "displaced"
+    LEFT = "left"
 
 
 ALLOWED_TRANSITIONS = {
@@ -78,41 +75,32 @@
     session: str
     phase: Phase
     phase_since: int
-    deadline: int  # of the answer, or of the release once the session has ended
+    deadline: int  # of the answer
     connection: ConnectionT | None
     received_at: int = 0
     submitted_at: int | None = None
     setup_sent_at: int | None = None  # the first SETUP
     setups_sent: int = 0
-    release_message: bytes = b""  # while the release is pending
-    expects_ack: bool = True  # whether viewers acknowledge this kind of message
-    sent_at: int | None = None  # None if the release has to be sent
-    sent_on: list[ConnectionT] = field(default_factory=list)  # one entry for each time it was sent
     history: "deque[str]" = field(default_factory=lambda: deque(maxlen=MAX_TRANSITIONS))
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionEnd:
-    """The requests that ended with a connection, and the sessions whose release has to be sent again."""
-
-    ended_requests: tuple[str, ...]
-    resend: tuple[str, ...]
-
-
 @dataclass(slots=True)
 class Sessions(Generic[ConnectionT]):
     """All records of one front."""
 
     violations: Violations = field(default_factory=Violations)
     counts: dict[str, int] = field(default_factory=dict)
-    viewers_acknowledge: bool = False  # whether any viewer has acknowledged a release yet
+    delivery: ReleaseDelivery[ConnectionT] = field(init=False)
+    on_delivery_end: Callable[[int, PendingRelease[ConnectionT], DeliveryEnd], None] | None = None
     _records: dict[str, Record[ConnectionT]] = field(default_factory=dict)
     _open_by_connection: dict[ConnectionT, dict[str, None]] = field(default_factory=dict)
     _standing_by_connection: dict[ConnectionT, dict[str, None]] = field(default_factory=dict)
     _unsubmitted: dict[str, None] = field(default_factory=dict)
-    _pending: dict[str, None] = field(default_factory=dict)
     _early_ends: EarlyEnds[EndSource] = field(default_factory=EarlyEnds)
 
+    def __post_init__(self) -> None:
+        self.delivery = ReleaseDelivery(self.violations, self._delivery_ended)
+
     # Queries
 
     def find(self, session: str) -> Record[ConnectionT] | None:
@@ -150,11 +138,6 @@
         """The number of sessions that stand."""
         return sum(record.phase is Phase.STANDING for record in self._records.values())
 
-    @property
-    def pending_releases(self) -> tuple[str, ...]:
-        """The sessions whose release is not sent, or is sent but not acknowledged."""
-        return tuple(self._pending)
-
     # Requests
 
     def receive(self, now: int, session: str, connection: ConnectionT, wait: int) -> None:
@@ -270,22 +253,17 @@
                 return end
         return None
 
-    def end_session(self, now: int, session: str, message: bytes, expects_ack: bool = True) -> bool:
-        """End a session that stands, and make its release `message` due.
+    def end_session(self, now: int, session: str, message: bytes) -> bool:
+        """End a session that stands, and begin the delivery of its release `message`.
 
-        `expects_ack` is whether viewers acknowledge this kind of message. Returns False if the session
-        does not stand."""
+        Returns False if the session does not stand."""
         record = self._records.get(session)
         if record is None or record.phase is not Phase.STANDING:
             return False
+        own_connection = record.connection
         self._unindex_standing(record)
         self._transition(record, now, Phase.RELEASING, "session ended")
-        record.deadline, record.release_message = now + RELEASE_DEADLINE_US, message
-        record.expects_ack = expects_ack
-        self._pending[session] = None
-        if len(self._pending) > MAX_PENDING_RELEASES:
-            oldest = self._records[next(iter(self._pending))]
-            self._close(oldest, now, CloseReason.EXPIRED)
+        self.delivery.begin(now, session, message, own_connection)
         return True
 
     def end_without_release(self, now: int, session: str) -> None:
@@ -296,66 +274,45 @@
 
     # Releases
 
-    def due_releases(self, now: int) -> list[Record[ConnectionT]]:
-        """The records of the releases to be sent now: not sent yet, or not acknowledged in time.
-
-        Closes records whose release has timed out or settled."""
-        due = []
-        for session in list(self._pending):
-            record = self._records[session]
-            if record.sent_at is None:
-                if now - record.phase_since > UNSENT_RELEASE_TIMEOUT_US:
-                    self._close(record, now, CloseReason.EXPIRED)
-                else:
-                    due.append(record)
-            elif self.viewers_acknowledge and record.expects_ack:
-                if now - record.phase_since > ACK_TIMEOUT_US:
-                    self._close(record, now, CloseReason.EXPIRED)
-                elif now - record.sent_at >= RESEND_INTERVAL_US and len(record.sent_on) <= MAX_REPEATS:
-                    due.append(record)
-            elif now - record.sent_at >= SETTLE_AFTER_US:
-                self._close(record, now, CloseReason.SETTLED)
-        return due
-
-    def release_sent(self, now: int, session: str, connection: ConnectionT) -> None:
-        """Record that a release was written to a connection."""
-        record = self._records.get(session)
-        if record is None or record.phase is not Phase.RELEASING:
-            return
-        if record.sent_at is None and now > record.deadline:
+    def release_copied(self, now: int, release: PendingRelease[ConnectionT], count: int) -> None:
+        """Record that `count` copies of a release were written."""
+        is_first = release.copies == count
+        if is_first and now > release.ended_at + RELEASE_DEADLINE_US:
             self.count("release-late")
-        self.count("release-sent" if not record.sent_on else "release-repeated")
-        record.connection, record.sent_at = connection, now
-        record.sent_on.append(connection)
-        self._record_transition(
-            record, now, "release sent" if len(record.sent_on) == 1 else "release repeated"
-        )
+        if is_first:
+            self.count("release-sent")
+        self.count("release-repeated", count - is_first)
+        record = self._records.get(release.session)
+        if record is not None and record.phase is Phase.RELEASING:
+            self._record_transition(record, now, f"release sent, {release.copies} copies")
 
     def release_acknowledged(self, now: int, session: str) -> None:
         """Record that a viewer has acknowledged a release."""
-        self.viewers_acknowledge = True
-        record = self._records.get(session)
+        release = self.delivery.find(session)
+        if release is not None and now > release.ended_at + RELEASE_DEADLINE_US:
+            self.count("release-heard-late")
+        self.delivery.end(now, session, DeliveryEnd.ACKNOWLEDGED)
+
+    def _delivery_ended(self, now: int, release: PendingRelease[ConnectionT], how: DeliveryEnd) -> None:
+        record = self._records.get(release.session)
         if record is not None and record.phase is Phase.RELEASING:
-            if now > record.deadline:
-                self.count("release-heard-late")
-            self._close(record, now, CloseReason.ACKNOWLEDGED)
+            self._close(record, now, CloseReason(how.value))
+        if self.on_delivery_end is not None:
+            self.on_delivery_end(now, release, how)
 
     # Connections
 
-    def connection_ended(self, now: int, connection: ConnectionT) -> ConnectionEnd:
-        """End the open requests of a closed connection, and make its unacknowledged releases due again."""
+    def connection_ended(self, now: int, connection: ConnectionT) -> tuple[str, ...]:
+        """End the open requests of a closed connection, and have releases sent elsewhere that it had last.
+
+        Returns the sessions of the requests."""
         ended_requests = self.open_requests_on(connection)
         for session in ended_requests:
             self.end_by_viewer(now, session)
         for session in self._standing_by_connection.pop(connection, {}):
             self._records[session].connection = None
-        resend = []
-        for session in self._pending:
-            record = self._records[session]
-            if record.connection is connection:
-                record.connection, record.sent_at = None, None
-                resend.append(session)
-        return ConnectionEnd(ended_requests, tuple(resend))
+        self.delivery.connection_ended(now, connection)
+        return ended_requests
 
     def connection_closing(self, connection: ConnectionT) -> None:
         """The front is about to close a connection. Reports each request open on it as a violation."""
@@ -369,9 +326,9 @@
 
     # Internals
 
-    def count(self, event: str) -> None:
-        """Increment the counter of `event`."""
-        self.counts[event] = self.counts.get(event, 0) + 1
+    def count(self, event: str, number: int = 1) -> None:
+        """Add to the counter of `event`."""
+        self.counts[event] = self.counts.get(event, 0) + number
 
     def _transition(self, record: Record[ConnectionT], now: int, phase: Phase, event: str) -> bool:
         if phase not in ALLOWED_TRANSITIONS[record.phase]:
@@ -392,10 +349,10 @@
                 now, EndSource.HELD, record.session, ENDED_BY_VIEWER if by_viewer else ENDED
             )
         self._unindex_standing(record)
-        self._pending.pop(record.session, None)
         self._transition(record, now, Phase.CLOSED, reason.value)
         self._records.pop(record.session, None)
         self.count(reason.value)
+        self.delivery.end(now, record.session, DeliveryEnd.ENDED_BY_VIEWER)
 
     def _index_standing(self, record: Record[ConnectionT]) -> None:
         if record.connection is not None:
--- a/ponddoor/obligations/violations.py
+++ b/ponddoor/obligations/violations.py
@@ -13,6 +13,7 @@
     FORWARDED_WHILE_OPEN = "forwarded-while-open"  # a SETUP is written while its request is open
     ANSWERED_IN_TIME = "answered-in-time"  # a request is answered by its deadline
     LEASE_IN_TIME = "lease-in-time"  # no session stands at a server whose lease is over
+    VIEWER_TOLD = "viewer-told"  # a release is delivered until a proof, or the time of the rule, ends that
     CLOSED_WITHOUT_WAITING = "closed-without-waiting"  # no connection is closed while a request is open on it
 
 
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -328,6 +328,8 @@
             case "releases" | "withdraws", (number,):
                 cause = b"\x1f" if verb == "releases" else b"\x10"
                 connection.writer.write(encode_message(12, number, encode_parameter(143, cause)))
+            case "acknowledges", (number,):
+                connection.writer.write(encode_message(16, number))
             case "sends", (text,):
                 connection.writer.write(bytes.fromhex(text))
             case "floods", (size,):
--- a/tests/node/test_unread_viewer_links.py
+++ b/tests/node/test_unread_viewer_links.py
@@ -49,7 +49,7 @@
 
 async def acknowledge(harness: Harness, viewer: RawViewer, number: str) -> None:
     viewer.send(encode_message(RELEASE_ACK, number))
-    while harness.node.viewers.sessions.pending_releases:
+    while harness.node.viewers.sessions.delivery.pending:
         await asyncio.sleep(0.001)
 
 
--- a/tests/obligations/test_sessions.py
+++ b/tests/obligations/test_sessions.py
@@ -1,5 +1,6 @@
 """The records of requests and sessions: single sequences of events, and all events in random order."""
 
+from collections.abc import Callable
 from typing import Any
 
 from hypothesis import settings
@@ -7,15 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from ponddoor.obligations.early_ends import MAX_ENDS, RETENTION_US, EarlyEnd
-from ponddoor.obligations.sessions import (
-    ACK_TIMEOUT_US,
-    MAX_REPEATS,
-    RESEND_INTERVAL_US,
-    SETTLE_AFTER_US,
-    ConnectionEnd,
-    Phase,
-    Sessions,
-)
+from ponddoor.obligations.release_delivery import DELIVERY_LIMIT_US
+from ponddoor.obligations.sessions import Phase, Sessions
 
 SECOND = 1_000_000
 RELEASE_MESSAGE = b"over"
@@ -38,39 +32,24 @@
     sessions = Sessions[str]()
     make_standing(sessions)
     sessions.receive(1, "b", "v", SECOND)
-    assert sessions.connection_ended(2, "v") == ConnectionEnd(("b",), ())
+    assert sessions.connection_ended(2, "v") == ("b",)
     assert sessions.standing_count == 1 and sessions.find("b") is None
 
 
-def test_release_whose_connection_ends_is_due_again_at_once() -> None:
-    sessions = Sessions[str]()
-    make_standing(sessions)
-    assert sessions.end_session(10, "a", RELEASE_MESSAGE)
-    sessions.release_sent(10, "a", "v")
-    assert not sessions.due_releases(11)
-    assert sessions.connection_ended(11, "v").resend == ("a",)
-    assert [record.session for record in sessions.due_releases(11)] == ["a"]
-
-
-def test_release_without_acknowledgement_is_repeated_up_to_the_limit() -> None:
-    sessions = Sessions[str]()
-    sessions.release_acknowledged(0, "x")
-    make_standing(sessions)
-    sessions.end_session(0, "a", RELEASE_MESSAGE)
-    sent_count = 0
-    for now in range(0, ACK_TIMEOUT_US + SECOND, RESEND_INTERVAL_US // 4):
-        for record in sessions.due_releases(now):
-            sessions.release_sent(now, record.session, "v")
-            sent_count += 1
-    assert sent_count == 1 + MAX_REPEATS and not sessions.pending_releases
-
-
-def test_release_settles_if_viewers_do_not_acknowledge() -> None:
-    sessions = Sessions[str]()
-    make_standing(sessions)
-    sessions.end_session(0, "a", RELEASE_MESSAGE)
-    sessions.release_sent(0, "a", "v")
-    assert not sessions.due_releases(SETTLE_AFTER_US) and not sessions.pending_releases
+def test_record_is_closed_as_the_delivery_of_its_release_ends() -> None:
+    ends: tuple[tuple[str, Callable[[Sessions[str]], Any]], ...] = (
+        ("acknowledged", lambda sessions: sessions.release_acknowledged(1, "a")),
+        ("ended-by-viewer", lambda sessions: sessions.end_by_viewer(1, "a")),
+        ("expired", lambda sessions: sessions.delivery.due(60 * SECOND, list)),
+        ("left", lambda sessions: sessions.delivery.leave_all(1)),
+    )
+    for how, end in ends:
+        sessions = Sessions[str]()
+        make_standing(sessions)
+        assert sessions.end_session(0, "a", RELEASE_MESSAGE) and sessions.delivery.pending == ("a",)
+        end(sessions)
+        assert sessions.find("a") is None and not sessions.delivery.pending
+        assert sessions.counts[how] == 1 and not sessions.violations.counts
 
 
 def test_release_that_is_read_before_the_hand_over_ends_the_session() -> None:
@@ -120,14 +99,14 @@
     @rule(step=st.integers(1, 300_000))
     def time_passes(self, step: int) -> None:
         self.now += step
-        for record in self.sessions.due_releases(self.now):
-            assert record.phase is Phase.RELEASING
-            connections = sorted(self.open_connections)
-            if connections:
-                self.sessions.release_sent(
-                    self.now, record.session, connections[record.phase_since % len(connections)]
-                )
-                self.unsent_ends.pop(record.session, None)
+        copies = self.sessions.delivery.due(self.now, lambda: sorted(self.open_connections))
+        for connection, releases in copies.items():
+            assert connection in self.open_connections
+            for release in releases:
+                record = self.sessions.find(release.session)
+                assert record is not None and record.phase is Phase.RELEASING
+                self.sessions.release_copied(self.now, release, 1)
+                self.unsent_ends.pop(release.session, None)
 
     @rule(connection=st.integers(0, 2))
     def receive(self, connection: int) -> None:
@@ -189,9 +168,8 @@
     @rule(connection=st.integers(0, 2))
     def connection_ends(self, connection: int) -> None:
         self.open_connections.discard(connection)
-        end = self.sessions.connection_ended(self.now, connection)
-        assert all(self.sessions.find(session) is None for session in end.ended_requests)
-        assert set(end.resend) <= set(self.sessions.pending_releases)
+        ended_requests = self.sessions.connection_ended(self.now, connection)
+        assert all(self.sessions.find(session) is None for session in ended_requests)
 
     @invariant()
     def no_invariant_is_violated(self) -> None:
@@ -208,10 +186,11 @@
 
     @invariant()
     def unsent_releases_are_pending(self) -> None:
-        assert set(self.unsent_ends) <= set(self.sessions.pending_releases) | self._expired()
+        assert set(self.unsent_ends) <= set(self.sessions.delivery.pending) | self._expired()
 
     def _expired(self) -> set[str]:
-        return {session for session, since in self.unsent_ends.items() if self.now - since > ACK_TIMEOUT_US}
+        limit = DELIVERY_LIMIT_US
+        return {session for session, since in self.unsent_ends.items() if self.now - since > limit}
 
     @invariant()
     def open_requests_are_on_open_connections(self) -> None:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -15,7 +15,7 @@
 from ponddoor.obligations.completeness import Completeness
 from ponddoor.obligations.drain import DrainSchedule
 from ponddoor.obligations.lease import Lease, LeaseEvent
-from ponddoor.obligations.sessions import ConnectionEnd, Sessions
+from ponddoor.obligations.release_delivery import ReleaseDelivery
 from ponddoor.platform import facts
 
 
@@ -48,20 +48,26 @@
 
 
 def writes_a_release_once() -> None:
-    """A release whose connection ends is not sent again."""
-    original = Sessions.connection_ended
+    """A release is written to one connection, and to no other."""
+    make_round = ReleaseDelivery._make_round
 
-    def connection_ended(self: Any, now: int, connection: Any) -> ConnectionEnd:
-        pending = {session: self._records[session].sent_at for session in self.pending_releases}
-        end = original(self, now, connection)
-        for session, sent_at in pending.items():
-            self._records[session].sent_at = sent_at
-        return ConnectionEnd(end.ended_requests, ())
+    def once(self: Any, release: Any, candidates: Any, copies: Any) -> None:
+        make_round(self, release, candidates if not release.tried else (), copies)
 
-    Sessions.connection_ended = connection_ended  # type: ignore[method-assign]
-    Sessions.due_releases = lambda self, now: [  # type: ignore[method-assign]
-        one for one in self._records.values() if one.session in self._pending and one.sent_at is None
-    ]
+    ReleaseDelivery._make_round = once  # type: ignore[method-assign]
+    offers_to_no_further_connection()
+
+
+def offers_to_no_further_connection() -> None:
+    """A release is written in the rounds alone."""
+
+    def offer_to_none(self: Any, release: Any, candidates: Any, copies: Any) -> None:
+        offer_to_all(self, release, (), copies)
+
+    offer_to_all = ReleaseDelivery._offer_to_all
+    ReleaseDelivery._offer_to_all = offer_to_none  # type: ignore[method-assign]
+    ReleaseDelivery.connection_spoke = lambda self, now, connection: None  # type: ignore[method-assign]
+    ReleaseDelivery.copies_before_close = lambda self, connection: []  # type: ignore[method-assign]
 
 
 def answers_twice() -> None:
@@ -171,7 +177,8 @@
     one.__name__: one
     for one in (
         forwards_until_the_kill, keeps_connections_until_the_kill, closes_without_answers,
-        writes_a_release_once, answers_twice, ignores_drains, asks_seldom, sends_for_clients_that_left,
+        writes_a_release_once, offers_to_no_further_connection, answers_twice, ignores_drains, asks_seldom,
+        sends_for_clients_that_left,
         repeats_what_runs_once, keeps_sessions_at_servers, gives_up_nothing_at_servers,
         closes_the_listener_at_once, connects_renew_sessions, rubbish_renews_sessions,
         never_connects_anew, any_message_proves,
