Drain: no connection to a server is opened but for what has to be sent to it

Cause: a server repeats a release on the next connection alone, and the old process opened that, to refresh or to replace one that broke, with no viewer's connection left to tell. Now: no refresh and no probe on a new connection from SIGTERM on, unless a release to that server is in doubt; no reconnect for sessions once requests are refused; sessions whose proof is overdue are left to the next process.

--- a/ponddoor/node/connection_refresh.py
+++ b/ponddoor/node/connection_refresh.py
@@ -27,6 +27,8 @@
     connect_timeout: int
     extra_connections: dict[ServerConnection, None]
 
+    @property
+    def draining(self) -> bool: ...
     def count(self, event: str) -> None: ...
 
 
@@ -38,6 +40,7 @@
 
     @property
     def servers(self) -> Connections: ...
+    def owes_release(self, now: int) -> bool: ...
     def open_extra_connection(self) -> bool: ...
     def switch_to(self, connection: ServerConnection) -> ServerConnection | None: ...
     def request_sign_of_life(self, connection: ServerConnection) -> None: ...
@@ -87,7 +90,10 @@
 
     def begin(self, now: int, sign_wanted: bool = False) -> bool:
         """Open a candidate, and request a sign of life on it in any case if `sign_wanted`. Returns False if
-        there is a candidate already or no further connection is possible."""
+        there is a candidate already, no further connection is possible, or the shutdown has begun and the
+        server is owed no release."""
+        if self.link.servers.draining and not self.link.owes_release(now):
+            return False
         if (
             self.candidate is not None
             or len(self.retiring) >= MAX_RETIRING
@@ -215,6 +221,8 @@
         standing_since = self.link.servers.engine.standing_since(self.link.number)
         if self.completeness.refresh_due(now, standing_since):
             self.begin(now)
+        if self.link.servers.draining:
+            return  # the next process proves it
         over_since = self.completeness.expiry_cutoff(now)
         if over_since is not None and standing_since is not None and standing_since <= over_since:
             self.link.end_unproven_sessions(now, over_since)
--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -147,6 +147,7 @@
         longest_timeout = max(group.setup_timeout for group in self.settings.facts.groups)
         self.drain = DrainSchedule.after_sigterm(signalled_at, longest_timeout)
         self.viewers.drain = self.drain
+        self.servers.enter_phase(DrainPhase.FORWARDING)
         self._shutdown_requested.set()
         log.info(
             "told-to-end",
@@ -236,6 +237,7 @@
             held=self.engine.sessions_held,
         )
         self.engine.gate.draining, self.viewers.ready = True, False
+        self.servers.enter_phase(DrainPhase.REFUSING)
         await self.viewers.stop_accepting(drain.answer_by)
         while drain.phase(clock()) is DrainPhase.REFUSING and not self._is_drained():
             self.viewers.close_idle()
@@ -281,7 +283,7 @@
         """Close everything in order: viewers' connections once all requests are answered and read, servers'
         connections once they are flushed, discovery, gossip, the timer and the reserved descriptors."""
         until = max(clock(), drain.answer_by) + FLUSH_TIMEOUT_US
-        self.servers.begin_close()
+        self.servers.enter_phase(DrainPhase.CLOSING)
         await self.viewers.close(until)
         await self.servers.close(until)
         self.discovery.close()
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -48,9 +48,10 @@
 
     random: Random
     setups_enabled: bool
-    closing: bool
     open_links: "dict[ServerLink, None]"
 
+    @property
+    def reconnects_for_sessions(self) -> bool: ...
     @property
     def judge_setup(self) -> JudgeSetup: ...
     def mark_used(self, link: "ServerLink") -> None: ...
@@ -182,7 +183,7 @@
     def connect_staggered(self) -> None:
         """Connect after this front's connect delay, so that fronts that lost a server at the same time do
         not all connect to it at once. Not for SETUPs, which do not wait that long."""
-        if self.servers.closing and not self.pending_releases:
+        if not self.pending_releases and not self.servers.reconnects_for_sessions:
             return
         if self.connection is None and self.connect_task is None and self.connect_timer is None:
             self.servers.mark_used(self)
@@ -252,10 +253,8 @@
 
     def open_extra_connection(self) -> bool:
         """Open a further connection beside the one in use. Returns False if there is none in use, a connect
-        is in progress, the server is gone, this front closes, or the limit of connections is reached."""
-        if self.connection is None or self.connect_task is not None:
-            return False
-        if self.entry.state == "gone" or self.servers.closing:
+        is in progress, the server is gone, or the limit of connections is reached."""
+        if self.connection is None or self.connect_task is not None or self.entry.state == "gone":
             return False
         if not self.servers.make_room():
             self.servers.count("no-room")
@@ -268,6 +267,13 @@
         old, self.connection = self.connection, connection
         return old
 
+    def owes_release(self, now: int) -> bool:
+        """Whether a release was sent on the connection in use while that is doubted."""
+        doubted_from = self.refresh.completeness.doubted_from
+        if doubted_from is None or self.connection is None:
+            return False
+        return bool(self.connection.unconfirmed_releases(now, doubted_from))
+
     def resend_release(self, now: int, sess: str) -> None:
         """Send a release again that the server may not have read."""
         self.servers.count("releases-repeated")
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -20,6 +20,7 @@
 from ponddoor.node.server_connection import ServerConnection
 from ponddoor.node.server_link import MAX_PENDING_RELEASES, ServerLink
 from ponddoor.node.server_messages import Outgoing
+from ponddoor.obligations.drain import DrainPhase
 from ponddoor.obligations.early_ends import EarlyEnds
 from ponddoor.obligations.setup_rule import JudgeSetup, Verdict
 from ponddoor.obligations.violations import Invariant, Violations
@@ -61,7 +62,7 @@
     random: Random = field(default_factory=Random)  # for the jitter of the backoff
     max_connections: int = 1 << 30
     setups_enabled: bool = False
-    closing: bool = False
+    phase: DrainPhase = DrainPhase.SERVING
     violations: Violations = field(default_factory=Violations)
     judge_setup: JudgeSetup = _send_any
     early_ends: EarlyEnds[int] = field(default_factory=EarlyEnds)  # by server
@@ -93,12 +94,22 @@
             for link in list(self._active_links):
                 link.send_queued()
 
-    def begin_close(self) -> None:
-        """Open no further connections but to release sessions.
+    def enter_phase(self, phase: DrainPhase) -> None:
+        """Open connections in this phase of the shutdown for what still has to be sent alone.
 
-        On a new connection a server repeats a release that its viewer may not have read, and on no later one:
-        it has to be one of the next process, as this one is about to close its viewers' connections."""
-        self.closing = True
+        On a new connection a server repeats a release that its viewer may not have read, and on no later one.
+        It has to be one of the next process, as this one may have no connection left to tell the viewer."""
+        self.phase = phase
+
+    @property
+    def draining(self) -> bool:
+        """Whether the shutdown has begun."""
+        return self.phase is not DrainPhase.SERVING
+
+    @property
+    def reconnects_for_sessions(self) -> bool:
+        """Whether a server with sessions is connected to although nothing has to be sent to it."""
+        return self.phase in (DrainPhase.SERVING, DrainPhase.FORWARDING)
 
     @property
     def unsent(self) -> bool:
@@ -224,7 +235,7 @@
 
     def _is_too_late(self, effect: Effect) -> bool:
         """Whether no connection may be opened for this message any more."""
-        return self.closing and isinstance(effect, fx.SendProbe)
+        return self.draining and isinstance(effect, fx.SendProbe)
 
     def fail_unsent(self, item: Outgoing, result: ev.Result) -> None:
         """Tell the engine that a SETUP or probe was not sent; other messages need no answer."""
--- a/tests/node/test_hand_over.py
+++ b/tests/node/test_hand_over.py
@@ -297,6 +297,51 @@
     run_steps(harness, steps)
 
 
+def test_no_connection_is_refreshed_once_the_node_was_told_to_end(harness: Harness) -> None:
+    """The release of a session whose viewer had no connection was repeated to the process that ended."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness)
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_nothing(viewer)
+        await connect_all_servers(harness)
+        server, link = harness.media_servers[SERVER], harness.node.servers.links[SERVER]
+        connects = len(server.connections)
+        await harness.step("node", "begins-shutdown")
+        link.refresh.completeness.proven_until -= REFRESH_INTERVAL_US
+        for held in harness.node.engine.sessions_at(SERVER):
+            held.requested_at -= REFRESH_INTERVAL_US
+        read_at = link.lease.last_message_at
+        server.write({"t": "tell", "ref": session_id("1"), "f": {"note": "r", "value": "1"}})
+        await harness.step("node", "exits")
+        assert link.lease.last_message_at != read_at and len(server.connections) == connects
+        assert "refreshes" not in harness.node.servers.counts
+
+    run_steps(harness, steps)
+
+
+def test_no_server_is_connected_to_for_its_sessions_once_the_node_refuses(harness: Harness) -> None:
+    """As above, on a connection that takes the place of one that broke."""
+
+    async def steps(harness: Harness) -> None:
+        await start_node(harness, "forward_for_us=0")
+        viewer = await connect_proven_viewer(harness)
+        hand_over(viewer, "1")
+        await receive_nothing(viewer)
+        await connect_all_servers(harness)
+        server = harness.media_servers[SERVER]
+        connects = len(server.connections)
+        await harness.step("node", "begins-shutdown")
+        while not harness.node.engine.gate.draining:
+            await asyncio.sleep(0)
+        await harness.step(f"s{SERVER}", "drops-connections")
+        await harness.step("node", "exits")
+        assert len(server.connections) == connects
+
+    run_steps(harness, steps)
+
+
 def test_hand_over_that_the_settings_do_not_allow_is_released_at_both_ends(harness: Harness) -> None:
     """Its viewer was told that it failed, and its server was left with the session."""
 
