A new server at an old address: the old one is gone, its later sessions released there

Cause: the old server's link had connected to the new process, and its end was a matter of the list alone, which releases nothing. Now a server is gone once the list names one at its address that started later; what was set up since that start is released at the new one, as are set-ups that it answers under the old number; where the list tells the end first, the sessions are released on the connection that still works.

--- a/ponddoor/node/board.py
+++ b/ponddoor/node/board.py
@@ -17,6 +17,7 @@
 from ponddoor.node import board_codec
 from ponddoor.node.descriptors import DescriptorReserve, is_resource_exhaustion
 from ponddoor.node.lines import LineReader, UnreadableError
+from ponddoor.node.replaced_servers import ReplacedServers
 from ponddoor.node.start import Address, NodeSettings
 from ponddoor.web.connecting import connect_within
 from ponddoor.web.timing import read_within
@@ -46,6 +47,7 @@
     reserve: DescriptorReserve
     address: Address = ("", 0)
     disconnects: int = 0  # lost connections and failed attempts
+    _replaced: ReplacedServers = field(default_factory=ReplacedServers)
     _watch_task: asyncio.Task[None] | None = None
     _pending_rows: deque[ev.ServerRow] = field(default_factory=deque)  # not yet passed to the engine
     _feed_scheduled: bool = False
@@ -53,7 +55,7 @@
     def start(self, settings: NodeSettings) -> None:
         """Apply the initial list of the settings, then follow the notice board."""
         for message in settings.known_notices:
-            self.roster.take(message)
+            self.roster.take(self._replaced.complete(message))
         known = self.roster.all()
         self.on_change(known)
         self.apply(lambda now: self.engine.server_news(now, ev.NewsScope.CACHED, known.rows))
@@ -128,7 +130,7 @@
         return await connect_within(CONNECT_TIMEOUT_S, *address)
 
     def _handle_line(self, line: bytes) -> None:
-        change = self.roster.take(board_codec.decode_line(line))
+        change = self.roster.take(self._replaced.complete(board_codec.decode_line(line)))
         if change is not None:
             self.on_change(change)
             # The engine gets the servers that may no longer be used first
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -456,7 +456,9 @@
             # A new server that has taken the address answers in place of the one that is gone
             self.gone_since = self.gone_since or now
             if now - self.gone_since > ADDRESS_REUSE_TIMEOUT_US:
-                self.connection_failed(connection, "server is gone from the list, but its address answers")
+                for held in self.servers.engine.sessions_at(self.number):
+                    connection.release(now, held.sess)
+                self.close_connection(connection, "server is gone from the list, but its address answers")
                 return
         self.refresh.tick(now, plays or self.has_setups)
         self._check_lease(now, plays)
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -78,6 +78,10 @@
     # Sessions that are about to be ended as lost: (session, attempt) by server
     _ending_sessions: dict[int, deque[tuple[str, int]]] = field(default_factory=dict)
     _ending_scheduled: bool = False
+    # The newest link to each address
+    _by_address: dict[str, ServerLink] = field(default_factory=dict)
+    # Servers that are gone, by number, with the one that has their address; the longest known first
+    _successors: dict[int, int] = field(default_factory=dict)
     # Servers that the list has named and removed, the longest known first
     _gone_servers: dict[int, None] = field(default_factory=dict)
     _message_ids: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
@@ -154,8 +158,7 @@
             link = self.links.get(number)
             process = entry.address, entry.started_us
             if link is None:
-                self.links[number] = ServerLink(self, number, entry)
-                self._server_listed(self.links[number])
+                self._server_listed(self._new_link(number, entry))
             elif (link.entry.address, link.entry.started_us) == process:
                 link.entry = entry
             else:
@@ -165,7 +168,10 @@
                 continue
             link.entry = msgspec.structs.replace(link.entry, state="gone")
             self._remember_gone(number)
-            if link.connection is None:
+            successor = self._by_address.get(link.entry.address)
+            if successor is not None and successor is not link:
+                self._hand_to_successor(link, successor)
+            elif link.connection is None:
                 self.end_sessions(link, "gone")
             self._active_links[link] = None
             self._remove_if_unused(link)
@@ -175,18 +181,40 @@
 
         Those that were set up after its start, before the list told of it, stand there: all are ended, so
         these have to be released at it."""
-        now, number = clock(), link.number
-        fresh = self.links[number] = ServerLink(self, number, entry)
-        started_at = entry.started_us + now - time.time_ns() // 1000
+        fresh = self._new_link(link.number, entry)
         if entry.address == link.entry.address:
-            for held in self.engine.sessions_at(number):
-                if held.standing_since >= started_at - START_TIME_TOLERANCE_US:
-                    fresh.queue_release(held.sess)
+            self._release_since_start(link, fresh)
         self.end_sessions(link, "another process at its address")
-        self.early_ends.all_ended(now, number)
+        self.early_ends.all_ended(clock(), link.number)
         self._discard(link)
-        if fresh.pending_releases:
-            fresh.connect_staggered()
+
+    def _hand_to_successor(self, link: ServerLink, successor: ServerLink) -> None:
+        """A new server has the address of one that is gone. What was set up there under the old number since
+        the new one's start stands at that, and so may what is not answered yet."""
+        self._successors[link.number] = successor.number
+        if len(self._successors) > MAX_GONE_SERVERS:
+            del self._successors[next(iter(self._successors))]
+        self._release_since_start(link, successor)
+        self.end_sessions(link, "another server at its address")
+        self._fail_link(link)
+        pending, link.pending_releases = link.pending_releases, {}
+        for sess in pending:
+            successor.queue_release(sess)
+        if successor.pending_releases:
+            successor.connect_staggered()
+
+    def _release_since_start(self, link: ServerLink, successor: ServerLink) -> None:
+        """Release the sessions at the new process that were set up over the link to the old one."""
+        started_at = successor.entry.started_us + clock() - time.time_ns() // 1000
+        for held in self.engine.sessions_at(link.number):
+            if held.standing_since >= started_at - START_TIME_TOLERANCE_US:
+                successor.release(clock(), held.sess)
+        if successor.pending_releases:
+            successor.connect_staggered()
+
+    def _new_link(self, number: int, entry: Entry) -> ServerLink:
+        link = self.links[number] = self._by_address[entry.address] = ServerLink(self, number, entry)
+        return link
 
     def _remove_if_unused(self, link: ServerLink) -> None:
         """Remove the link to a server that is gone, once no session or message depends on it."""
@@ -201,6 +229,8 @@
         self._fail_link(link)
         self._active_links.pop(link, None)
         self.open_links.pop(link, None)
+        if self._by_address.get(link.entry.address) is link:
+            del self._by_address[link.entry.address]
 
     def _fail_link(self, link: ServerLink) -> None:
         """Close a link. Its queued messages fail in the next turn of the event loop: by then the engine has
@@ -216,12 +246,12 @@
         match effect:
             case fx.SendSetup() | fx.SendRung() | fx.SendProbe():
                 link = self.links.get(effect.server)
-                if link is None or (link.connection is None and self._is_too_late(effect)):
+                if link is None or self._takes_nothing(link, effect):
                     self.fail_unsent(effect, ev.Result.MOOT)
                 else:
                     link.send(effect)
             case fx.SendTeardown(sess, attempt, server):
-                link = self.links.get(server)
+                link = self.links.get(self._successors.get(server, server))
                 if link is None:
                     self._release_unlisted(server, sess)
                 elif not link.withdraw_setup(sess, attempt):
@@ -233,9 +263,11 @@
             case _:
                 raise TypeError(f"{effect} is not addressed to a server")
 
-    def _is_too_late(self, effect: Effect) -> bool:
-        """Whether no connection may be opened for this message any more."""
-        return self.draining and isinstance(effect, fx.SendProbe)
+    def _takes_nothing(self, link: ServerLink, effect: Effect) -> bool:
+        """Whether a message can't be sent: another server has the address, or no connection may be opened for
+        this one any more."""
+        is_too_late = link.connection is None and self.draining and isinstance(effect, fx.SendProbe)
+        return is_too_late or link.number in self._successors
 
     def fail_unsent(self, item: Outgoing, result: ev.Result) -> None:
         """Tell the engine that a SETUP or probe was not sent; other messages need no answer."""
@@ -320,6 +352,7 @@
 
     def _server_listed(self, link: ServerLink) -> None:
         """Connect to a server that is new in the list if sessions or pending releases are waiting for it."""
+        self._successors.pop(link.number, None)
         if link.number in self._gone_servers:
             del self._gone_servers[link.number]
             self.early_ends.all_ended(clock(), link.number)
