HTTP front: a spoilt line ends neither a server's notes nor its sessions, nor the list

Cause: msgspec raises UnicodeDecodeError or RecursionError for some input, which no handler took, so the task that follows the notes ended, and nobody looked; other unusable lines ended all sessions there as lost. Now decode_json raises BrokenError for all of it, and the next stream's hello tells what still plays; answers to SETUPs and probes and lines of the list likewise.

--- a/ponddoor/front/roster.py
+++ b/ponddoor/front/roster.py
@@ -195,7 +195,10 @@
 
 def decode(line: bytes) -> ListMessage:
     """Decode a line of the list's stream. Raises msgspec.MsgspecError."""
-    return msgspec.json.decode(line, type=ListMessage)
+    try:
+        return msgspec.json.decode(line, type=ListMessage)
+    except (UnicodeDecodeError, RecursionError) as error:
+        raise msgspec.DecodeError(str(error)[:100]) from None
 
 
 def encode(message: ListMessage) -> bytes:
--- a/ponddoor/front/servers.py
+++ b/ponddoor/front/servers.py
@@ -19,7 +19,7 @@
 from ponddoor.front.roster import Entry, ListChange
 from ponddoor.interface import events as ev
 from ponddoor.settings.site import Site
-from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool
+from ponddoor.web.client import BrokenError, LateError, NotSentError, Pool, decode_json
 
 SECOND = 1_000_000
 TEARDOWN_ATTEMPTS = 3
@@ -177,7 +177,7 @@
         try:
             # The engine's timer normally ends the wait; this longer limit holds if that timer is lost.
             answer = await link.pool.request("POST", "/setups", body, effect.timeout / SECOND + 5)
-            setup = msgspec.json.decode(answer.body, type=SetupAnswer)
+            setup = decode_json(answer.body, SetupAnswer)
             if (setup.sess, setup.attempt) != (effect.sess, effect.attempt):
                 # A server that answers twice: the surplus answer would be taken for that of the next SETUP.
                 link.pool.close_idle()
@@ -186,7 +186,7 @@
             self._setup_answered(effect, result, setup.report, setup.asked)
         except NotSentError as error:
             self._setup_answered(effect, ev.Result.MOOT if error.pool_full else ev.Result.CONNECT_FAILED)
-        except (BrokenError, LateError, msgspec.MsgspecError):
+        except (BrokenError, LateError):
             self._setup_answered(effect, ev.Result.RESET)
 
     def _setup_answered(
@@ -235,7 +235,7 @@
             try:
                 timeout_s = self.site.servers.probe_timeout / SECOND
                 answer = await link.pool.request("GET", "/load", timeout=timeout_s)
-                load = msgspec.json.decode(answer.body, type=ProbeAnswer)
+                load = decode_json(answer.body, ProbeAnswer)
                 if load.server != server:
                     raise BrokenError(f"server {load.server} answered a probe of server {server}")
                 result, report = ev.Result.SERVED, load.report
@@ -243,7 +243,7 @@
                 result = ev.Result.MOOT if error.pool_full else ev.Result.CONNECT_FAILED
             except LateError:
                 result = ev.Result.TIMEOUT
-            except (BrokenError, msgspec.MsgspecError):
+            except BrokenError:
                 result = ev.Result.RESET
         lag = round((asyncio.get_running_loop().time() - started_at) * SECOND)
         self.apply(lambda now: self.engine.probe_answered(now, server, lag, result, report))
@@ -259,7 +259,7 @@
             reason = "closed"
             try:
                 async for line in link.pool.stream_lines(path, silence_s):
-                    note = msgspec.json.decode(line, type=NoteLine)
+                    note = decode_json(line, NoteLine)
                     if note.note == "hello":
                         if not link.up or process_started_us != note.started_us:
                             log.info("notes-up", server=number)
@@ -274,10 +274,12 @@
                         self._handle_note(number, note)
             except BrokenError as error:
                 reason = str(error)
-                if link.up:  # perhaps only the connection was lost: the next one lists the streams that run
+                if (
+                    link.up
+                ):  # perhaps the connection alone is at fault: the next one lists the streams that run
                     link.up = False
                     continue
-            except (LateError, NotSentError, msgspec.MsgspecError) as error:
+            except (LateError, NotSentError) as error:
                 reason = str(error)
             if link.up or self.engine.sessions_at(number):
                 log.info("notes-lost", server=number, why=reason)
--- a/ponddoor/web/client.py
+++ b/ponddoor/web/client.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import h11
 import msgspec
@@ -14,6 +15,8 @@
 _READ_BYTES = 65_536
 MAX_RETRY_AFTER_S = 60.0  # a longer Retry-After is cut to this
 
+DecodedT = TypeVar("DecodedT")
+
 
 class NotSentError(Exception):
     """Nothing was sent, as no connection was available.
@@ -39,6 +42,14 @@
         self.status, self.retry_after_s, self.headers = status, retry_after_s, headers or {}
 
 
+def decode_json(data: bytes, expected: type[DecodedT]) -> DecodedT:
+    """Decode received JSON. Raises BrokenError if it is not valid JSON of this type."""
+    try:
+        return msgspec.json.decode(data, type=expected)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise BrokenError(f"unusable JSON: {str(error)[:100]}") from None
+
+
 class OversizeError(BrokenError):
     """A line or a response exceeds its size limit; what was received of it is discarded."""
 
@@ -57,10 +68,7 @@
 
     def json(self) -> dict[str, object]:
         """The body as a JSON object. Raises BrokenError if it is not one."""
-        try:
-            return msgspec.json.decode(self.body, type=dict[str, object])
-        except msgspec.MsgspecError as error:
-            raise BrokenError(f"response body is not a JSON object: {error}") from None
+        return decode_json(self.body, dict[str, object])
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/front/test_world.py
+++ b/tests/front/test_world.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 
+from ponddoor.front import roster
 from ponddoor.front.sealed import Seal
 from ponddoor.front.words import wall_clock_us
 from ponddoor.settings.site import loads
@@ -203,6 +204,32 @@
     in_world(live)
 
 
+SPOILT_LINES = (b'{"note":"beat\xff\xfe"}', b"[" * 100_000, b"noise", b'{"note":7}')
+
+
+@pytest.mark.parametrize("spoilt", SPOILT_LINES, ids=["no-utf8", "deep", "noise", "other-type"])
+def test_a_spoilt_line_of_a_servers_notes_ends_neither_the_stream_nor_a_session(
+    in_world: Run, spoilt: bytes
+) -> None:
+    async def live(world: World) -> None:
+        await world.ask()
+        media = next(media for media in world.media if media.streams)
+        old_notes = media.notes[0]
+        old_notes[1].put_nowait(msgspec.Raw(spoilt))  # type: ignore[arg-type]
+        await world.until(lambda: media.notes.get(0, old_notes) is not old_notes, 4)
+        await world.until(lambda: world.fronts[0].servers.links[media.entry.server].up, 4)
+        assert world.fronts[0].engine.sessions_held == 1 and len(media.streams) == 1
+
+    in_world(live)
+
+
+@pytest.mark.parametrize("spoilt", [b'{"list_id":"\xff\xfe","version":1,"servers":[]}', *SPOILT_LINES])
+def test_a_spoilt_line_of_the_list_is_unusable(spoilt: bytes) -> None:
+    """A line that is no UTF-8 ended the watch of the list for good."""
+    with pytest.raises(msgspec.MsgspecError):
+        roster.decode(spoilt)
+
+
 def test_a_restarted_server_has_lost_its_sessions(in_world: Run) -> None:
     async def live(world: World) -> None:
         await world.ask()
