Releases to servers: kept until a proof that the server has read them

Left standing at servers: a release counted as read a second after it was written to a connection that stayed open, so one on a connection that delivered nothing was sent again neither when that was reset later nor ever. A server that has acknowledged one before is asked on a new connection 0.5 s after one that it leaves unacknowledged. What is forgotten for lack of room counts as server-told.

Open: a server that never acknowledges, with nothing else under way and its connection open; our own close of a connection that works takes releases over a second old for read.

--- a/ponddoor/node/connection_refresh.py
+++ b/ponddoor/node/connection_refresh.py
@@ -46,7 +46,7 @@
     def request_sign_of_life(self, connection: ServerConnection) -> None: ...
     def log_connection(self, event: str, connection: ServerConnection, **more: object) -> None: ...
     def fail_setups(self, connection: ServerConnection) -> None: ...
-    def resend_release(self, now: int, sess: str) -> None: ...
+    def resend_release(self, now: int, sess: str, due_since: int) -> None: ...
     def end_unproven_sessions(self, now: int, standing_since: int) -> None: ...
 
 
@@ -150,9 +150,11 @@
         self.link.servers.extra_connections[old] = None
         self.retiring[old] = Retirement(now)
         if self.completeness.doubted_from is not None:
-            for sess in old.unconfirmed_releases(now, self.completeness.doubted_from):
-                del old.unacknowledged_releases[sess]
-                self.link.resend_release(now, sess)
+            self._resend_releases(now, old)
+
+    def _resend_releases(self, now: int, connection: ServerConnection) -> None:
+        for sess, due_since in connection.releases.take_unproven(now).items():
+            self.link.resend_release(now, sess, due_since)
 
     def detach_candidate(self) -> ServerConnection | None:
         """Stop managing the candidate, and return it."""
@@ -171,7 +173,7 @@
     def forget_release(self, sess: str) -> None:
         """A new SETUP for this session is sent: an earlier release of it must not be sent again."""
         for connection in self.retiring:
-            connection.unacknowledged_releases.pop(sess, None)
+            connection.releases.proven(sess)
 
     def connection_ended(self, connection: ServerConnection, reason: str) -> None:
         """Stop managing a connection that has ended or broken, and abort it."""
@@ -184,9 +186,8 @@
             )
             self.link.servers.extra_connections.pop(connection, None)
             self.link.fail_setups(connection)
-            now = clock()
-            for sess in () if connection.closed_by_server else connection.unconfirmed_releases(now, None):
-                self.link.resend_release(now, sess)
+            if not connection.closed_by_server:
+                self._resend_releases(clock(), connection)
         connection.abort()
 
     def end_all(self, reason: str) -> None:
--- a/ponddoor/node/server_connection.py
+++ b/ponddoor/node/server_connection.py
@@ -8,15 +8,12 @@
 from ponddoor.front.pump import SECOND, clock
 from ponddoor.node import server_codec as codec
 from ponddoor.node.lines import LineReader, UnreadableError
+from ponddoor.obligations.server_releases import ServerReleases
 from ponddoor.web.half_close import half_close
 
 USEFUL_AFTER_US = SECOND  # a connection that ends sooner, without any message, counts as a failure
-# A release was read by the server if its connection, if it works, stayed open for this long afterwards
-RELEASE_CONFIRMED_AFTER_US = SECOND
-# Releases are kept for this long, in case their connection turns out not to work
-RELEASE_RETENTION_US = 8 * SECOND
-MAX_UNACKNOWLEDGED_RELEASES = 1000
 MAX_ABANDONED_SETUPS = 1000
+MAX_SIGNS_REQUESTED = 16
 _numbers = itertools.count(1)
 
 
@@ -45,9 +42,9 @@
 class ServerConnection(asyncio.Protocol):
     """A connection to a media server.
 
-    By session id, `setups` are the unanswered SETUPs, `abandoned_setups` the attempts that were given up
-    but whose answer may already be on its way, and `unacknowledged_releases` the times at which releases
-    were sent that the server has not acknowledged. `number` identifies the connection in the log."""
+    By session id, `setups` are the unanswered SETUPs and `abandoned_setups` the attempts that were given up
+    but whose answer may already be on its way. `releases` are those that the server may not have read.
+    `number` identifies the connection in the log."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner, self.lines = owner, LineReader(codec.MAX_LINE_BYTES)
@@ -55,7 +52,8 @@
         self.transport: asyncio.Transport | None = None
         self.setups: dict[str, PendingSetup] = {}
         self.abandoned_setups: dict[str, int] = {}
-        self.unacknowledged_releases: dict[str, int] = {}
+        self.releases = ServerReleases()
+        self.signs_requested: dict[str, int] = {}  # by the id of the request, when it was written
         self.partial_since: int | None = None  # when the line began that is not complete yet
         self.opened_at = clock()
         self.established_at: int | None = None
@@ -124,23 +122,20 @@
             del self.abandoned_setups[next(iter(self.abandoned_setups))]
         self.write(codec.encode_give_up(sess))
 
-    def release(self, now: int, sess: str) -> None:
-        """Send a release and keep it until it is acknowledged or RELEASE_RETENTION_US old."""
-        while self.unacknowledged_releases:
-            oldest = next(iter(self.unacknowledged_releases))
-            full = len(self.unacknowledged_releases) >= MAX_UNACKNOWLEDGED_RELEASES
-            if not full and now - self.unacknowledged_releases[oldest] < RELEASE_RETENTION_US:
-                break
-            del self.unacknowledged_releases[oldest]
-        self.unacknowledged_releases[sess] = now
+    def release(self, now: int, sess: str, due_since: int) -> str | None:
+        """Send a release. Returns a session whose unproven release is forgotten for it."""
         self.write(codec.encode_release(sess))
-
-    def unconfirmed_releases(self, now: int, doubted_from: int | None) -> list[str]:
-        """The sessions whose release the server may not have read: those released in the last
-        RELEASE_CONFIRMED_AFTER_US, or since `doubted_from` if the connection is doubted from that time on."""
-        since = (
-            now - RELEASE_CONFIRMED_AFTER_US
-            if doubted_from is None
-            else min(doubted_from, now - RELEASE_CONFIRMED_AFTER_US)
-        )
-        return [sess for sess, sent_at in self.unacknowledged_releases.items() if sent_at > since]
+        return self.releases.sent(now, sess, due_since)
+
+    def request_sign_of_life(self, now: int, request_id: str) -> None:
+        """Send a probe that any live server answers, without a load report."""
+        if len(self.signs_requested) >= MAX_SIGNS_REQUESTED:
+            del self.signs_requested[next(iter(self.signs_requested))]
+        self.signs_requested[request_id] = now
+        self.write(codec.encode_probe(request_id, False))
+
+    def sign_received(self, request_id: str) -> None:
+        """A sign of life may have been received."""
+        requested_at = self.signs_requested.pop(request_id, None)
+        if requested_at is not None:
+            self.releases.read_through(requested_at)
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -18,7 +18,6 @@
 from ponddoor.front.pump import SECOND, after_pending_reads, clock
 from ponddoor.front.roster import Entry
 from ponddoor.interface import events as ev
-from ponddoor.node import server_codec as codec
 from ponddoor.node.board_codec import server_id
 from ponddoor.node.connection_refresh import ConnectionRefresh, Connections
 from ponddoor.node.descriptors import is_resource_exhaustion
@@ -27,6 +26,7 @@
 from ponddoor.obligations.completeness import Completeness
 from ponddoor.obligations.lease import Lease, LeaseAction, LeaseEvent
 from ponddoor.obligations.setup_rule import JudgeSetup, Verdict
+from ponddoor.obligations.violations import Invariant, Violations
 from ponddoor.web.connecting import connect_within
 from ponddoor.web.unread import has_unread
 
@@ -40,6 +40,10 @@
 MAX_QUEUED_MESSAGES = 1000  # for one connection
 # For a server that can't be reached, or that may not have read them on a connection that ended
 MAX_PENDING_RELEASES = 1000
+# On a connection that this front closes although it works
+RELEASE_READ_AFTER_US = SECOND
+# A server that acknowledges releases has not read one that it leaves unacknowledged for so long
+RELEASE_ACK_TIMEOUT_US = SECOND // 2
 log = structlog.get_logger("servers")
 
 
@@ -47,6 +51,7 @@
     """What a link needs of the object that owns all links."""
 
     random: Random
+    violations: Violations
     setups_enabled: bool
     open_links: "dict[ServerLink, None]"
 
@@ -64,8 +69,9 @@
 class ServerLink:
     """The state of a front towards one server. Times are in microseconds.
 
-    `queued` are messages that wait for a connection, `pending_releases` sessions whose release is sent first
-    on the next connection, `gone_since` is when the list was found to have removed a connected server."""
+    `queued` are messages that wait for a connection. `pending_releases` are the sessions whose release is
+    sent first on the next connection, with the time since which it is due. `gone_since` is when the list was
+    found to have removed a connected server."""
 
     servers: LinkOwner
     number: int
@@ -73,7 +79,8 @@
     connection: ServerConnection | None = None
     connect_task: asyncio.Task[None] | None = None
     queued: list[Outgoing] = field(default_factory=list)
-    pending_releases: dict[str, None] = field(default_factory=dict)
+    pending_releases: dict[str, int] = field(default_factory=dict)
+    acknowledges_releases: bool = False  # the server has done so
     last_used_at: int = 0
     gone_since: int | None = None
     connect_timer: asyncio.TimerHandle | None = None
@@ -235,8 +242,8 @@
         unproven = self.lease.connected(clock()) or self.refresh.completeness.doubted_from is not None
         request_sign = unproven and self.servers.engine.has_sessions_at(self.number)
         pending, self.pending_releases = self.pending_releases, {}
-        for sess in pending:
-            connection.release(clock(), sess)
+        for sess, due_since in pending.items():
+            self.send_release(connection, clock(), sess, due_since)
         if request_sign:
             self.request_sign_of_life(connection)
         self.send_queued()
@@ -245,7 +252,7 @@
         """Send a probe that any live server answers, without a load report."""
         self.lease.sign_requested(clock())
         self.servers.count("sign-asked")
-        connection.write(codec.encode_probe(self.servers.new_id(), False))
+        connection.request_sign_of_life(clock(), self.servers.new_id())
 
     def log_connection(self, event: str, connection: ServerConnection, **more: object) -> None:
         """Log an event of a connection, with the server and the connection's number."""
@@ -268,23 +275,51 @@
         return old
 
     def owes_release(self, now: int) -> bool:
-        """Whether a release was sent on the connection in use while that is doubted."""
-        doubted_from = self.refresh.completeness.doubted_from
-        if doubted_from is None or self.connection is None:
+        """Whether the server may not have read a release on the connection in use, which is doubted."""
+        if self.refresh.completeness.doubted_from is None or self.connection is None:
             return False
-        return bool(self.connection.unconfirmed_releases(now, doubted_from))
+        return self.connection.releases.oldest_sent_at(now) is not None
 
-    def resend_release(self, now: int, sess: str) -> None:
+    def resend_release(self, now: int, sess: str, due_since: int) -> None:
         """Send a release again that the server may not have read."""
         self.servers.count("releases-repeated")
-        self.release(now, sess)
+        if self.connection is not None:
+            self.send_release(self.connection, now, sess, due_since)
+        else:
+            self.queue_release(sess, due_since)
 
     def release(self, now: int, sess: str) -> None:
         """Send a release on the connection in use, or queue it for the next one."""
         if self.connection is not None:
-            self.connection.release(now, sess)
+            self.send_release(self.connection, now, sess, now)
         else:
-            self.queue_release(sess)
+            self.queue_release(sess, now)
+
+    def send_release(self, connection: ServerConnection, now: int, sess: str, due_since: int) -> None:
+        """Write a release to a connection."""
+        displaced = connection.release(now, sess, due_since)
+        if displaced is not None:
+            self._release_forgotten(displaced, "too many releases that the server may not have read")
+
+    def release_acknowledged(self, connection: ServerConnection, sess: str) -> None:
+        """The server has acknowledged a release."""
+        self.acknowledges_releases |= connection.releases.proven(sess)
+
+    def _release_forgotten(self, sess: str, reason: str) -> None:
+        self.servers.count("releases-forgotten")
+        detail = f"its release at {server_id(self.number)} is forgotten: {reason}"
+        self.servers.violations.add(Invariant.SERVER_TOLD, sess, detail)
+
+    def _doubt_unacknowledged_releases(self, now: int) -> bool:
+        """Doubt the connection in use if the server has left a release on it unacknowledged. Returns whether
+        it has."""
+        if not self.acknowledges_releases or self.connection is None:
+            return False
+        sent_at = self.connection.releases.oldest_sent_at(now)
+        if sent_at is None or now - sent_at <= RELEASE_ACK_TIMEOUT_US:
+            return False
+        self.refresh.completeness.doubt(now, sent_at)
+        return True
 
     def end_unproven_sessions(self, now: int, standing_since: int) -> None:
         """Release and end the sessions that have stood since `standing_since` or longer: it was not proven
@@ -322,17 +357,17 @@
         queued, self.queued = self.queued, []
         for item in queued:
             if isinstance(item, fx.SendTeardown):
-                self.queue_release(item.sess)
+                self.queue_release(item.sess, clock())
             else:
                 self.servers.fail_unsent(item, result)
 
-    def queue_release(self, sess: str) -> None:
+    def queue_release(self, sess: str, due_since: int) -> None:
         """Keep a release for the next connection, on which it is sent first."""
         self.servers.mark_used(self)
         if len(self.pending_releases) < MAX_PENDING_RELEASES:
-            self.pending_releases[sess] = None
+            self.pending_releases[sess] = due_since
         else:
-            self.servers.count("too-many-pending-releases")
+            self._release_forgotten(sess, "too many releases wait for a connection")
 
     def withdraw_setup(self, sess: str, attempt: int) -> bool:
         """Remove a SETUP that is still queued. Returns whether there was one."""
@@ -392,6 +427,7 @@
     def close_connection(self, connection: ServerConnection, reason: str) -> None:
         """Close a working connection that is not needed; data already written to it is still sent."""
         self.refresh.drop_candidate()
+        connection.releases.read_through(clock() - RELEASE_READ_AFTER_US)
         if connection.transport is not None:
             connection.transport.close()
         self._end_connection(connection, reason)
@@ -418,10 +454,10 @@
         self.servers.count("connection-ended")
         self.lease.record_event(now, LeaseEvent.BROKEN, reason[:80])
         probes = self.messages.take_pending_probes()
-        unconfirmed = connection.unconfirmed_releases(now, self.refresh.completeness.doubted_from)
-        for sess in unconfirmed:
+        unproven = connection.releases.take_unproven(now)
+        for sess, due_since in unproven.items():
             self.servers.count("releases-repeated")
-            self.queue_release(sess)
+            self.queue_release(sess, due_since)
         self.log_connection(
             "connection-broke", connection, why=reason, setups=len(connection.setups), tests=len(probes)
         )
@@ -432,7 +468,7 @@
             self.servers.probe_answered(self.number, now - sent_at, ev.Result.RESET, {})
         if self.queued and self.connection is None:
             self.connect()
-        elif unconfirmed:
+        elif unproven:
             self.connect_staggered()
         if self.servers.engine.has_sessions_at(self.number):
             if self.entry.state == "gone":
@@ -457,10 +493,11 @@
             self.gone_since = self.gone_since or now
             if now - self.gone_since > ADDRESS_REUSE_TIMEOUT_US:
                 for held in self.servers.engine.sessions_at(self.number):
-                    connection.release(now, held.sess)
+                    self.send_release(connection, now, held.sess, now)
                 self.close_connection(connection, "server is gone from the list, but its address answers")
                 return
-        self.refresh.tick(now, plays or self.has_setups)
+        unread = self._doubt_unacknowledged_releases(now)
+        self.refresh.tick(now, plays or self.has_setups or unread)
         self._check_lease(now, plays)
         if connection is not None and self.connection is connection and not has_unread(connection.transport):
             self._check_connection(connection, now, plays, idle)
@@ -496,7 +533,7 @@
         in case the server still lives."""
         self.fail_connections(reason)
         for held in self.servers.engine.sessions_at(self.number):
-            self.queue_release(held.sess)
+            self.queue_release(held.sess, now)
         self.servers.end_sessions(self, reason)
 
     @property
--- a/ponddoor/node/server_messages.py
+++ b/ponddoor/node/server_messages.py
@@ -60,15 +60,17 @@
     def message_received(self, now: int, connection: ServerConnection) -> None: ...
     def request_timed_out(self, now: int, since: int) -> None: ...
     def connection_failed(self, connection: ServerConnection, reason: str) -> None: ...
+    def release_acknowledged(self, connection: ServerConnection, sess: str) -> None: ...
+    def send_release(self, connection: ServerConnection, now: int, sess: str, due_since: int) -> None: ...
 
 
 @dataclass(slots=True)
 class ServerMessages:
     """The messages of one link, on all its connections. `probes` are the unanswered probes by their id, with
-    the time at which they were sent and the timer of their timeout."""
+    the time at which they were sent, their connection and the timer of their timeout."""
 
     link: MessageLink
-    probes: dict[str, tuple[int, asyncio.TimerHandle]] = field(default_factory=dict)
+    probes: dict[str, tuple[int, ServerConnection, asyncio.TimerHandle]] = field(default_factory=dict)
 
     def write(self, connection: ServerConnection, item: Outgoing) -> None:
         """Write the message for an effect of the engine. A connection that the server does not read fails."""
@@ -100,7 +102,7 @@
         # A later end of the session must not be taken for that of an attempt that was given up here
         connection.abandoned_setups.pop(sess, None)
         # A release of an earlier attempt must not be sent again: it would end the new session
-        connection.unacknowledged_releases.pop(sess, None)
+        connection.releases.proven(sess)
         self.link.refresh.forget_release(sess)
         servers.early_ends.forget(self.link.number, sess)
         connection.setups[sess] = PendingSetup(item.attempt, clock(), item.timeout)
@@ -110,21 +112,21 @@
         probe_id, servers = self.link.servers.new_id(), self.link.servers
         timeout_s = servers.connect_timeout / SECOND
         timer = asyncio.get_running_loop().call_later(timeout_s, self._probe_timed_out, probe_id)
-        self.probes[probe_id] = (clock(), timer)
+        self.probes[probe_id] = (clock(), connection, timer)
         connection.write(codec.encode_probe(probe_id, True))
 
     def _probe_timed_out(self, probe_id: str) -> None:
         if probe_id in self.probes:
-            now, (sent_at, _) = clock(), self.probes.pop(probe_id)
+            now, (sent_at, _, _) = clock(), self.probes.pop(probe_id)
             self.link.request_timed_out(now, sent_at)
             self.link.servers.probe_answered(self.link.number, now - sent_at, ev.Result.TIMEOUT, {})
 
     def take_pending_probes(self) -> list[int]:
         """Stop waiting for all unanswered probes. Returns the times at which they were sent."""
         probes, self.probes = self.probes, {}
-        for _, timer in probes.values():
+        for _, _, timer in probes.values():
             timer.cancel()
-        return [sent_at for sent_at, _ in probes.values()]
+        return [sent_at for sent_at, _, _ in probes.values()]
 
     def _send_teardown(self, connection: ServerConnection, sess: str, attempt: int) -> None:
         """Give up an unanswered SETUP, on whichever connection it was sent, or release a session."""
@@ -132,7 +134,7 @@
         if setup is None or setup.attempt != attempt:
             retiring = self.link.refresh.connection_of_setup(sess, attempt)
             if retiring is None:
-                connection.release(now, sess)
+                self.link.send_release(connection, now, sess, now)
             else:
                 retiring.give_up(sess)
             return
@@ -153,9 +155,11 @@
             case codec.SessionEnded():
                 self._session_ended(connection, message)
             case codec.ReleaseAck(sess):
-                connection.unacknowledged_releases.pop(sess, None)
+                self.link.release_acknowledged(connection, sess)
             case codec.ProbeAnswered(sess, healthy, report):
-                self._probe_answered(sess, ev.Result.SERVED if healthy else ev.Result.ERROR, report)
+                self._probe_answered(
+                    connection, sess, ev.Result.SERVED if healthy else ev.Result.ERROR, report
+                )
             case codec.SessionNote(sess, kind, value):
                 servers, held = self.link.servers, self.link.servers.engine.find(sess)
                 if held is not None and held.server == self.link.number:
@@ -163,6 +167,8 @@
 
     def _setup_accepted(self, connection: ServerConnection, sess: str, passed: str) -> None:
         setup = connection.setups.pop(sess, None)
+        if setup is not None:
+            connection.releases.read_through(setup.sent_at)
         attempt = connection.abandoned_setups.pop(sess, None) if setup is None else setup.attempt
         if attempt is not None:
             self.link.servers.setup_answered(sess, attempt, self.link.number, None, {}, passed)
@@ -171,6 +177,7 @@
         """A SETUP has failed, or a session that stood is over."""
         servers, sess = self.link.servers, message.sess
         if (setup := connection.setups.pop(sess, None)) is not None:
+            connection.releases.read_through(setup.sent_at)
             servers.setup_answered(
                 sess, setup.attempt, self.link.number, message.setup_result, message.report
             )
@@ -188,8 +195,13 @@
                 reason = "over"
             servers.apply(lambda now: servers.engine.stream_ended(now, sess, attempt, reason))
 
-    def _probe_answered(self, probe_id: str, result: ev.Result, report: dict[str, float]) -> None:
+    def _probe_answered(
+        self, connection: ServerConnection, probe_id: str, result: ev.Result, report: dict[str, float]
+    ) -> None:
+        connection.sign_received(probe_id)
         if probe_id in self.probes:
-            sent_at, timer = self.probes.pop(probe_id)
+            sent_at, sent_on, timer = self.probes.pop(probe_id)
             timer.cancel()
+            if sent_on is connection:
+                connection.releases.read_through(sent_at)
             self.link.servers.probe_answered(self.link.number, clock() - sent_at, result, report)
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -198,8 +198,8 @@
         self.end_sessions(link, "another server at its address")
         self._fail_link(link)
         pending, link.pending_releases = link.pending_releases, {}
-        for sess in pending:
-            successor.queue_release(sess)
+        for sess, due_since in pending.items():
+            successor.queue_release(sess, due_since)
         if successor.pending_releases:
             successor.connect_staggered()
 
@@ -358,7 +358,7 @@
             self.early_ends.all_ended(clock(), link.number)
         self._unlisted_since.pop(link.number, None)
         for sess in self._unlisted_releases.pop(link.number, {}):
-            link.queue_release(sess)
+            link.queue_release(sess, clock())
         if link.pending_releases or self.engine.has_sessions_at(link.number):
             link.connect_staggered()
 
--- a/ponddoor/obligations/violations.py
+++ b/ponddoor/obligations/violations.py
@@ -14,6 +14,7 @@
     ANSWERED_IN_TIME = "answered-in-time"  # a request is answered by its deadline
     LEASE_IN_TIME = "lease-in-time"  # no session stands at a server whose lease is over
     VIEWER_TOLD = "viewer-told"  # a release is delivered until a proof, or the time of the rule, ends that
+    SERVER_TOLD = "server-told"  # a release to a server is not forgotten for lack of room
     CLOSED_WITHOUT_WAITING = "closed-without-waiting"  # no connection is closed while a request is open on it
 
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -121,7 +121,7 @@
 
 def keeps_sessions_at_servers() -> None:
     """A session that its viewer ends is not released at its server."""
-    ServerConnection.release = lambda self, now, sess: None  # type: ignore[method-assign]
+    ServerConnection.release = lambda self, now, sess, due_since: None  # type: ignore[method-assign]
 
 
 def gives_up_nothing_at_servers() -> None:
