Viewers: bytes of messages received in part are held within a budget

Nothing asked for the limit. Now a quarter of what is left of memory_mb after the start is the budget of all partial messages; beyond it the longest waiting connection is closed, those of viewers with sessions last.

--- a/ponddoor/node/process.py
+++ b/ponddoor/node/process.py
@@ -23,6 +23,7 @@
 from ponddoor.node.board import DiscoveryClient
 from ponddoor.node.descriptors import DescriptorReserve, MemoryGauge
 from ponddoor.node.early import EarlySignal
+from ponddoor.node.partial_messages import partial_budget_bytes
 from ponddoor.node.servers import Servers
 from ponddoor.node.start import NodeSettings, StartError, read_settings
 from ponddoor.node.viewers import Viewers
@@ -187,6 +188,7 @@
         log.debug("facts", facts=self.settings.facts, limits=self.settings.socket_limit)
         self.reserve.refill()
         memory_kb = self.memory.resident_kb()
+        self.viewers.partial_messages.budget_bytes = partial_budget_bytes(self.settings.memory_mb, memory_kb)
         log.info("node-started", name=self.settings.name, me=self.settings.facts.me, memory_kb=memory_kb)
         due, log_at = clock() + TICK_INTERVAL_US, clock() + STATE_LOG_INTERVAL_US
         while self.drain is None:
@@ -269,6 +271,7 @@
             releases_pending=len(viewers.sessions.delivery),
             sessions=viewers.sessions.counts, violations=viewers.sessions.violations.counts,
             lag_us=self._max_lag_us, memory_kb=self.memory.resident_kb(),
+            partial_bytes=viewers.partial_messages.total_bytes,
             faults=counts.faults, answers=counts.answers, setups=counts.setups, stray=counts.stray,
             viewers_seen=viewers.counts, servers_seen=servers.counts,
             session_lines_left_out=viewers.session_log.lines_dropped,
--- a/ponddoor/node/start.py
+++ b/ponddoor/node/start.py
@@ -1,5 +1,6 @@
 """Reads and validates a node's settings: environment variables and the platform's JSON file."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -53,13 +54,14 @@
 class NodeSettings:
     """The settings of one node.
 
-    `socket_limit` bounds the node's open sockets. `board` is the address of the notice board, `known_notices`
-    has the server list to start with. `peers` has the addresses of all fronts by number, this node's
-    included; messages to all fronts go to `peers_all`."""
+    `socket_limit` bounds the node's open sockets, `memory_mb` its resident memory. `board` is the address of
+    the notice board, `known_notices` has the server list to start with. `peers` has the addresses of all
+    fronts by number, this node's included; messages to all fronts go to `peers_all`."""
 
     name: str
     listen: Address
     socket_limit: int
+    memory_mb: float
     server_idle_timeout_us: int  # servers close a connection that has been idle for this long
     facts: SiteFacts
     zones: tuple[str, ...]
@@ -96,10 +98,13 @@
         peers = tuple(parse_address(text, "peers") for text in raw.peers)
         if raw.limits.sockets < 64:
             raise StartError(f"limits.sockets is {raw.limits.sockets}, must be at least 64")
+        if not 0 < raw.limits.memory_mb < math.inf:
+            raise StartError(f"limits.memory_mb is {raw.limits.memory_mb}, must be positive")
         return NodeSettings(
             raw.name,
             parse_address(raw.listen, "listen"),
             raw.limits.sockets,
+            raw.limits.memory_mb,
             server_idle_timeout,
             facts,
             zones,
--- a/ponddoor/node/viewer_codec.py
+++ b/ponddoor/node/viewer_codec.py
@@ -124,9 +124,9 @@
         return messages, ""
 
     @property
-    def partial(self) -> bool:
-        """Whether a message has been received in part."""
-        return bool(self._rest)
+    def partial_bytes(self) -> int:
+        """The number of bytes of a message that has been received in part; 0 if there is none."""
+        return len(self._rest)
 
 
 def _decode(message: bytes) -> Message | None:
--- a/ponddoor/node/viewer_connection.py
+++ b/ponddoor/node/viewer_connection.py
@@ -38,6 +38,9 @@
     def connection_closed(self, connection: "ViewerConnection") -> None:
         """The connection has ended."""
 
+    def partial_changed(self, connection: "ViewerConnection", size: int, is_new: bool) -> None:
+        """The connection holds `size` bytes of an incomplete message; `is_new` if that has just begun."""
+
     def count(self, event: str) -> None:
         """Increment the counter of `event`."""
 
@@ -92,10 +95,10 @@
         if error:
             self.handler.request_close(self, "unreadable")
         # Bytes left over after a complete message belong to a message that begins with this read
-        if messages or not self.reader.partial:
-            self.partial_since = None
-        if self.reader.partial:
-            self.partial_since = self.partial_since or now
+        is_new = bool(messages) or self.partial_since is None
+        held = self.reader.partial_bytes
+        self.partial_since = None if not held else now if is_new else self.partial_since
+        self.handler.partial_changed(self, held, is_new)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.handler.connection_closed(self)
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -16,6 +16,7 @@
 from ponddoor.node.board_codec import server_number
 from ponddoor.node.hand_over import HandOvers, SessionServers
 from ponddoor.node.listener import Listener
+from ponddoor.node.partial_messages import PartialMessages
 from ponddoor.node.release_sender import ReleaseSender
 from ponddoor.node.session_log import RequestEnd, SessionLog
 from ponddoor.node.viewer_connection import (
@@ -59,6 +60,7 @@
     _hand_overs: HandOvers = field(init=False)
     _admission: Admission = field(init=False)
     _listener: Listener | None = None
+    partial_messages: PartialMessages = field(default_factory=PartialMessages)
     _eviction_scheduled: bool = False
     # Start times of the connections that may still linger
     _linger_starts: list[int] = field(default_factory=list)
@@ -131,6 +133,14 @@
         """Whether a request is open on a connection, or may be in its unread input."""
         return self.sessions.has_open_requests(connection) or has_unread(connection.transport)
 
+    def partial_changed(self, connection: ViewerConnection, size: int, is_new: bool) -> None:
+        """A connection holds so much of a message that is not complete. Close others if all hold too much."""
+        if connection not in self.connections.all:
+            return
+        self.partial_messages.update(connection, size, is_new)
+        while (excess := self.partial_messages.excess()) is not None:
+            self.close_connection(excess, "partial-messages-too-large")
+
     def request_close(self, connection: ViewerConnection, reason: str) -> None:
         """Close a connection whose further input cannot be decoded."""
         self.close_connection(connection, reason)
@@ -172,6 +182,7 @@
 
         Standing sessions go on."""
         self.connections.remove(connection)
+        self.partial_messages.remove(connection)
         self._admission.connection_ended(connection)
         for session in self.sessions.open_requests_on(connection):
             self._log_request_end(session, "withdrawn", "its connection ended")
@@ -285,7 +296,8 @@
         wait = viewer_request.wait - self.engine.gate.lag.lag(read_at)
         self.sessions.receive(read_at, session, connection, wait)
         request = ReceivedRequest(connection, session, viewer_request, read_at)
-        if self.sessions.received_count + self.engine.requests_in_hand <= self.engine.gate.limits.in_hand:
+        in_hand_limit = self.engine.gate.limits.in_hand
+        if self.sessions.received_count + self.engine.requests_in_hand <= in_hand_limit:
             self._admission.received(request)
         else:  # over the limit: the engine answers busy at once
             self._submit(request)
--- a/tests/node/test_reading.py
+++ b/tests/node/test_reading.py
@@ -29,6 +29,9 @@
     def connection_closed(self, connection: ViewerConnection) -> None:
         self.closed = True
 
+    def partial_changed(self, connection: ViewerConnection, size: int, is_new: bool) -> None:
+        pass
+
     def count(self, event: str) -> None:
         pass
 
