--- a/ponddoor/node/viewer_connection.py
+++ b/ponddoor/node/viewer_connection.py
@@ -168,7 +168,7 @@
         """Choose the connection to close for a new one; None if all have an open request.
 
         In order: idle strangers past their grace period, strangers past it that are in the middle of a
-        message, idle proven strangers, idle trusted connections, idle strangers, idle connections with
+        message, idle proven strangers, any other strangers, idle trusted connections, idle connections with
         sessions, and finally any connection without an open request. A connection is idle if no message has
         been received in part and no request is open."""
         grace_start = clock() - NEW_CONNECTION_GRACE_US
@@ -181,8 +181,8 @@
             _first(self._strangers, lambda c: c.opened_at <= grace_start and is_idle(c))
             or _first(self._strangers, lambda c: c.opened_at <= grace_start and not has_open_request(c))
             or _first(self._strangers, lambda c: c.proven and is_idle(c))
+            or _first(self._strangers, lambda c: not has_open_request(c))
             or _first(self._trusted, is_idle)
-            or _first(self._strangers, is_idle)
             or _first(self._with_sessions, is_idle)
             or _first(self.all, lambda c: not has_open_request(c))
         )
