--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -32,6 +32,7 @@
 from ponddoor.web.unread import has_unread
 
 MAX_UNUSABLE_LOGGED = 20  # log lines about unusable requests, in the life of the process
+CONNECTION_SHARE_DIVISOR = 4  # one connection may have this part of the requests in hand
 LINGERING_LIMIT = 16  # connections that linger at the same time; further ones are closed at once
 FINAL_FLUSH_US = SECOND // 20  # the end of the shutdown, in which viewers read what was written last
 CLOSE_CHECK_INTERVAL_S = 0.001  # while connections still have unread input during the shutdown
@@ -297,7 +298,9 @@
         self.sessions.receive(read_at, session, connection, wait)
         request = ReceivedRequest(connection, session, viewer_request, read_at)
         in_hand_limit = self.engine.gate.limits.in_hand
-        if self.sessions.received_count + self.engine.requests_in_hand <= in_hand_limit:
+        if self.sessions.open_count_on(connection) > in_hand_limit // CONNECTION_SHARE_DIVISOR:
+            self._refuse(request)
+        elif self.sessions.received_count + self.engine.requests_in_hand <= in_hand_limit:
             self._admission.received(request)
         else:  # over the limit: the engine answers busy at once
             self._submit(request)
--- a/ponddoor/obligations/sessions.py
+++ b/ponddoor/obligations/sessions.py
@@ -116,6 +116,10 @@
         """The sessions whose requests are open on a connection."""
         return tuple(self._open_by_connection.get(connection, ()))
 
+    def open_count_on(self, connection: ConnectionT) -> int:
+        """The number of requests that are open on a connection."""
+        return len(self._open_by_connection.get(connection, ()))
+
     def has_open_requests(self, connection: ConnectionT) -> bool:
         """Whether a request is open on a connection."""
         return connection in self._open_by_connection
