Hand-over of a session whose release is pending: its viewer is told on that connection

A viewer that hands over a session holds it to be playing, so it has not heard. The hand-over was ignored as that of a known session, and its connection, if it had been offered the release before, got no further copy. The new test of test_unread_viewer_links.py fails on the commit before.

--- a/ponddoor/node/release_sender.py
+++ b/ponddoor/node/release_sender.py
@@ -50,6 +50,12 @@
         self.sessions.delivery.connection_spoke(now, connection)
         self._set_timer(now, wrote=True)
 
+    def viewer_asks(self, connection: ViewerConnection, session: str) -> None:
+        """A viewer hands over a session on this connection that has ended here: it has not heard of that."""
+        release = self.sessions.delivery.viewer_asks(session, connection)
+        if release is not None:
+            self._write(clock(), {connection: [release]})
+
     def write_before_close(self, connection: ViewerConnection) -> None:
         """Write the releases that a connection was not offered yet, since it is about to be closed."""
         releases = self.sessions.delivery.copies_before_close(connection)
--- a/ponddoor/node/viewers.py
+++ b/ponddoor/node/viewers.py
@@ -289,6 +289,8 @@
         if not self._is_known(session):
             self._hand_overs.take_over(connection, session, viewer_request, server)
             self._mark_used(connection)
+        else:
+            self._releases.viewer_asks(connection, session)
 
     def _receive(self, connection: ViewerConnection, session: str, viewer_request: ViewerRequest) -> None:
         """Register a request, to be submitted in its turn."""
--- a/ponddoor/obligations/release_delivery.py
+++ b/ponddoor/obligations/release_delivery.py
@@ -332,6 +332,16 @@
             if release.tried[-1:] == [connection]:
                 self._schedule(release, now)
 
+    def viewer_asks(self, session: str, connection: ConnectionT) -> PendingRelease[ConnectionT] | None:
+        """A viewer takes a session for playing. Returns its release if that is pending, to be written to this
+        connection."""
+        release = self._pending.get(session)
+        if release is not None:
+            release.copies += 1
+            if not release.offered_to_all:
+                release.tried.append(connection)
+        return release
+
     def copies_before_close(self, connection: ConnectionT) -> list[PendingRelease[ConnectionT]]:
         """The releases that a connection was not offered yet, to be written to it before it is closed."""
         untold = list[PendingRelease[ConnectionT]]()
--- a/tests/node/test_unread_viewer_links.py
+++ b/tests/node/test_unread_viewer_links.py
@@ -147,4 +147,20 @@
     run_steps(harness, steps)
 
 
+def test_viewer_that_hands_over_a_session_whose_release_it_has_missed_is_told_again(harness: Harness) -> None:
+    """The release had been written to its connection before, so the hand-over was ignored."""
+
+    async def steps(harness: Harness) -> None:
+        await start_with_one_server(harness)
+        viewer = await connect_proven_viewer(harness)
+        await set_up(harness, viewer, SESSION)
+        await harness.step("S", "ends", SESSION, CAUSE_ENDED)
+        await receive_end(viewer, SESSION)
+        viewer.send(setup_request(SESSION, at="s-00000001", wait="0"))
+        await receive_end(viewer, SESSION)
+        await acknowledge(harness, viewer, SESSION)
+
+    run_steps(harness, steps)
+
+
 SESSION_ID = session_id(SESSION)
