--- a/ponddoor/node/session_log.py
+++ b/ponddoor/node/session_log.py
@@ -11,7 +11,7 @@
 from ponddoor.front.pump import SECOND, clock
 from ponddoor.node.board_codec import server_id
 
-MAX_LINES_PER_SECOND = 100  # of requests that are late, and as many of all else
+MAX_LINES_PER_SECOND = 200  # of requests that are late, and as many of all else
 MAX_COPIES_LOGGED = 16  # connections in one line
 log = structlog.get_logger("sessions")
 
--- a/tests/node/test_session_log.py
+++ b/tests/node/test_session_log.py
@@ -10,7 +10,7 @@
 from ponddoor.cli import main
 from ponddoor.front.pump import SECOND
 from ponddoor.node import session_log
-from ponddoor.node.session_log import MAX_LINES_PER_SECOND, SessionLog
+from ponddoor.node.session_log import MAX_LINES_PER_SECOND, ReleaseCopy, SessionLog
 
 SESSION = "510a5b97911b1731"
 
@@ -52,6 +52,20 @@
     assert events == ["connection-opened", "session-stands", "refresh-failed", "sessions-lost"]
 
 
+def test_each_copy_of_a_release_is_logged_with_its_connections_and_the_end_of_its_delivery() -> None:
+    session_lines = SessionLog()
+    with capture_logs() as lines:
+        session_lines.session_released(SESSION, 2, [ReleaseCopy(7, 1_500_000), ReleaseCopy(9, 20_000)])
+        session_lines.release_ended(SESSION, "acknowledged", 3, 212_000)
+    assert [(line["event"], line["session"]) for line in lines] == [
+        ("session-released", SESSION),
+        ("release-ended", SESSION),
+    ]
+    assert (lines[0]["attempt"], lines[0]["viewer_connections"]) == (2, [7, 9])
+    assert lines[0]["silent_ms"] == [1500, 20]
+    assert (lines[1]["how"], lines[1]["copies"], lines[1]["after_ms"]) == ("acknowledged", 3, 212)
+
+
 @pytest.mark.parametrize(
     ("text", "status"), [("", 1), (json.dumps({"event": "x", "timestamp": "y", "session": SESSION}), 2)]
 )
