Oracle: a cut is dated by the viewer's hearing; an end that a killed process took along

Excused is this alone: a process that was not told to end, no link sound for a second meanwhile, and no further telling. test_oracle.py has the cases beside it that stay violations.

--- a/ponddoor/soak/oracle.py
+++ b/ponddoor/soak/oracle.py
@@ -219,6 +219,8 @@
             if session.viewer_ends_at < FOREVER:
                 return
             told = over_at
+        if told == FOREVER and _died_with_its_process(session):
+            return
         if session.handed_over_at < FOREVER:
             told = max(told, session.handed_over_at + HAND_OVER_S)
             over_at = max(over_at, session.handed_over_at + HAND_OVER_S)
@@ -258,7 +260,8 @@
 
     def _judge_cut(self, session: Session) -> None:
         """A session that stands may be ended by its node only after a long silence of its server."""
-        at, life = session.ended_at, session.life
+        # The server may read the release long after the node has decided, its viewer hears at once
+        at, life = min(session.ended_at, session.heard_at), session.life
         if session.end is not SessionEnd.NODE or session.viewer_ends_at < FOREVER:
             return
         if min(life.sigterm_at, life.over_at) <= at or session.server in self.removed:
@@ -378,6 +381,17 @@
     return any(min(ended, until) - max(opened, since) >= seconds for opened, ended in life.connected)
 
 
+def _died_with_its_process(session: Session) -> bool:
+    """Whether the end of a session was known to a killed process alone, which had no link to tell anybody.
+
+    The protocol page: a server sends its release "on the next connection to be opened as well", no other."""
+    if session.told_before is None:
+        return False
+    told_at, life = session.told_before
+    could_tell = _connected_for(life, told_at, life.over_at, RELEASE_S + SLACK_S)
+    return life.sigterm_at == FOREVER and not could_tell
+
+
 def _heard(session: Session, since: float) -> str:
     """When a viewer heard of a session's end."""
     return "never heard" if session.heard_at == FOREVER else f"heard after {session.heard_at - since:.3f} s"
--- a/ponddoor/soak/records.py
+++ b/ponddoor/soak/records.py
@@ -100,6 +100,7 @@
     viewer_ends_at: float = FOREVER  # when its viewer first wrote that it ends it
     viewer_released_at: float = FOREVER  # likewise, on a connection that outlived the message
     handed_over_at: float = FOREVER
+    told_before: tuple[float, NodeLife] | None = None  # a process before this one had its server's release
 
 
 @dataclass(frozen=True, slots=True)
--- a/ponddoor/soak/viewers.py
+++ b/ponddoor/soak/viewers.py
@@ -121,9 +121,10 @@
         if connection is None:
             return
         for session in playing:
-            session.life, session.handed_over_at = life, time.monotonic()
             if session.told_node_at < life.started_at:
+                session.told_before = session.told_node_at, session.life
                 session.told_node_at = FOREVER
+            session.life, session.handed_over_at = life, time.monotonic()
             self.playing[session.request] = session
             request = self.oracle.requests.get(session.request)
             class_name = request.class_name if request is not None else self.plan.classes[0].name
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -215,6 +215,35 @@
     assert ("cut" in broken) is cut
 
 
+def test_a_session_is_cut_when_its_viewer_hears_of_it_however_late_its_server_does() -> None:
+    for heard_s, cut in ((13.9, False), (15.6, True), (FOREVER, True)):
+        oracle = cut_session((4.0, 14.0))
+        oracle.sessions["1"].heard_at = heard_s
+        assert any(one.rule == "cut" for one in oracle.verdict(30.0)) is cut
+
+
+@pytest.mark.parametrize(
+    ("sound", "sigterm_at", "told_again_s", "broken"),
+    [
+        ([(0.0, 9.5)], FOREVER, FOREVER, False),
+        ([(0.0, 12.0)], FOREVER, FOREVER, True),  # the process had a link and the time
+        ([(0.0, 9.5)], 11.0, FOREVER, True),  # it was told to end, and had to leave it to the next one
+        ([(0.0, 9.5)], FOREVER, 13.5, True),
+    ],
+)
+def test_an_end_that_died_with_a_killed_process_without_a_sound_link_is_nobodys(
+    sound: list[tuple[float, float]], sigterm_at: float, told_again_s: float, broken: bool
+) -> None:
+    """Its server says a release on one further connection alone, which was one of that process."""
+    oracle = Oracle(0.5)
+    killed = NodeLife(0, 0.0, sigterm_at=sigterm_at, killed_at=12.0, exited_at=12.0, connected=sound)
+    life = NodeLife(0, 12.5, ready_at=13.0, connected=[(13.0, FOREVER)])
+    session = Session("1", "s", life, 5.0, 10.0, SessionEnd.SERVER, told_again_s, handed_over_at=13.1)
+    session.told_before = (10.5, killed)
+    oracle.lives, oracle.sessions = [killed, life], {"1": session}
+    assert any(one.rule == "release" for one in oracle.verdict(40.0)) is broken
+
+
 @pytest.mark.parametrize(("again_at", "parted"), [(15.4, False), (15.6, True)])
 def test_two_silences_are_one_where_a_node_may_have_missed_what_is_between(
     again_at: float, parted: bool
