--- a/tests/soak/test_links.py
+++ b/tests/soak/test_links.py
@@ -5,11 +5,12 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from ponddoor.soak.links import Link, Trouble
 from ponddoor.soak.oracle import Oracle
-from ponddoor.soak.plan import Fault, FaultKind, draw_links
+from ponddoor.soak.plan import LONG_SESSIONS_S, Fault, FaultKind, draw_links
 from ponddoor.soak.records import FOREVER, NodeLife, Session, SessionEnd
 from ponddoor.soak.run import SoakRun
 from tests.soak.test_regressions import plan
@@ -137,6 +138,25 @@
     assert not broken, "\n".join(broken)
 
 
+def test_sessions_that_end_on_dead_links_before_sigterm_are_released_by_the_next_process(
+    tmp_path: Path,
+) -> None:
+    """Their server's second telling goes to a connection that the old process opens as well."""
+    faults = tuple(
+        fault
+        for node in range(NODES)
+        for fault in (
+            Fault("all_links_drop_to_viewers", 1.0, 9.0, node),
+            Fault("terminate", 6.0 + node / 4, 1.0, node),
+        )
+    )
+    made = plan(1000.0, 24.0, faults, nodes=NODES, servers=3, connections=12)
+    run = SoakRun(msgspec.structs.replace(made, session_s=LONG_SESSIONS_S), tmp_path)
+    outcome = asyncio.run(run.play())
+    broken = [one.what for one in outcome.violations]
+    assert not broken, "\n".join(broken)
+
+
 def test_no_rule_is_broken_by_failing_links_under_other_faults(tmp_path: Path) -> None:
     async def all_of_them() -> list[str]:
         runs = []
