Readable: the releases of a link to a server in a module of their own

No behaviour is meant to change. tests/node (hand-over, address reuse, unread links, scenarios) and many_servers pass.

--- a/ponddoor/node/connection_refresh.py
+++ b/ponddoor/node/connection_refresh.py
@@ -9,6 +9,7 @@
 
 from ponddoor.front.engine import Engine
 from ponddoor.front.pump import SECOND, clock
+from ponddoor.node.link_releases import LinkReleases
 from ponddoor.node.server_connection import ServerConnection
 from ponddoor.obligations.completeness import PROOF_TIMEOUT_US, SILENCE_THRESHOLD_US, Completeness
 from ponddoor.obligations.lease import Lease
@@ -37,16 +38,15 @@
 
     number: int
     lease: Lease
+    releases: LinkReleases
 
     @property
     def servers(self) -> Connections: ...
-    def owes_release(self, now: int) -> bool: ...
     def open_extra_connection(self) -> bool: ...
     def switch_to(self, connection: ServerConnection) -> ServerConnection | None: ...
     def request_sign_of_life(self, connection: ServerConnection) -> None: ...
     def log_connection(self, event: str, connection: ServerConnection, **more: object) -> None: ...
     def fail_setups(self, connection: ServerConnection) -> None: ...
-    def resend_release(self, now: int, sess: str, due_since: int) -> None: ...
     def end_unproven_sessions(self, now: int, standing_since: int) -> None: ...
 
 
@@ -92,7 +92,7 @@
         """Open a candidate, and request a sign of life on it in any case if `sign_wanted`. Returns False if
         there is a candidate already, no further connection is possible, or the shutdown has begun and the
         server is owed no release."""
-        if self.link.servers.draining and not self.link.owes_release(now):
+        if self.link.servers.draining and not self._may_have_lost_release(now):
             return False
         if (
             self.candidate is not None
@@ -105,6 +105,11 @@
         self.link.servers.count("refreshes")
         return True
 
+    def _may_have_lost_release(self, now: int) -> bool:
+        """Whether the server may not have read a release on the connection in use, which is doubted."""
+        doubted = self.completeness.doubted_from is not None
+        return doubted and self.link.releases.oldest_unproven(now) is not None
+
     def candidate_opened(self, candidate: ServerConnection) -> None:
         """The candidate is established: use it at once if that is proof enough, or request a sign of life."""
         now, doubted_from = clock(), self.completeness.doubted_from
@@ -154,7 +159,7 @@
 
     def _resend_releases(self, now: int, connection: ServerConnection) -> None:
         for sess, due_since in connection.releases.take_unproven(now).items():
-            self.link.resend_release(now, sess, due_since)
+            self.link.releases.resend(now, sess, due_since)
 
     def detach_candidate(self) -> ServerConnection | None:
         """Stop managing the candidate, and return it."""
--- a/ponddoor/node/server_link.py
+++ b/ponddoor/node/server_link.py
@@ -21,12 +21,12 @@
 from ponddoor.node.board_codec import server_id
 from ponddoor.node.connection_refresh import ConnectionRefresh, Connections
 from ponddoor.node.descriptors import is_resource_exhaustion
+from ponddoor.node.link_releases import LinkReleases, ReleasesOwner
 from ponddoor.node.server_connection import ServerConnection
 from ponddoor.node.server_messages import MessageOwner, Outgoing, ServerMessages
 from ponddoor.obligations.completeness import Completeness
 from ponddoor.obligations.lease import Lease, LeaseAction, LeaseEvent
 from ponddoor.obligations.setup_rule import JudgeSetup, Verdict
-from ponddoor.obligations.violations import Invariant, Violations
 from ponddoor.web.connecting import connect_within
 from ponddoor.web.unread import has_unread
 
@@ -38,20 +38,15 @@
 UNREAD_GRACE_US = SECOND // 4
 MAX_BACKOFF_WITH_SESSIONS_US = SECOND  # between two connects to a server at which sessions stand
 MAX_QUEUED_MESSAGES = 1000  # for one connection
-# For a server that can't be reached, or that may not have read them on a connection that ended
-MAX_PENDING_RELEASES = 1000
 # On a connection that this front closes although it works
 RELEASE_READ_AFTER_US = SECOND
-# A server that acknowledges releases has not read one that it leaves unacknowledged for so long
-RELEASE_ACK_TIMEOUT_US = SECOND // 2
 log = structlog.get_logger("servers")
 
 
-class LinkOwner(MessageOwner, Connections, Protocol):
+class LinkOwner(MessageOwner, Connections, ReleasesOwner, Protocol):
     """What a link needs of the object that owns all links."""
 
     random: Random
-    violations: Violations
     setups_enabled: bool
     open_links: "dict[ServerLink, None]"
 
@@ -69,9 +64,8 @@
 class ServerLink:
     """The state of a front towards one server. Times are in microseconds.
 
-    `queued` are messages that wait for a connection. `pending_releases` are the sessions whose release is
-    sent first on the next connection, with the time since which it is due. `gone_since` is when the list was
-    found to have removed a connected server."""
+    `queued` are messages that wait for a connection, `gone_since` is when the list was found to have removed
+    a connected server."""
 
     servers: LinkOwner
     number: int
@@ -79,8 +73,6 @@
     connection: ServerConnection | None = None
     connect_task: asyncio.Task[None] | None = None
     queued: list[Outgoing] = field(default_factory=list)
-    pending_releases: dict[str, int] = field(default_factory=dict)
-    acknowledges_releases: bool = False  # the server has done so
     last_used_at: int = 0
     gone_since: int | None = None
     connect_timer: asyncio.TimerHandle | None = None
@@ -88,8 +80,10 @@
     lease: Lease = field(init=False)
     refresh: ConnectionRefresh = field(init=False)
     messages: ServerMessages = field(init=False)
+    releases: LinkReleases = field(init=False)
 
     def __post_init__(self) -> None:
+        self.releases = LinkReleases(self)
         self.backoff = ConnectBackoff(self.servers.random)
         self.lease = Lease(self.servers.connect_timeout)
         self.refresh = ConnectionRefresh(self, Completeness(self.servers.connect_delay()))
@@ -130,7 +124,7 @@
         connects = (
             self.connection is not None or self.connect_task is not None or self.connect_timer is not None
         )
-        return bool(connects or self.pending_releases or self.refresh.retiring or self.needed)
+        return bool(connects or self.releases.pending or self.refresh.retiring or self.needed)
 
     def send_queued(self) -> None:
         """Schedule each queued message to be sent."""
@@ -168,7 +162,7 @@
         if self._backoff_wait(clock()):
             self.servers.count("connects-held-back")
             self._fail_queued(ev.Result.CONNECT_FAILED)
-            if self.pending_releases:
+            if self.releases.pending:
                 self.connect_staggered()
             return
         self._cancel_connect_timer()
@@ -190,7 +184,7 @@
     def connect_staggered(self) -> None:
         """Connect after this front's connect delay, so that fronts that lost a server at the same time do
         not all connect to it at once. Not for SETUPs, which do not wait that long."""
-        if not self.pending_releases and not self.servers.reconnects_for_sessions:
+        if not self.releases.pending and not self.servers.reconnects_for_sessions:
             return
         if self.connection is None and self.connect_task is None and self.connect_timer is None:
             self.servers.mark_used(self)
@@ -241,9 +235,8 @@
         self.log_connection("connection-opened", connection)
         unproven = self.lease.connected(clock()) or self.refresh.completeness.doubted_from is not None
         request_sign = unproven and self.servers.engine.has_sessions_at(self.number)
-        pending, self.pending_releases = self.pending_releases, {}
-        for sess, due_since in pending.items():
-            self.send_release(connection, clock(), sess, due_since)
+        for sess, due_since in self.releases.take_pending().items():
+            self.releases.send(connection, clock(), sess, due_since)
         if request_sign:
             self.request_sign_of_life(connection)
         self.send_queued()
@@ -274,52 +267,15 @@
         old, self.connection = self.connection, connection
         return old
 
-    def owes_release(self, now: int) -> bool:
-        """Whether the server may not have read a release on the connection in use, which is doubted."""
-        if self.refresh.completeness.doubted_from is None or self.connection is None:
-            return False
-        return self.connection.releases.oldest_sent_at(now) is not None
-
-    def resend_release(self, now: int, sess: str, due_since: int) -> None:
-        """Send a release again that the server may not have read."""
-        self.servers.count("releases-repeated")
-        if self.connection is not None:
-            self.send_release(self.connection, now, sess, due_since)
-        else:
-            self.queue_release(sess, due_since)
-
     def release(self, now: int, sess: str) -> None:
-        """Send a release on the connection in use, or queue it for the next one."""
-        if self.connection is not None:
-            self.send_release(self.connection, now, sess, now)
-        else:
-            self.queue_release(sess, now)
-
-    def send_release(self, connection: ServerConnection, now: int, sess: str, due_since: int) -> None:
-        """Write a release to a connection."""
-        displaced = connection.release(now, sess, due_since)
-        if displaced is not None:
-            self._release_forgotten(displaced, "too many releases that the server may not have read")
-
-    def release_acknowledged(self, connection: ServerConnection, sess: str) -> None:
-        """The server has acknowledged a release."""
-        self.acknowledges_releases |= connection.releases.proven(sess)
-
-    def _release_forgotten(self, sess: str, reason: str) -> None:
-        self.servers.count("releases-forgotten")
-        detail = f"its release at {server_id(self.number)} is forgotten: {reason}"
-        self.servers.violations.add(Invariant.SERVER_TOLD, sess, detail)
-
-    def _doubt_unacknowledged_releases(self, now: int) -> bool:
-        """Doubt the connection in use if the server has left a release on it unacknowledged. Returns whether
-        it has."""
-        if not self.acknowledges_releases or self.connection is None:
-            return False
-        sent_at = self.connection.releases.oldest_sent_at(now)
-        if sent_at is None or now - sent_at <= RELEASE_ACK_TIMEOUT_US:
-            return False
-        self.refresh.completeness.doubt(now, sent_at)
-        return True
+        """Send a release on the connection in use, or keep it for the next one."""
+        self.servers.mark_used(self)
+        self.releases.release(now, sess, now)
+
+    def keep_release(self, sess: str, due_since: int) -> None:
+        """Keep a release for the next connection, on which it is sent first."""
+        self.servers.mark_used(self)
+        self.releases.keep(sess, due_since)
 
     def end_unproven_sessions(self, now: int, standing_since: int) -> None:
         """Release and end the sessions that have stood since `standing_since` or longer: it was not proven
@@ -343,7 +299,7 @@
         if isinstance(problem, ConnectionRefusedError):
             self.servers.count("connect-refused")
             self.lease.connect_refused(now)
-            self.pending_releases.clear()
+            self.releases.pending.clear()
             self.queued = [item for item in self.queued if not isinstance(item, fx.SendTeardown)]
             self.servers.end_sessions(self, "refused")
         else:
@@ -357,18 +313,10 @@
         queued, self.queued = self.queued, []
         for item in queued:
             if isinstance(item, fx.SendTeardown):
-                self.queue_release(item.sess, clock())
+                self.keep_release(item.sess, clock())
             else:
                 self.servers.fail_unsent(item, result)
 
-    def queue_release(self, sess: str, due_since: int) -> None:
-        """Keep a release for the next connection, on which it is sent first."""
-        self.servers.mark_used(self)
-        if len(self.pending_releases) < MAX_PENDING_RELEASES:
-            self.pending_releases[sess] = due_since
-        else:
-            self._release_forgotten(sess, "too many releases wait for a connection")
-
     def withdraw_setup(self, sess: str, attempt: int) -> bool:
         """Remove a SETUP that is still queued. Returns whether there was one."""
         kept = [
@@ -454,10 +402,7 @@
         self.servers.count("connection-ended")
         self.lease.record_event(now, LeaseEvent.BROKEN, reason[:80])
         probes = self.messages.take_pending_probes()
-        unproven = connection.releases.take_unproven(now)
-        for sess, due_since in unproven.items():
-            self.servers.count("releases-repeated")
-            self.queue_release(sess, due_since)
+        has_unproven = self.releases.keep_unproven(now, connection)
         self.log_connection(
             "connection-broke", connection, why=reason, setups=len(connection.setups), tests=len(probes)
         )
@@ -468,7 +413,7 @@
             self.servers.probe_answered(self.number, now - sent_at, ev.Result.RESET, {})
         if self.queued and self.connection is None:
             self.connect()
-        elif unproven:
+        elif has_unproven:
             self.connect_staggered()
         if self.servers.engine.has_sessions_at(self.number):
             if self.entry.state == "gone":
@@ -486,18 +431,20 @@
         """Check what depends on time: the lease, missing and idle connections, partial lines. `idle` is the
         time in microseconds after which an unused connection is closed."""
         connection, plays = self.connection, self.servers.engine.has_sessions_at(self.number)
-        if connection is None and (plays or self.pending_releases):
+        if connection is None and (plays or self.releases.pending):
             self.connect_staggered()
         if connection is not None and plays and self.entry.state == "gone":
             # A new server that has taken the address answers in place of the one that is gone
             self.gone_since = self.gone_since or now
             if now - self.gone_since > ADDRESS_REUSE_TIMEOUT_US:
                 for held in self.servers.engine.sessions_at(self.number):
-                    self.send_release(connection, now, held.sess, now)
+                    self.releases.send(connection, now, held.sess, now)
                 self.close_connection(connection, "server is gone from the list, but its address answers")
                 return
-        unread = self._doubt_unacknowledged_releases(now)
-        self.refresh.tick(now, plays or self.has_setups or unread)
+        overdue_since = self.releases.overdue_since(now)
+        if overdue_since is not None:
+            self.refresh.completeness.doubt(now, overdue_since)
+        self.refresh.tick(now, plays or self.has_setups or overdue_since is not None)
         self._check_lease(now, plays)
         if connection is not None and self.connection is connection and not has_unread(connection.transport):
             self._check_connection(connection, now, plays, idle)
@@ -533,13 +480,13 @@
         in case the server still lives."""
         self.fail_connections(reason)
         for held in self.servers.engine.sessions_at(self.number):
-            self.queue_release(held.sess, now)
+            self.keep_release(held.sess, now)
         self.servers.end_sessions(self, reason)
 
     @property
     def unsent(self) -> bool:
         """Whether a message still has to be written to this server."""
-        if self.queued or self.pending_releases:
+        if self.queued or self.releases.pending:
             return True
         connections = (self.connection, *self.refresh.retiring)
         return any(connection is not None and connection.unsent_bytes > 0 for connection in connections)
--- a/ponddoor/node/server_messages.py
+++ b/ponddoor/node/server_messages.py
@@ -15,6 +15,7 @@
 from ponddoor.node import server_codec as codec
 from ponddoor.node.board_codec import server_id
 from ponddoor.node.connection_refresh import ConnectionRefresh
+from ponddoor.node.link_releases import LinkReleases
 from ponddoor.node.server_connection import PendingSetup, ServerConnection
 from ponddoor.obligations.early_ends import EarlyEnds
 
@@ -54,14 +55,13 @@
     number: int
     entry: Entry
     refresh: ConnectionRefresh
+    releases: LinkReleases
 
     @property
     def servers(self) -> MessageOwner: ...
     def message_received(self, now: int, connection: ServerConnection) -> None: ...
     def request_timed_out(self, now: int, since: int) -> None: ...
     def connection_failed(self, connection: ServerConnection, reason: str) -> None: ...
-    def release_acknowledged(self, connection: ServerConnection, sess: str) -> None: ...
-    def send_release(self, connection: ServerConnection, now: int, sess: str, due_since: int) -> None: ...
 
 
 @dataclass(slots=True)
@@ -134,7 +134,7 @@
         if setup is None or setup.attempt != attempt:
             retiring = self.link.refresh.connection_of_setup(sess, attempt)
             if retiring is None:
-                self.link.send_release(connection, now, sess, now)
+                self.link.releases.send(connection, now, sess, now)
             else:
                 retiring.give_up(sess)
             return
@@ -155,7 +155,7 @@
             case codec.SessionEnded():
                 self._session_ended(connection, message)
             case codec.ReleaseAck(sess):
-                self.link.release_acknowledged(connection, sess)
+                self.link.releases.acknowledge(connection, sess)
             case codec.ProbeAnswered(sess, healthy, report):
                 self._probe_answered(
                     connection, sess, ev.Result.SERVED if healthy else ev.Result.ERROR, report
--- a/ponddoor/node/servers.py
+++ b/ponddoor/node/servers.py
@@ -17,8 +17,9 @@
 from ponddoor.front.roster import Entry, ListChange
 from ponddoor.interface import events as ev
 from ponddoor.node.board_codec import server_id
+from ponddoor.node.link_releases import MAX_PENDING_RELEASES
 from ponddoor.node.server_connection import ServerConnection
-from ponddoor.node.server_link import MAX_PENDING_RELEASES, ServerLink
+from ponddoor.node.server_link import ServerLink
 from ponddoor.node.server_messages import Outgoing
 from ponddoor.obligations.drain import DrainPhase
 from ponddoor.obligations.early_ends import EarlyEnds
@@ -197,10 +198,9 @@
         self._release_since_start(link, successor)
         self.end_sessions(link, "another server at its address")
         self._fail_link(link)
-        pending, link.pending_releases = link.pending_releases, {}
-        for sess, due_since in pending.items():
-            successor.queue_release(sess, due_since)
-        if successor.pending_releases:
+        for sess, due_since in link.releases.take_pending().items():
+            successor.keep_release(sess, due_since)
+        if successor.releases.pending:
             successor.connect_staggered()
 
     def _release_since_start(self, link: ServerLink, successor: ServerLink) -> None:
@@ -209,7 +209,7 @@
         for held in self.engine.sessions_at(link.number):
             if held.standing_since >= started_at - START_TIME_TOLERANCE_US:
                 successor.release(clock(), held.sess)
-        if successor.pending_releases:
+        if successor.releases.pending:
             successor.connect_staggered()
 
     def _new_link(self, number: int, entry: Entry) -> ServerLink:
@@ -358,8 +358,8 @@
             self.early_ends.all_ended(clock(), link.number)
         self._unlisted_since.pop(link.number, None)
         for sess in self._unlisted_releases.pop(link.number, {}):
-            link.queue_release(sess, clock())
-        if link.pending_releases or self.engine.has_sessions_at(link.number):
+            link.keep_release(sess, clock())
+        if link.releases.pending or self.engine.has_sessions_at(link.number):
             link.connect_staggered()
 
     def _release_unlisted(self, server: int, sess: str) -> None:
